--- /dev/null
+++ b/src/lib/core/clock.ts
@@ -0,0 +1,45 @@
+/** Time, passed to whoever needs it as functions. */
+import {performance} from 'node:perf_hooks';
+
+/** Reads a monotonic clock in milliseconds. Never goes back, counts through a freeze. */
+export type ReadMonotonicMs = () => number;
+
+/** Reads the wall clock in milliseconds since 1970, for people only. */
+export type ReadWallMs = () => number;
+
+/** Stops a timer that has not fired. */
+export type StopTimer = () => void;
+
+/** Calls `fire` once after `delayMs`; returns what stops it. */
+export type StartTimer = (delayMs: number, fire: () => void) => StopTimer;
+
+/** Returns a number from 0 up to but not including 1. */
+export type DrawRandom = () => number;
+
+/** Reads the process's monotonic clock in milliseconds. */
+export const readMonotonicMs: ReadMonotonicMs = () => performance.now();
+
+/** Reads the host's wall clock. */
+export const readWallMs: ReadWallMs = () =>
+  Math.round(performance.timeOrigin + performance.now());
+
+/** Starts a timer on the event loop. */
+export const startTimer: StartTimer = (delayMs, fire) => {
+  const handle = setTimeout(fire, delayMs);
+  return () => clearTimeout(handle);
+};
+
+/** Calls `fire` every `periodMs`, counted from the end of the last call. */
+export function repeatTimer(
+  start: StartTimer,
+  periodMs: number,
+  fire: () => void,
+): StopTimer {
+  let stop: StopTimer;
+  const run = () => {
+    fire();
+    stop = start(periodMs, run);
+  };
+  stop = start(periodMs, run);
+  return () => stop();
+}
--- /dev/null
+++ b/test/core/chart_test.ts
@@ -0,0 +1,113 @@
+import {expect} from 'chai';
+import {Chart, ChartRun, readChartFile} from '../../src/lib/core/chart.js';
+import type {ChartDefinition} from '../../src/lib/core/chart.js';
+import {ChartError} from '../../src/lib/core/errors.js';
+
+enum LampState {
+  OFF = 'off',
+  ON = 'on',
+}
+
+enum LampEvent {
+  PRESS = 'press',
+  TIMEOUT = 'timer.timeout',
+}
+
+const LAMP: ChartDefinition = {
+  id: 'lamp',
+  description: 'A lamp.',
+  initial: 'off',
+  states: {
+    off: {on: {press: {target: 'on', guard: 'isPowered', actions: ['light']}}},
+    on: {on: {press: {target: 'off'}}, after: {timeout: {target: 'off'}}},
+  },
+};
+
+const VOCABULARY = {
+  states: LampState,
+  events: LampEvent,
+  guards: ['isPowered'],
+  actions: ['light'],
+};
+
+function createLamp(): Chart<LampState, LampEvent> {
+  return Chart.create(LAMP, VOCABULARY);
+}
+
+describe('Chart', () => {
+  it('takes a transition and names its actions', () => {
+    const step = createLamp().step(LampState.OFF, LampEvent.PRESS, () => true);
+    expect(step.state).to.equal(LampState.ON);
+    expect(step.actions).to.deep.equal(['light']);
+    expect(step.isTaken).to.equal(true);
+  });
+
+  it('stays in the state when the guard does not hold', () => {
+    const step = createLamp().step(LampState.OFF, LampEvent.PRESS, () => false);
+    expect(step.state).to.equal(LampState.OFF);
+    expect(step.isTaken).to.equal(false);
+  });
+
+  it('evaluates guards anew after a step was remembered', () => {
+    const lamp = createLamp();
+    lamp.step(LampState.OFF, LampEvent.PRESS, () => false);
+    const step = lamp.step(LampState.OFF, LampEvent.PRESS, () => true);
+    expect(step.state).to.equal(LampState.ON);
+  });
+
+  it('says that an event is not taken', () => {
+    const step = createLamp().step(LampState.OFF, LampEvent.TIMEOUT);
+    expect(step.isTaken).to.equal(false);
+  });
+
+  const faults: Array<[string, ChartDefinition]> = [
+    ['state "on" is unknown', {...LAMP, states: {off: LAMP.states.off}}],
+    [
+      'state "dim" cannot be reached',
+      {...LAMP, states: {...LAMP.states, dim: {}}},
+    ],
+    [
+      'event "kick" is unknown to the code',
+      {
+        ...LAMP,
+        states: {...LAMP.states, on: {on: {kick: {target: 'off'}}}},
+      },
+    ],
+    [
+      'guard "isPowered" is unknown to the chart',
+      {...LAMP, states: {...LAMP.states, off: {on: {press: {target: 'on'}}}}},
+    ],
+  ];
+  for (const [text, definition] of faults) {
+    it(`refuses a chart: ${text}`, () => {
+      expect(() => Chart.create(definition, VOCABULARY)).to.throw(
+        ChartError,
+        text,
+      );
+    });
+  }
+
+  it('refuses a file that is not there with a typed error', () => {
+    expect(() => readChartFile('nowhere.yaml')).to.throw(ChartError, 'nowhere');
+  });
+});
+
+describe('ChartRun', () => {
+  it('runs the timers of the current state only', () => {
+    const running = new Set<string>();
+    const run = ChartRun.create(createLamp(), {
+      startNamedTimer: name => {
+        running.add(name);
+        return () => running.delete(name);
+      },
+      fire: () => undefined,
+      evaluate: () => true,
+    });
+    expect([...running]).to.deep.equal([]);
+    run.send(LampEvent.PRESS);
+    expect([...running]).to.deep.equal(['timeout']);
+    run.send(LampEvent.TIMEOUT);
+    expect([...running]).to.deep.equal([]);
+    expect(run.state).to.equal(LampState.OFF);
+  });
+});
--- /dev/null
+++ b/test/core/task_test.ts
@@ -0,0 +1,69 @@
+import {expect} from 'chai';
+import {PostOutcome, Task} from '../../src/lib/core/task.js';
+
+function createTask(capacity: number, handled: number[]): Task<number> {
+  return Task.create<number>({
+    name: 'test',
+    capacity,
+    handle: message => handled.push(message),
+    reportFailure: () => undefined,
+  });
+}
+
+describe('Task', () => {
+  it('handles messages in the order they were posted', async () => {
+    const handled: number[] = [];
+    const task = createTask(1000, handled);
+    for (let i = 0; i < 600; i += 1) task.post(i);
+    await new Promise<void>(resolve => {
+      const check = () => {
+        if (handled.length === 600) resolve();
+        else setImmediate(check);
+      };
+      check();
+    });
+    expect(handled).to.deep.equal([...handled].sort((a, b) => a - b));
+  });
+
+  it('answers a full mailbox with FULL and loses nothing it has taken', async () => {
+    const handled: number[] = [];
+    const task = createTask(2, handled);
+    const outcomes = [task.post(1), task.post(2), task.post(3)];
+    expect(outcomes).to.deep.equal([
+      PostOutcome.QUEUED,
+      PostOutcome.QUEUED,
+      PostOutcome.FULL,
+    ]);
+    await Promise.resolve();
+    expect(handled).to.deep.equal([1, 2]);
+  });
+
+  it('goes on after a handler failed and reports the failure', async () => {
+    const reported: unknown[] = [];
+    const handled: number[] = [];
+    const task = Task.create<number>({
+      name: 'test',
+      capacity: 10,
+      handle: message => {
+        if (message === 1) throw new RangeError('one');
+        handled.push(message);
+      },
+      reportFailure: failure => reported.push(failure),
+    });
+    task.post(1);
+    task.post(2);
+    await Promise.resolve();
+    expect(handled).to.deep.equal([2]);
+    expect(reported).to.have.length(1);
+  });
+
+  it('disposes its store in reverse order, once, and takes no more', async () => {
+    const released: string[] = [];
+    const task = createTask(2, []);
+    task.store.add(() => void released.push('first'));
+    task.store.add(() => void released.push('second'));
+    await Promise.all([task.stop(), task.stop()]);
+    expect(released).to.deep.equal(['second', 'first']);
+    expect(task.post(1)).to.equal(PostOutcome.STOPPED);
+  });
+});
