Read and check settings files of entry and agent

Cause: both servers need their settings checked whole before they start. Change: schemas with defaults, places of mistakes by line and column, nearest known keys, secrets hidden in messages and in print. advertise.peers defaults to the address of listen.peers.

--- /dev/null
+++ b/src/lib/settings/entry_settings.ts
@@ -0,0 +1,254 @@
+/** Settings of `foxtailbay-entry`. */
+import {
+  describeCount,
+  describeDuration,
+  describeListener,
+  describePeerAddress,
+  describeSecret,
+  describeSection,
+  LOG_NODE,
+  METRICS_NODE,
+  PROCESS_NODE,
+  SCHEMA_VERSION_NODE,
+} from './settings_schema.js';
+import type {
+  ListenAddress,
+  LogSettings,
+  MetricsSettings,
+  ProcessSettings,
+  SettingsConflict,
+  SettingsSchema,
+} from './settings_schema.js';
+
+/** Policies that choose the target of a task. */
+export enum PlacementPolicyName {
+  LEAST_LOADED = 'least-loaded',
+  RANDOM = 'random',
+  ROUND_ROBIN = 'round-robin',
+  TWO_CHOICES = 'two-choices',
+}
+
+/** The listeners of an entry. */
+export interface EntryListenSettings {
+  /** HTTP for callers. */
+  readonly callers: ListenAddress;
+  /** gRPC for agents and other entries. */
+  readonly peers: ListenAddress;
+  /** HTTP for operators. */
+  readonly administration: ListenAddress;
+}
+
+/** How the platform's store is reached. */
+export interface StoreSettings {
+  readonly address: string;
+  readonly prefix: string;
+  readonly callTimeoutMs: number;
+  readonly watchWaitMs: number;
+  readonly leaseMs: number;
+}
+
+/** Bounds of what an entry remembers of sessions and answers. */
+export interface SessionSettings {
+  readonly secret: string;
+  readonly lifetimeMs: number;
+  readonly keysAtMost: number;
+  readonly answerBytesAtMost: number;
+}
+
+/** Bounds of what an entry takes. */
+export interface LimitSettings {
+  readonly bodyBytes: number;
+  readonly resultBytes: number;
+  readonly tasksPerJob: number;
+  readonly waitingTasksAtMost: number;
+  readonly jobsAtMost: number;
+}
+
+/** Everything in the settings file of an entry. */
+export interface EntrySettings {
+  readonly schemaVersion: number;
+  readonly process: ProcessSettings;
+  readonly listen: EntryListenSettings;
+  /** How other processes reach `listen.peers`. */
+  readonly advertise: {readonly peers: string};
+  readonly store: StoreSettings;
+  readonly sessions: SessionSettings;
+  readonly limits: LimitSettings;
+  readonly placement: {readonly policy: PlacementPolicyName};
+  readonly agents: {readonly returnLimitMs: number};
+  readonly administration: {readonly key: string};
+  readonly stop: {readonly noticeMs: number; readonly drainMs: number};
+  readonly log: LogSettings;
+  /** Absent: no metrics are sent. */
+  readonly metrics?: MetricsSettings;
+}
+
+const MEBIBYTE = 1_048_576;
+const HOUR_MS = 3_600_000;
+
+const LISTEN_NODE = describeSection(
+  'Addresses on which the entry listens.',
+  {
+    callers: describeListener('HTTP for callers.'),
+    peers: describeListener('gRPC for agents and other entries.'),
+    administration: describeListener('HTTP for operators.'),
+  },
+  ['callers', 'peers', 'administration'],
+);
+
+const STORE_NODE = describeSection(
+  "The platform's key-value service.",
+  {
+    address: {
+      type: 'string',
+      description: 'Base URL of the service.',
+      pattern: '^https?://[^\\s/]+/?$',
+    },
+    prefix: {
+      type: 'string',
+      description: 'Begins each key that foxtailbay uses.',
+      pattern: '^/(\\S*/)?$',
+      default: '/foxtailbay/',
+    },
+    callTimeoutMs: describeDuration('Longest time of one call.', 1500),
+    watchWaitMs: describeDuration(
+      'Longest time that the service holds a watch open without a change.',
+      1000,
+    ),
+    leaseMs: describeDuration(
+      "Lease of this entry's registration; its end makes others forget it.",
+      10_000,
+    ),
+  },
+  ['address'],
+);
+
+const SESSIONS_NODE = describeSection(
+  'Idempotency keys and the answers kept for them.',
+  {
+    secret: describeSecret('Signs session tokens; the same on all entries.'),
+    lifetimeMs: describeDuration('Lifetime of a session.', HOUR_MS),
+    keysAtMost: describeCount('Keys kept over all sessions.', 200_000),
+    answerBytesAtMost: describeCount(
+      'Bytes of answers kept over all sessions.',
+      64 * MEBIBYTE,
+    ),
+  },
+  ['secret'],
+);
+
+const LIMITS_NODE = describeSection('Bounds of what the entry takes.', {
+  bodyBytes: describeCount('Largest body of a request.', 4 * MEBIBYTE),
+  resultBytes: describeCount('Largest result of one task.', MEBIBYTE),
+  tasksPerJob: describeCount('Most tasks of one job.', 5000),
+  waitingTasksAtMost: describeCount('Most tasks that wait here.', 100_000),
+  jobsAtMost: describeCount('Most jobs that run or wait here.', 20_000),
+});
+
+const PLACEMENT_NODE = describeSection('Where tasks go.', {
+  policy: {
+    type: 'string',
+    description: 'Policy that chooses the target of a task.',
+    enum: Object.values(PlacementPolicyName),
+    default: PlacementPolicyName.LEAST_LOADED,
+  },
+});
+
+/** Schema of the settings file of an entry. */
+export const ENTRY_SETTINGS_SCHEMA: SettingsSchema<EntrySettings> = {
+  kind: 'entry',
+  root: describeSection(
+    'Settings of `foxtailbay-entry`.',
+    {
+      schemaVersion: SCHEMA_VERSION_NODE,
+      process: PROCESS_NODE,
+      listen: LISTEN_NODE,
+      advertise: describeSection('How others reach this entry.', {
+        peers: describePeerAddress(
+          '`host:port` of `listen.peers` as others reach it; absent: the address listened on.',
+        ),
+      }),
+      store: STORE_NODE,
+      sessions: SESSIONS_NODE,
+      limits: LIMITS_NODE,
+      placement: PLACEMENT_NODE,
+      agents: describeSection('Connections of agents.', {
+        returnLimitMs: describeDuration(
+          'How long a broken stream may take to return.',
+          5000,
+        ),
+      }),
+      administration: describeSection(
+        'The administration API.',
+        {key: describeSecret('Bearer key that operators send.')},
+        ['key'],
+      ),
+      stop: describeSection('The graceful stop.', {
+        noticeMs: describeDuration(
+          'How long new work is still taken while the balancer learns of the stop.',
+          500,
+          0,
+        ),
+        drainMs: describeDuration('Longest time to finish work.', 30_000),
+      }),
+      log: LOG_NODE,
+      metrics: METRICS_NODE,
+    },
+    [
+      'schemaVersion',
+      'process',
+      'listen',
+      'store',
+      'sessions',
+      'administration',
+    ],
+  ),
+  complete: completeAdvertisedAddress,
+  findConflicts: settings => [
+    ...findSharedPorts(settings),
+    ...findShortLease(settings),
+  ],
+};
+
+function completeAdvertisedAddress(settings: EntrySettings): EntrySettings {
+  const {host, port} = settings.listen.peers;
+  return {
+    ...settings,
+    advertise: {peers: settings.advertise.peers ?? `${host}:${port}`},
+  };
+}
+
+function findSharedPorts(settings: EntrySettings): SettingsConflict[] {
+  const listeners = Object.entries(settings.listen) as Array<
+    [string, ListenAddress]
+  >;
+  return listeners.flatMap(([name, address], index) => {
+    const other = listeners
+      .slice(0, index)
+      .find(([, earlier]) => isSameListener(earlier, address));
+    if (other === undefined) return [];
+    return [
+      {
+        path: ['listen', name, 'port'],
+        found: `${address.port}, the same as listen.${other[0]}`,
+        allowed: 'a port of its own',
+      },
+    ];
+  });
+}
+
+function isSameListener(one: ListenAddress, other: ListenAddress): boolean {
+  return one.port !== 0 && one.port === other.port && one.host === other.host;
+}
+
+function findShortLease(settings: EntrySettings): SettingsConflict[] {
+  const {leaseMs, callTimeoutMs} = settings.store;
+  if (leaseMs > 2 * callTimeoutMs) return [];
+  return [
+    {
+      path: ['store', 'leaseMs'],
+      found: String(leaseMs),
+      allowed: `more than twice store.callTimeoutMs (${callTimeoutMs})`,
+    },
+  ];
+}
--- /dev/null
+++ b/src/lib/settings/nearest_name.ts
@@ -0,0 +1,40 @@
+/** Suggestions for names that were mistyped. */
+
+/** Largest share of a name that may differ for it to be suggested. */
+const LARGEST_DIFFERENCE = 0.5;
+
+/** Finds the known name that differs least from `name`, if one is near. */
+export function findNearestName(
+  name: string,
+  known: readonly string[],
+): string | undefined {
+  const ranked = known
+    .map(candidate => ({candidate, distance: countEdits(name, candidate)}))
+    .sort((one, other) => one.distance - other.distance);
+  const nearest = ranked[0];
+  if (nearest === undefined) return undefined;
+  const longest = Math.max(name.length, nearest.candidate.length);
+  return nearest.distance <= longest * LARGEST_DIFFERENCE
+    ? nearest.candidate
+    : undefined;
+}
+
+/** Counts insertions, deletions and replacements between two words (Levenshtein). */
+function countEdits(one: string, other: string): number {
+  const from = one.toLowerCase();
+  const to = other.toLowerCase();
+  let previous = Array.from({length: to.length + 1}, (_, index) => index);
+  for (let row = 1; row <= from.length; row += 1) {
+    const current = [row];
+    for (let column = 1; column <= to.length; column += 1) {
+      const replaced = from[row - 1] === to[column - 1] ? 0 : 1;
+      current[column] = Math.min(
+        previous[column] + 1,
+        current[column - 1] + 1,
+        previous[column - 1] + replaced,
+      );
+    }
+    previous = current;
+  }
+  return previous[to.length];
+}
--- /dev/null
+++ b/src/lib/settings/read_settings.ts
@@ -0,0 +1,75 @@
+/** Reading and checking of settings files. */
+import {Ajv} from 'ajv';
+import {SettingsError} from '../core/errors.js';
+import {describeViolation, formatMistake} from './settings_mistake.js';
+import type {SettingsMistake} from './settings_mistake.js';
+import type {SettingsConflict, SettingsSchema} from './settings_schema.js';
+import {SettingsSource} from './settings_source.js';
+
+/**
+ * Reads a settings file, checks it whole and fills in the defaults.
+ *
+ * @throws SettingsError that lists every mistake with file, line, column,
+ *     path, what was found and what is allowed.
+ */
+export function readSettings<T>(path: string, schema: SettingsSchema<T>): T {
+  return checkSettings(SettingsSource.create(path), schema);
+}
+
+/** Checks settings that have been read; throws as `readSettings` does. */
+export function checkSettings<T>(
+  source: SettingsSource,
+  schema: SettingsSchema<T>,
+): T {
+  rejectFaults(source);
+  const settings = source.toValue() as T;
+  rejectMistakes(source, findViolations(source, schema, settings));
+  const completed = schema.complete(settings);
+  const conflicts = schema.findConflicts(completed).map(toMistake);
+  rejectMistakes(source, conflicts);
+  return completed;
+}
+
+function findViolations<T>(
+  source: SettingsSource,
+  schema: SettingsSchema<T>,
+  settings: T,
+): SettingsMistake[] {
+  const ajv = new Ajv({allErrors: true, useDefaults: true, verbose: true});
+  const validate = ajv.compile(schema.root);
+  if (validate(settings)) return [];
+  return (validate.errors ?? []).map(violation =>
+    describeViolation(violation, violation.data ?? source.toValue()),
+  );
+}
+
+function toMistake(conflict: SettingsConflict): SettingsMistake {
+  return {...conflict, isKey: false};
+}
+
+function rejectFaults(source: SettingsSource): void {
+  const lines = source
+    .listFaults()
+    .map(({position, message}) =>
+      [source.file, position.line, position.column, ` ${message}`].join(':'),
+    );
+  rejectLines(source.file, lines);
+}
+
+function rejectMistakes(
+  source: SettingsSource,
+  mistakes: readonly SettingsMistake[],
+): void {
+  const lines = mistakes.map(mistake =>
+    formatMistake(source.file, source.locate(mistake), mistake),
+  );
+  rejectLines(source.file, [...new Set(lines)]);
+}
+
+function rejectLines(file: string, lines: readonly string[]): void {
+  if (lines.length === 0) return;
+  const count = lines.length === 1 ? 'a mistake' : `${lines.length} mistakes`;
+  throw new SettingsError(
+    `Settings file ${file} has ${count}:\n${lines.join('\n')}`,
+  );
+}
--- /dev/null
+++ b/test/settings/read_settings_test.ts
@@ -0,0 +1,143 @@
+import {expect} from 'chai';
+import {ErrorCode, SettingsError} from '../../src/lib/core/errors.js';
+import {AGENT_SETTINGS_SCHEMA} from '../../src/lib/settings/agent_settings.js';
+import {
+  ENTRY_SETTINGS_SCHEMA,
+  PlacementPolicyName,
+} from '../../src/lib/settings/entry_settings.js';
+import {
+  checkSettings,
+  readSettings,
+} from '../../src/lib/settings/read_settings.js';
+import type {SettingsSchema} from '../../src/lib/settings/settings_schema.js';
+import {SettingsSource} from '../../src/lib/settings/settings_source.js';
+
+const ENTRY_TEXT = `schemaVersion: 1
+process: {id: entry-1, dataCentre: vn-south-a}
+listen:
+  callers: {host: 127.0.0.1, port: 7400}
+  peers: {host: 127.0.0.1, port: 7401}
+  administration: {host: 127.0.0.1, port: 7402}
+store: {address: 'http://127.0.0.1:7300'}
+sessions: {secret: sixteen-characters}
+administration: {key: sixteen-characters}
+`;
+
+const AGENT_TEXT = `schemaVersion: 1
+process: {id: agent-1, dataCentre: vn-south-a}
+listen: {targets: {host: 127.0.0.1, port: 7500}}
+entries: ['127.0.0.1:7401']
+`;
+
+function checkText<T>(text: string, schema: SettingsSchema<T>): T {
+  return checkSettings(SettingsSource.createFromText('a.yaml', text), schema);
+}
+
+function catchMessage<T>(text: string, schema: SettingsSchema<T>): string {
+  try {
+    checkText(text, schema);
+  } catch (failure) {
+    expect(failure).to.be.instanceOf(SettingsError);
+    return (failure as Error).message;
+  }
+  return expect.fail('the settings were taken');
+}
+
+describe('readSettings', () => {
+  it('fills in the defaults of an entry', () => {
+    const settings = checkText(ENTRY_TEXT, ENTRY_SETTINGS_SCHEMA);
+    expect(settings.advertise.peers).to.equal('127.0.0.1:7401');
+    expect(settings.store.prefix).to.equal('/foxtailbay/');
+    expect(settings.limits.tasksPerJob).to.equal(5000);
+    expect(settings.placement.policy).to.equal(
+      PlacementPolicyName.LEAST_LOADED,
+    );
+    expect(settings.metrics).to.equal(undefined);
+  });
+
+  it('fills in the defaults of an agent', () => {
+    const settings = checkText(AGENT_TEXT, AGENT_SETTINGS_SCHEMA);
+    expect(settings.target).to.deep.equal({leaseMs: 3000, queueLimit: 4});
+    expect(settings.permission.freshMs).to.equal(4000);
+  });
+
+  it('takes the examples', () => {
+    readSettings('examples/entry.yaml', ENTRY_SETTINGS_SCHEMA);
+    readSettings('examples/agent.yaml', AGENT_SETTINGS_SCHEMA);
+  });
+
+  it('names all mistakes at once, each with its place', () => {
+    const text = ENTRY_TEXT.replace('port: 7400', 'port: many')
+      .replace('store: {address:', 'store: {adress:')
+      .replace('secret: sixteen-characters', 'secret: short-one');
+    expect(
+      catchMessage(text, ENTRY_SETTINGS_SCHEMA).split('\n'),
+    ).to.have.members([
+      'Settings file a.yaml has 4 mistakes:',
+      'a.yaml:4:36: listen.callers.port: found "many"; allowed: an integer from 0 to 65535',
+      'a.yaml:7:9: store.adress: found unknown key "adress"; allowed: address, prefix, callTimeoutMs, watchWaitMs, leaseMs; did you mean "address"?',
+      'a.yaml:7:8: store.address: found nothing; allowed: text that matches ^https?://[^\\s/]+/?$',
+      'a.yaml:8:20: sessions.secret: found a value that is not shown; allowed: text of at least 16 characters',
+    ]);
+  });
+
+  it('never shows a secret, whatever is wrong with it', () => {
+    const text = ENTRY_TEXT.replace('key: sixteen-characters', 'key: [hush]');
+    expect(catchMessage(text, ENTRY_SETTINGS_SCHEMA)).not.to.contain('hush');
+  });
+
+  it('refuses a file of another schema version', () => {
+    const text = AGENT_TEXT.replace('schemaVersion: 1', 'schemaVersion: 2');
+    expect(catchMessage(text, AGENT_SETTINGS_SCHEMA)).to.contain(
+      'a.yaml:1:16: schemaVersion: found 2; allowed: 1',
+    );
+  });
+
+  it('refuses settings that do not go together', () => {
+    const text = `${AGENT_TEXT}permission: {freshMs: 500, pingPeriodMs: 400}\n`;
+    expect(catchMessage(text, AGENT_SETTINGS_SCHEMA)).to.contain(
+      'a.yaml:5:42: permission.pingPeriodMs: found 400; allowed: at most half of permission.freshMs (500)',
+    );
+  });
+
+  it('refuses two listeners on one port', () => {
+    const text = ENTRY_TEXT.replace('port: 7402', 'port: 7400');
+    expect(catchMessage(text, ENTRY_SETTINGS_SCHEMA)).to.contain(
+      'found 7400, the same as listen.callers; allowed: a port of its own',
+    );
+  });
+
+  it('points into lists', () => {
+    const text = AGENT_TEXT.replace("['127.0.0.1:7401']", '[a:1, 5]');
+    expect(catchMessage(text, AGENT_SETTINGS_SCHEMA)).to.contain(
+      'a.yaml:4:16: entries.1: found 5; allowed: text that matches',
+    );
+  });
+
+  it('names the place of broken YAML and of a key that stands twice', () => {
+    expect(catchMessage('a: [1\n', AGENT_SETTINGS_SCHEMA)).to.match(
+      /a\.yaml:2:1: /,
+    );
+    expect(
+      catchMessage(`${AGENT_TEXT}log: {}\nlog: {}\n`, AGENT_SETTINGS_SCHEMA),
+    ).to.match(/a\.yaml:6:1: Map keys must be unique/);
+  });
+
+  for (const [name, text] of [
+    ['an empty file', ''],
+    ['a list', '- 1\n'],
+    ['a number', '7\n'],
+  ]) {
+    it(`refuses ${name}`, () => {
+      expect(catchMessage(text, AGENT_SETTINGS_SCHEMA)).to.match(
+        /a\.yaml:1:1: \(file\): found .*; allowed: a section with schemaVersion/,
+      );
+    });
+  }
+
+  it('tells a file that cannot be read from one that is wrong', () => {
+    expect(() => readSettings('no-such.yaml', AGENT_SETTINGS_SCHEMA))
+      .to.throw(SettingsError, 'no-such.yaml cannot be read')
+      .with.property('code', ErrorCode.SETTINGS_UNREADABLE);
+  });
+});
