--- /dev/null
+++ b/src/lib/agent/agent_process.ts
@@ -0,0 +1,244 @@
+/** The agent: its tasks, tied together. */
+import {readMonotonicMs, startTimer} from '../core/clock.js';
+import {DisposableStore} from '../core/disposable_store.js';
+import type {HttpListener} from '../core/http_listener.js';
+import {drawIncarnation} from '../core/identity.js';
+import type {ProcessIdentity} from '../core/identity.js';
+import {
+  ProcessAction,
+  ProcessEvent,
+  ProcessLife,
+  ProcessState,
+} from '../core/process_life.js';
+import {DataCentreState} from '../decisions/start_permission.js';
+import {createLog, LogEvent} from '../observe/log.js';
+import type {Log} from '../observe/log.js';
+import type {AgentSettings} from '../settings/agent_settings.js';
+import {LogLevel} from '../settings/settings_schema.js';
+import {openLinkStream} from '../wire/link_client.js';
+import {openAnnouncementDoor} from './announcement_door.js';
+import {EntryLink, LinkState} from './entry_link.js';
+import {LinkKeeper} from './link_keeper.js';
+import {Runner} from './runner.js';
+import {KeeperMessageKind, RunnerMessageKind} from './runner_messages.js';
+import {connectTarget} from './target_client.js';
+import {TargetKeeper, TargetState} from './target_keeper.js';
+
+/** How long a leaving agent still takes tasks that entries have sent, in milliseconds. */
+const NOTICE_MS = 100;
+
+const RESULT_BYTES_AT_MOST = 1024 * 1024;
+
+const TARGET_EVENTS: Readonly<Record<TargetState, LogEvent>> = {
+  [TargetState.ABSENT]: LogEvent.TARGET_ABSENT,
+  [TargetState.PRESENT]: LogEvent.TARGET_PRESENT,
+  [TargetState.LEAVING]: LogEvent.TARGET_LEAVING,
+};
+
+/** One running agent. */
+export class AgentProcess {
+  private readonly store = DisposableStore.create();
+  private readonly life: ProcessLife;
+  private readonly runner: Runner;
+  private readonly target: TargetKeeper;
+  private readonly keeper: LinkKeeper;
+  private listener: HttpListener | undefined;
+  private resolveStopped: () => void = () => undefined;
+  /** Resolves when the agent has stopped and released everything. */
+  readonly stopped: Promise<void>;
+
+  private constructor(
+    private readonly settings: AgentSettings,
+    private readonly identity: ProcessIdentity,
+    private readonly log: Log,
+  ) {
+    this.stopped = new Promise(resolve => (this.resolveStopped = resolve));
+    this.life = ProcessLife.create({
+      noticeMs: NOTICE_MS,
+      drainMs: settings.stop.drainMs,
+      startTimer,
+      perform: action => this.perform(action),
+      reportState: state => this.followState(state),
+    });
+    this.runner = this.createRunner();
+    this.target = this.createTargetKeeper();
+    this.keeper = this.createLinkKeeper();
+    this.store.add(() => this.target.stop());
+    this.store.add(() => this.runner.stop());
+    this.store.add(() => this.keeper.stop());
+  }
+
+  /** Creates an agent from its settings; `start` opens its sockets. */
+  static async create(settings: AgentSettings): Promise<AgentProcess> {
+    const identity: ProcessIdentity = {
+      id: settings.process.id,
+      incarnation: drawIncarnation(),
+      dataCentre: settings.process.dataCentre,
+    };
+    const log = await createLog({
+      program: 'foxtailbay-agent',
+      identity,
+      level: settings.log.level,
+    });
+    return new AgentProcess(settings, identity, log);
+  }
+
+  /**
+   * Opens the sockets and begins to serve.
+   *
+   * @throws AddressError if the address of the settings cannot be listened on.
+   */
+  async start(): Promise<void> {
+    const {host, port} = this.settings.listen.targets;
+    const listener = await openAnnouncementDoor({
+      host,
+      port,
+      leaseMs: this.settings.target.leaseMs,
+      postToTarget: message => this.target.post(message),
+      isReady: () => this.life.state === ProcessState.SERVING,
+    });
+    this.listener = listener;
+    this.store.add(() => listener.close());
+    this.keeper.openSeeds();
+    this.life.send(ProcessEvent.READY);
+  }
+
+  /** Begins a graceful stop; a second call changes nothing. */
+  requestStop(): void {
+    this.life.send(ProcessEvent.STOP);
+  }
+
+  private createRunner(): Runner {
+    return Runner.create({
+      identity: this.identity,
+      queueLimit: this.settings.target.queueLimit,
+      permissionFreshMs: this.settings.permission.freshMs,
+      readMonotonicMs,
+      startTimer,
+      postToLink: (link, message) => this.keeper.postToLink(link, message),
+      postToTarget: message => this.target.post(message),
+      publishConfiguration: configuration =>
+        this.keeper.post({
+          kind: KeeperMessageKind.CONFIGURATION,
+          configuration,
+        }),
+      reportPermission: state => this.reportPermission(state),
+      reportIdle: () => this.life.send(ProcessEvent.IDLE),
+      reportFailure: this.reportFailure,
+    });
+  }
+
+  private createTargetKeeper(): TargetKeeper {
+    return TargetKeeper.create({
+      leaseMs: this.settings.target.leaseMs,
+      resultBytesAtMost: RESULT_BYTES_AT_MOST,
+      connect: connectTarget,
+      postToRunner: message => this.runner.post(message),
+      readMonotonicMs,
+      startTimer,
+      reportState: (state, target) =>
+        this.log.write(
+          LogLevel.INFO,
+          TARGET_EVENTS[state],
+          `Target ${target} is ${state}.`,
+          {target},
+        ),
+      reportFailure: this.reportFailure,
+    });
+  }
+
+  private createLinkKeeper(): LinkKeeper {
+    return LinkKeeper.create({
+      seeds: this.settings.entries,
+      createLink: address =>
+        EntryLink.create({
+          address,
+          pingPeriodMs: this.settings.permission.pingPeriodMs,
+          openStream: openLinkStream,
+          postToRunner: message => this.runner.post(message),
+          readMonotonicMs,
+          startTimer,
+          drawRandom: Math.random,
+          reportState: (entry, state) => this.reportLink(entry, state),
+          reportFailure: this.reportFailure,
+        }),
+      reportFailure: this.reportFailure,
+    });
+  }
+
+  private perform(action: ProcessAction): void {
+    switch (action) {
+      case ProcessAction.REFUSE_READINESS:
+        this.runner.post({kind: RunnerMessageKind.LEAVE});
+        break;
+      case ProcessAction.REFUSE_WORK:
+        this.runner.post({kind: RunnerMessageKind.REFUSE_WORK});
+        break;
+      case ProcessAction.REPORT_UNFINISHED:
+        this.log.write(
+          LogLevel.WARN,
+          LogEvent.UNFINISHED,
+          `Work was still in progress after ${this.settings.stop.drainMs} ms.`,
+        );
+        break;
+    }
+  }
+
+  private followState(state: ProcessState): void {
+    switch (state) {
+      case ProcessState.STARTING:
+        break;
+      case ProcessState.SERVING:
+        this.log.write(LogLevel.INFO, LogEvent.READY, 'The agent serves.', {
+          port: this.listener?.port,
+        });
+        break;
+      case ProcessState.LEAVING:
+      case ProcessState.DRAINING:
+        this.log.write(
+          LogLevel.INFO,
+          LogEvent.STOPPING,
+          `The agent is ${state}.`,
+        );
+        break;
+      case ProcessState.STOPPED:
+        void this.release();
+        break;
+    }
+  }
+
+  private async release(): Promise<void> {
+    try {
+      await this.store.dispose();
+    } catch (failure) {
+      this.reportFailure(failure);
+    }
+    this.log.write(LogLevel.INFO, LogEvent.STOPPED, 'The agent has stopped.');
+    this.resolveStopped();
+  }
+
+  private reportPermission(state: DataCentreState): void {
+    const isIn = state === DataCentreState.IN;
+    this.log.write(
+      LogLevel.INFO,
+      isIn ? LogEvent.PERMISSION_GRANTED : LogEvent.PERMISSION_WITHHELD,
+      `The data centre is ${state}.`,
+    );
+  }
+
+  private reportLink(entry: string, state: LinkState): void {
+    const isOpen = state === LinkState.OPEN;
+    this.log.write(
+      isOpen ? LogLevel.INFO : LogLevel.DEBUG,
+      isOpen ? LogEvent.ENTRY_CONNECTED : LogEvent.ENTRY_MISSING,
+      `The link to ${entry} is ${state}.`,
+      {entry},
+    );
+  }
+
+  private readonly reportFailure = (failure: unknown): void => {
+    this.log.write(LogLevel.ERROR, LogEvent.FAILURE, 'A task failed.', {
+      err: failure,
+    });
+  };
+}
--- /dev/null
+++ b/src/lib/agent/entry_link.ts
@@ -0,0 +1,285 @@
+/** The task of an agent that owns the stream to one entry. */
+import {Chart, ChartRun, readChart} from '../core/chart.js';
+import type {
+  DrawRandom,
+  ReadMonotonicMs,
+  StartTimer,
+  StopTimer,
+} from '../core/clock.js';
+import {repeatTimer} from '../core/clock.js';
+import {Task} from '../core/task.js';
+import type {Post} from '../core/task.js';
+import type {AgentFrame, EntryFrame} from '../core/link_messages.js';
+import {LinkMessageKind, RunnerMessageKind} from './runner_messages.js';
+import type {LinkMessage, RunnerMessage} from './runner_messages.js';
+
+/** States of `charts/agent_link.yaml`. */
+export enum LinkState {
+  CONNECTING = 'connecting',
+  OPEN = 'open',
+  WAITING = 'waiting',
+  CLOSED = 'closed',
+}
+
+/** Events of `charts/agent_link.yaml`. */
+export enum LinkEvent {
+  WELCOME = 'welcome',
+  HEARD = 'heard',
+  BROKEN = 'broken',
+  STOP = 'stop',
+  SILENCE = 'timer.silence',
+  BACKOFF = 'timer.backoff',
+}
+
+/** Actions of `charts/agent_link.yaml`. */
+export enum LinkAction {
+  RESUME_UPDATES = 'resumeUpdates',
+  CLOSE_STREAM = 'closeStream',
+  OPEN_STREAM = 'openStream',
+}
+
+/** One open stream, as its transport offers it. */
+export interface LinkStream {
+  /** Queues a frame for sending. */
+  readonly send: (frame: AgentFrame) => void;
+  /** Closes the stream; nothing is reported after it. */
+  readonly close: () => void;
+}
+
+/** Is told what happens on a stream. */
+export interface LinkStreamListener {
+  readonly receive: (frame: EntryFrame) => void;
+  /** Is called once when the stream has ended for whatever reason. */
+  readonly fail: (detail: string) => void;
+}
+
+/** Opens a stream to an entry at `host:port`. */
+export type OpenLinkStream = (
+  address: string,
+  listener: LinkStreamListener,
+) => LinkStream;
+
+/** What a link needs to be created. */
+export interface EntryLinkOptions {
+  /** `host:port` of the entry's gRPC listener. */
+  readonly address: string;
+  readonly pingPeriodMs: number;
+  readonly openStream: OpenLinkStream;
+  readonly postToRunner: Post<RunnerMessage>;
+  readonly readMonotonicMs: ReadMonotonicMs;
+  readonly startTimer: StartTimer;
+  readonly drawRandom: DrawRandom;
+  readonly reportState: (address: string, state: LinkState) => void;
+  readonly reportFailure: (failure: unknown, message: unknown) => void;
+}
+
+const MAILBOX_CAPACITY = 100_000;
+
+/** Pings that may stay without any frame before the stream counts as dead. */
+const SILENT_PINGS = 5;
+
+const FIRST_BACKOFF_MS = 50;
+const LONGEST_BACKOFF_MS = 2000;
+
+const LINK_CHART = Chart.create(readChart('agent_link'), {
+  states: LinkState,
+  events: LinkEvent,
+  actions: Object.values(LinkAction),
+});
+
+/**
+ * Keeps one stream to an entry open, sends pings and reports on it, and hands
+ * what arrives to the runner. Frames of an earlier stream are dropped: the
+ * stream number of `Hello` tells the entry which sends cannot arrive any more.
+ */
+export class EntryLink {
+  private readonly task: Task<LinkMessage>;
+  private readonly run: ChartRun<LinkState, LinkEvent>;
+  private stream: LinkStream | undefined;
+  private streamNumber = 0;
+  private attempts = 0;
+  private restartSilence: () => void = () => undefined;
+
+  private constructor(private readonly options: EntryLinkOptions) {
+    this.task = Task.create<LinkMessage>({
+      name: `link ${options.address}`,
+      capacity: MAILBOX_CAPACITY,
+      handle: message => this.handle(message),
+      reportFailure: options.reportFailure,
+    });
+    this.run = ChartRun.create(LINK_CHART, {
+      startNamedTimer: (name, fire) => this.startNamedTimer(name, fire),
+      fire: event => this.post({kind: LinkMessageKind.TIMER, event}),
+      perform: action => this.perform(action as LinkAction),
+    });
+  }
+
+  /** Creates a link and asks the runner for the greeting to open it with. */
+  static create(options: EntryLinkOptions): EntryLink {
+    const link = new EntryLink(options);
+    const stopPings = repeatTimer(
+      options.startTimer,
+      options.pingPeriodMs,
+      () => link.post({kind: LinkMessageKind.PING_DUE}),
+    );
+    link.task.store.add(() => link.stream?.close());
+    link.task.store.add(() => link.run.stopTimers());
+    link.task.store.add(stopPings);
+    link.askForHello();
+    return link;
+  }
+
+  /** Hands a message to the link. */
+  get post(): Post<LinkMessage> {
+    return this.task.post;
+  }
+
+  /** Closes the stream and stops the timers. */
+  stop(): Promise<void> {
+    return this.task.stop();
+  }
+
+  private handle(message: LinkMessage): void {
+    switch (message.kind) {
+      case LinkMessageKind.HELLO:
+        if (message.hello.streamNumber !== this.streamNumber) return;
+        this.openStream();
+        this.stream?.send({hello: message.hello, reports: []});
+        this.ping();
+        break;
+      case LinkMessageKind.SEND:
+        if (this.run.state !== LinkState.OPEN) return;
+        this.stream?.send({reports: message.reports, load: message.load});
+        break;
+      case LinkMessageKind.RECEIVED:
+        if (message.streamNumber === this.streamNumber) {
+          this.receive(message.frame);
+        }
+        break;
+      case LinkMessageKind.BROKEN:
+        if (message.streamNumber === this.streamNumber) {
+          this.closeStream();
+          this.change(LinkEvent.BROKEN);
+        }
+        break;
+      case LinkMessageKind.TIMER:
+        this.change(message.event as LinkEvent);
+        break;
+      case LinkMessageKind.PING_DUE:
+        if (this.run.state === LinkState.OPEN) this.ping();
+        break;
+      case LinkMessageKind.STOP:
+        this.change(LinkEvent.STOP);
+        break;
+    }
+  }
+
+  private receive(frame: EntryFrame): void {
+    if (frame.welcome !== undefined) {
+      this.attempts = 0;
+      this.options.postToRunner({
+        kind: RunnerMessageKind.LINK_OPENED,
+        link: this.options.address,
+        entry: frame.welcome,
+      });
+      this.change(LinkEvent.WELCOME);
+    } else {
+      this.change(LinkEvent.HEARD);
+      this.restartSilence();
+    }
+    this.options.postToRunner({
+      kind: RunnerMessageKind.LINK_FRAME,
+      link: this.options.address,
+      frame,
+    });
+  }
+
+  private change(event: LinkEvent): void {
+    const before = this.run.state;
+    const {state} = this.run.send(event);
+    if (state === before) return;
+    if (before === LinkState.OPEN) {
+      this.options.postToRunner({
+        kind: RunnerMessageKind.LINK_CLOSED,
+        link: this.options.address,
+      });
+    }
+    this.options.reportState(this.options.address, state);
+  }
+
+  private perform(action: LinkAction): void {
+    switch (action) {
+      case LinkAction.OPEN_STREAM:
+        this.askForHello();
+        break;
+      case LinkAction.CLOSE_STREAM:
+        this.closeStream();
+        break;
+      case LinkAction.RESUME_UPDATES:
+        // The runner sends what is unacknowledged when it handles LINK_OPENED.
+        break;
+    }
+  }
+
+  // From here on frames of the old stream are dropped, so the highest sequence
+  // that the runner puts into the greeting is final for that stream.
+  private askForHello(): void {
+    this.streamNumber += 1;
+    this.options.postToRunner({
+      kind: RunnerMessageKind.LINK_OPENING,
+      link: this.options.address,
+      streamNumber: this.streamNumber,
+    });
+  }
+
+  private openStream(): void {
+    const streamNumber = this.streamNumber;
+    this.stream = this.options.openStream(this.options.address, {
+      receive: frame =>
+        this.post({kind: LinkMessageKind.RECEIVED, streamNumber, frame}),
+      fail: detail =>
+        this.post({kind: LinkMessageKind.BROKEN, streamNumber, detail}),
+    });
+  }
+
+  private closeStream(): void {
+    this.stream?.close();
+    this.stream = undefined;
+    this.streamNumber += 1;
+  }
+
+  private ping(): void {
+    this.stream?.send({
+      reports: [],
+      pingSentAtMs: this.options.readMonotonicMs(),
+    });
+  }
+
+  private startNamedTimer(name: string, fire: () => void): StopTimer {
+    if (name === 'silence') return this.startSilence(fire);
+    return this.options.startTimer(this.drawBackoffMs(), fire);
+  }
+
+  private startSilence(fire: () => void): StopTimer {
+    const limitMs = this.options.pingPeriodMs * SILENT_PINGS;
+    const start = () => this.options.startTimer(limitMs, fire);
+    let stop = start();
+    this.restartSilence = () => {
+      stop();
+      stop = start();
+    };
+    return () => {
+      stop();
+      this.restartSilence = () => undefined;
+    };
+  }
+
+  private drawBackoffMs(): number {
+    const longest = Math.min(
+      FIRST_BACKOFF_MS * 2 ** this.attempts,
+      LONGEST_BACKOFF_MS,
+    );
+    this.attempts += 1;
+    return longest * (0.5 + this.options.drawRandom() / 2);
+  }
+}
--- /dev/null
+++ b/src/lib/agent/link_keeper.ts
@@ -0,0 +1,83 @@
+/** The task of an agent that keeps one link to each entry. */
+import {Task} from '../core/task.js';
+import type {Post} from '../core/task.js';
+import type {AgentConfiguration} from '../core/link_messages.js';
+import type {EntryLink} from './entry_link.js';
+import type {KeeperMessage, LinkMessage} from './runner_messages.js';
+
+const MAILBOX_CAPACITY = 1000;
+
+/** What the keeper needs to be created. */
+export interface LinkKeeperOptions {
+  /** Addresses from the settings; their links are never given up. */
+  readonly seeds: readonly string[];
+  readonly createLink: (address: string) => EntryLink;
+  readonly reportFailure: (failure: unknown, message: unknown) => void;
+}
+
+/**
+ * Owns the links. Opens one to each address of the settings and to each entry
+ * that the configuration lists, and closes those that are listed no more.
+ */
+export class LinkKeeper {
+  private readonly task: Task<KeeperMessage>;
+  private readonly links = new Map<string, EntryLink>();
+
+  private constructor(private readonly options: LinkKeeperOptions) {
+    this.task = Task.create<KeeperMessage>({
+      name: 'link keeper',
+      capacity: MAILBOX_CAPACITY,
+      handle: message => this.follow(message.configuration),
+      reportFailure: options.reportFailure,
+    });
+  }
+
+  /** Creates the keeper; `openSeeds` opens the first links. */
+  static create(options: LinkKeeperOptions): LinkKeeper {
+    const keeper = new LinkKeeper(options);
+    keeper.task.store.add(() => keeper.closeAll());
+    return keeper;
+  }
+
+  /** Hands a message to the keeper. */
+  get post(): Post<KeeperMessage> {
+    return this.task.post;
+  }
+
+  /** Opens the links to the addresses of the settings. */
+  openSeeds(): void {
+    for (const address of this.options.seeds) this.open(address);
+  }
+
+  /** Hands a message to the link of an address, if there is one. */
+  postToLink(address: string, message: LinkMessage): void {
+    this.links.get(address)?.post(message);
+  }
+
+  /** Closes all links. */
+  stop(): Promise<void> {
+    return this.task.stop();
+  }
+
+  private follow(configuration: AgentConfiguration): void {
+    const wanted = new Set(this.options.seeds);
+    for (const entry of configuration.entries) wanted.add(entry.address);
+    for (const address of wanted) this.open(address);
+    for (const [address, link] of this.links) {
+      if (wanted.has(address)) continue;
+      this.links.delete(address);
+      link
+        .stop()
+        .catch(failure => this.options.reportFailure(failure, address));
+    }
+  }
+
+  private open(address: string): void {
+    if (this.links.has(address)) return;
+    this.links.set(address, this.options.createLink(address));
+  }
+
+  private async closeAll(): Promise<void> {
+    await Promise.all([...this.links.values()].map(link => link.stop()));
+  }
+}
--- /dev/null
+++ b/src/lib/agent/target_client.ts
@@ -0,0 +1,154 @@
+/** Runs tasks on a target over HTTP. */
+import {Pool} from 'undici';
+import type {Dispatcher} from 'undici';
+import {AgentTaskEvent} from '../decisions/start_book.js';
+import type {AgentTask, RunEnd} from '../decisions/start_book.js';
+import type {TargetAnnouncement} from './runner_messages.js';
+
+/** Response header by which a target says that a task did not start. */
+export const STARTED_HEADER = 'foxtailbay-started';
+
+/** Statuses that count as proof of no start if the header says so as well. */
+const NOT_STARTED_STATUSES = new Set([409, 421, 503]);
+
+/** Failures before a byte of the request could have left. */
+const UNSENT_CODES = new Set([
+  'ECONNREFUSED',
+  'EHOSTUNREACH',
+  'ENETUNREACH',
+  'ENOTFOUND',
+  'UND_ERR_CONNECT_TIMEOUT',
+  'UND_ERR_CLOSED',
+]);
+
+const CONNECT_TIMEOUT_MS = 1000;
+const IDLE_CONNECTION_MS = 4000;
+const DETAIL_BYTES_AT_MOST = 1024;
+const NO_BYTES = new Uint8Array(0);
+
+/** Limits of one request. */
+export interface RunLimits {
+  /** Host's monotonic time in milliseconds; the target must not start after it. */
+  readonly startBeforeMs: number;
+  readonly resultBytesAtMost: number;
+}
+
+/** Runs one task; resolves with how it ended and never rejects. */
+export type RunOnTarget = (
+  task: AgentTask,
+  limits: RunLimits,
+) => Promise<RunEnd>;
+
+/** The connections to one life of a target. */
+export interface TargetConnections {
+  readonly run: RunOnTarget;
+  /** Lets requests in progress finish, then closes the connections. */
+  readonly close: () => Promise<void>;
+}
+
+/** Opens the connections to a target that announced itself. */
+export type ConnectTarget = (
+  announcement: TargetAnnouncement,
+) => TargetConnections;
+
+/** Connects by HTTP/1.1, one request a connection at a time, nothing sent twice. */
+export const connectTarget: ConnectTarget = announcement => {
+  const pool = new Pool(announcement.address, {
+    connections: announcement.connections,
+    pipelining: 1,
+    connect: {timeout: CONNECT_TIMEOUT_MS},
+    keepAliveTimeout: IDLE_CONNECTION_MS,
+  });
+  return {
+    run: (task, limits) => runTask(pool, announcement.instance, task, limits),
+    close: () => pool.close(),
+  };
+};
+
+async function runTask(
+  pool: Pool,
+  instance: string,
+  task: AgentTask,
+  limits: RunLimits,
+): Promise<RunEnd> {
+  const timeout = AbortSignal.timeout(task.order.runWithinMs);
+  try {
+    const response = await pool.request({
+      method: 'POST',
+      path: '/v1/tasks',
+      headers: listHeaders(instance, task, limits.startBeforeMs),
+      body: task.order.payload,
+      signal: timeout,
+      headersTimeout: 0,
+      bodyTimeout: 0,
+    });
+    return await readEnd(response, limits.resultBytesAtMost);
+  } catch (failure) {
+    return describeFailure(failure);
+  }
+}
+
+function listHeaders(
+  instance: string,
+  task: AgentTask,
+  startBeforeMs: number,
+): Record<string, string> {
+  const headers: Record<string, string> = {
+    'content-type': 'application/json',
+    'foxtailbay-job': task.order.job,
+    'foxtailbay-task': String(task.order.index),
+    'foxtailbay-instance': instance,
+    'foxtailbay-start-before': startBeforeMs.toFixed(3),
+  };
+  if (task.order.trace !== '') headers.traceparent = task.order.trace;
+  return headers;
+}
+
+async function readEnd(
+  response: Dispatcher.ResponseData,
+  bytesAtMost: number,
+): Promise<RunEnd> {
+  const targetStatus = response.statusCode;
+  const isUnstarted =
+    NOT_STARTED_STATUSES.has(targetStatus) &&
+    response.headers[STARTED_HEADER] === 'no';
+  const body = new Uint8Array(await response.body.arrayBuffer());
+  if (isUnstarted) {
+    return {event: AgentTaskEvent.UNSENT, result: NO_BYTES, targetStatus};
+  }
+  if (targetStatus < 200 || targetStatus > 299) {
+    const result = body.subarray(0, DETAIL_BYTES_AT_MOST);
+    return {event: AgentTaskEvent.REJECTED, result, targetStatus};
+  }
+  if (body.length > bytesAtMost) {
+    const detail = `The result of ${body.length} bytes is over the limit of ${bytesAtMost}.`;
+    return rejectResult(detail, targetStatus);
+  }
+  if (!isJson(body)) {
+    return rejectResult('The result is not JSON.', targetStatus);
+  }
+  return {event: AgentTaskEvent.ANSWERED, result: body, targetStatus};
+}
+
+function rejectResult(detail: string, targetStatus: number): RunEnd {
+  const result = new TextEncoder().encode(detail);
+  return {event: AgentTaskEvent.REJECTED, result, targetStatus};
+}
+
+function isJson(body: Uint8Array): boolean {
+  try {
+    JSON.parse(new TextDecoder('utf-8', {fatal: true}).decode(body));
+    return true;
+  } catch {
+    return false;
+  }
+}
+
+function describeFailure(failure: unknown): RunEnd {
+  const {code, message} = failure as {code?: string; message: string};
+  const event = UNSENT_CODES.has(code ?? '')
+    ? AgentTaskEvent.UNSENT
+    : AgentTaskEvent.BROKEN;
+  const result = new TextEncoder().encode(message);
+  return {event, result, targetStatus: 0};
+}
--- a/src/lib/core/clock.ts
+++ b/src/lib/core/clock.ts
@@ -16,8 +16,14 @@
 /** Returns a number from 0 up to but not including 1. */
 export type DrawRandom = () => number;
 
-/** Reads the process's monotonic clock in milliseconds. */
-export const readMonotonicMs: ReadMonotonicMs = () => performance.now();
+const NANOSECONDS_PER_MS = 1e6;
+
+/**
+ * Reads the host's monotonic clock in milliseconds. Processes of one host read
+ * the same clock, so an agent may hand a time to the target beside it.
+ */
+export const readMonotonicMs: ReadMonotonicMs = () =>
+  Number(process.hrtime.bigint()) / NANOSECONDS_PER_MS;
 
 /** Reads the host's wall clock. */
 export const readWallMs: ReadWallMs = () =>
--- /dev/null
+++ b/src/lib/core/http_listener.ts
@@ -0,0 +1,115 @@
+/** Listening sockets for HTTP, and what every HTTP front of ours has in common. */
+import {createServer} from 'node:http';
+import type {IncomingMessage, Server, ServerResponse} from 'node:http';
+import {AddressError} from './errors.js';
+
+/** Handles one request. */
+export type HandleRequest = (
+  request: IncomingMessage,
+  response: ServerResponse,
+) => void;
+
+/** What a listener needs. */
+export interface HttpListenerOptions {
+  readonly host: string;
+  /** 0 lets the host choose. */
+  readonly port: number;
+  /** Longest time in milliseconds for a whole request to arrive. */
+  readonly requestTimeoutMs: number;
+  readonly handle: HandleRequest;
+}
+
+const HEADERS_TIMEOUT_MS = 5000;
+const KEEP_ALIVE_TIMEOUT_MS = 30_000;
+const HEADER_BYTES_AT_MOST = 16 * 1024;
+
+/** An open listener. */
+export interface HttpListener {
+  readonly server: Server;
+  readonly port: number;
+  /** Stops accepting, lets responses in progress end, closes idle connections. */
+  readonly close: () => Promise<void>;
+}
+
+/**
+ * Opens a listening socket.
+ *
+ * @throws AddressError if the address is taken or not of this host.
+ */
+export async function openHttpListener(
+  options: HttpListenerOptions,
+): Promise<HttpListener> {
+  const server = createServer(
+    {
+      requestTimeout: options.requestTimeoutMs,
+      headersTimeout: HEADERS_TIMEOUT_MS,
+      keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
+      maxHeaderSize: HEADER_BYTES_AT_MOST,
+      noDelay: true,
+    },
+    options.handle,
+  );
+  await listen(server, options);
+  const address = server.address();
+  const port = typeof address === 'object' ? (address?.port ?? 0) : 0;
+  return {server, port, close: () => closeServer(server)};
+}
+
+function listen(server: Server, options: HttpListenerOptions): Promise<void> {
+  return new Promise((resolve, reject) => {
+    const {host, port} = options;
+    server.once('error', cause => {
+      const {code} = cause as NodeJS.ErrnoException;
+      const text = `Cannot listen on ${host}:${port} (${code}).`;
+      reject(new AddressError(text, {cause}));
+    });
+    server.listen(port, host, resolve);
+  });
+}
+
+function closeServer(server: Server): Promise<void> {
+  return new Promise(resolve => {
+    server.close(() => resolve());
+    server.closeIdleConnections();
+  });
+}
+
+/** How reading a request's body ended. */
+export enum BodyEnd {
+  WHOLE = 'whole',
+  TOO_LARGE = 'too-large',
+  BROKEN = 'broken',
+}
+
+/** A request's body, or why there is none. */
+export interface RequestBody {
+  readonly end: BodyEnd;
+  readonly bytes: Buffer;
+}
+
+const NO_BODY = Buffer.alloc(0);
+
+/** Reads a request's body up to a limit in bytes. */
+export function readBody(
+  request: IncomingMessage,
+  bytesAtMost: number,
+): Promise<RequestBody> {
+  return new Promise(resolve => {
+    const chunks: Buffer[] = [];
+    let length = 0;
+    request.on('data', (chunk: Buffer) => {
+      length += chunk.length;
+      if (length <= bytesAtMost) {
+        chunks.push(chunk);
+        return;
+      }
+      request.pause();
+      resolve({end: BodyEnd.TOO_LARGE, bytes: NO_BODY});
+    });
+    request.on('end', () =>
+      resolve({end: BodyEnd.WHOLE, bytes: Buffer.concat(chunks)}),
+    );
+    request.on('error', () => resolve({end: BodyEnd.BROKEN, bytes: NO_BODY}));
+    request.on('close', () => resolve({end: BodyEnd.BROKEN, bytes: NO_BODY}));
+  });
+}
--- /dev/null
+++ b/src/lib/core/process_life.ts
@@ -0,0 +1,81 @@
+/** The start and graceful stop of a process. */
+import {Chart, ChartRun, readChart} from './chart.js';
+import type {StartTimer} from './clock.js';
+
+/** States of `charts/process.yaml`. */
+export enum ProcessState {
+  STARTING = 'starting',
+  SERVING = 'serving',
+  LEAVING = 'leaving',
+  DRAINING = 'draining',
+  STOPPED = 'stopped',
+}
+
+/** Events of `charts/process.yaml`. */
+export enum ProcessEvent {
+  READY = 'ready',
+  STOP = 'stop',
+  IDLE = 'idle',
+  NOTICE = 'timer.notice',
+  DRAIN_LIMIT = 'timer.drainLimit',
+}
+
+/** Actions of `charts/process.yaml`. */
+export enum ProcessAction {
+  REFUSE_READINESS = 'refuseReadiness',
+  REFUSE_WORK = 'refuseWork',
+  REPORT_UNFINISHED = 'reportUnfinished',
+}
+
+/** What a process's life needs to be created. */
+export interface ProcessLifeOptions {
+  /** How long a leaving process still takes new work, in milliseconds. */
+  readonly noticeMs: number;
+  /** How long a draining process waits for its work to end, in milliseconds. */
+  readonly drainMs: number;
+  readonly startTimer: StartTimer;
+  /** Carries out what the chart asks for. */
+  readonly perform: (action: ProcessAction) => void;
+  /** Is told of every state that is entered. */
+  readonly reportState: (state: ProcessState) => void;
+}
+
+/** Runs `charts/process.yaml` for one process. */
+export class ProcessLife {
+  private readonly run: ChartRun<ProcessState, ProcessEvent>;
+
+  private constructor(private readonly options: ProcessLifeOptions) {
+    const chart = Chart.create(readChart('process'), {
+      states: ProcessState,
+      events: ProcessEvent,
+      actions: Object.values(ProcessAction),
+    });
+    const durations: Readonly<Record<string, number>> = {
+      notice: options.noticeMs,
+      drainLimit: options.drainMs,
+    };
+    this.run = ChartRun.create(chart, {
+      startNamedTimer: (name, fire) =>
+        options.startTimer(durations[name], fire),
+      fire: event => this.send(event as ProcessEvent),
+      perform: action => options.perform(action as ProcessAction),
+    });
+  }
+
+  /** Creates a life in its starting state. */
+  static create(options: ProcessLifeOptions): ProcessLife {
+    return new ProcessLife(options);
+  }
+
+  /** The state the process is in. */
+  get state(): ProcessState {
+    return this.run.state;
+  }
+
+  /** Takes an event; one that does not fit the state is ignored. */
+  send(event: ProcessEvent): void {
+    const before = this.run.state;
+    this.run.send(event);
+    if (this.run.state !== before) this.options.reportState(this.run.state);
+  }
+}
--- /dev/null
+++ b/src/lib/wire/link_client.ts
@@ -0,0 +1,66 @@
+/** Opens agents' streams over gRPC. */
+import {credentials} from '@grpc/grpc-js';
+import type {ClientOptions} from '@grpc/grpc-js';
+import type {
+  LinkStream,
+  LinkStreamListener,
+  OpenLinkStream,
+} from '../agent/entry_link.js';
+import {AgentLinkClient} from './generated/foxtailbay.js';
+import type {EntryFrame} from './generated/foxtailbay.js';
+import {decodeEntryFrame, encodeAgentFrame} from './link_codec.js';
+
+/** Longest frame in bytes that either side takes. */
+export const FRAME_BYTES_AT_MOST = 64 * 1024 * 1024;
+
+/**
+ * Options of every gRPC channel: no retries, no name lookups beyond the address
+ * given, and no proxy.
+ */
+export const CHANNEL_OPTIONS: ClientOptions = {
+  'grpc.enable_retries': 0,
+  'grpc.service_config_disable_resolution': 1,
+  'grpc.enable_http_proxy': 0,
+  'grpc.initial_reconnect_backoff_ms': 100,
+  'grpc.max_reconnect_backoff_ms': 1000,
+  'grpc.max_receive_message_length': FRAME_BYTES_AT_MOST,
+  'grpc.max_send_message_length': FRAME_BYTES_AT_MOST,
+  // A channel of its own, so that closing it closes the connection.
+  'grpc.use_local_subchannel_pool': 1,
+};
+
+/** Opens a stream on a connection of its own; closing it closes the connection. */
+export const openLinkStream: OpenLinkStream = (
+  address: string,
+  listener: LinkStreamListener,
+): LinkStream => {
+  const client = new AgentLinkClient(
+    address,
+    credentials.createInsecure(),
+    CHANNEL_OPTIONS,
+  );
+  const call = client.connect();
+  let isDone = false;
+  const finish = (detail: string) => {
+    if (isDone) return;
+    isDone = true;
+    client.close();
+    listener.fail(detail);
+  };
+  call.on('data', (frame: EntryFrame) => {
+    if (!isDone) listener.receive(decodeEntryFrame(frame));
+  });
+  call.on('error', failure => finish(failure.message));
+  call.on('end', () => finish('The entry closed the stream.'));
+  return {
+    send: frame => {
+      if (!isDone) call.write(encodeAgentFrame(frame));
+    },
+    close: () => {
+      if (isDone) return;
+      isDone = true;
+      call.cancel();
+      client.close();
+    },
+  };
+};
