Log by bunyan and report metrics by hot-shots behind plain functions

Cause: tasks need logs and histograms without knowing the libraries, and the agent has 64 MB. Ruled out: loading the libraries at import time. Change: createLog, createMetrics (lazy), reportProcessHealth (loop delay).

--- /dev/null
+++ b/src/lib/observe/log.ts
@@ -0,0 +1,104 @@
+/** Logs of the servers: one JSON object a line, written by `bunyan`. */
+import type {ProcessIdentity} from '../core/identity.js';
+import {LogLevel} from '../settings/settings_schema.js';
+
+/** Names what a log line reports; stands in its field `event`. */
+export enum LogEvent {
+  READY = 'ready',
+  STOPPING = 'stopping',
+  STOPPED = 'stopped',
+  UNFINISHED = 'unfinished',
+  FAILURE = 'failure',
+  CONFIGURATION_APPLIED = 'configuration-applied',
+  RECORD_REJECTED = 'record-rejected',
+  RECORD_WRITTEN = 'record-written',
+  STORE_LOST = 'store-lost',
+  STORE_CONFIRMED = 'store-confirmed',
+  AGENT_CONNECTED = 'agent-connected',
+  AGENT_MISSING = 'agent-missing',
+  AGENT_GONE = 'agent-gone',
+  ENTRY_CONNECTED = 'entry-connected',
+  ENTRY_MISSING = 'entry-missing',
+  TARGET_PRESENT = 'target-present',
+  TARGET_LEAVING = 'target-leaving',
+  TARGET_ABSENT = 'target-absent',
+  TARGET_QUARANTINED = 'target-quarantined',
+  TARGET_RESTORED = 'target-restored',
+  PERMISSION_GRANTED = 'permission-granted',
+  PERMISSION_WITHHELD = 'permission-withheld',
+  JOB_TAKEN = 'job-taken',
+  JOB_ENDED = 'job-ended',
+  JOB_REFUSED = 'job-refused',
+  OVERLOADED = 'overloaded',
+  METRICS_FAILED = 'metrics-failed',
+}
+
+/** Fields of a log line beside those that every line has. */
+export type LogFields = Readonly<Record<string, unknown>>;
+
+/** Writes one line to the log. */
+export type WriteLog = (
+  level: LogLevel,
+  event: LogEvent,
+  message: string,
+  fields?: LogFields,
+) => void;
+
+/** A log, and the way to a log whose lines carry further fields. */
+export interface Log {
+  readonly write: WriteLog;
+  /** Returns a log whose lines also carry these fields. */
+  readonly extend: (fields: LogFields) => Log;
+}
+
+/** What a process's log needs. */
+export interface LogOptions {
+  /** Name of the program. */
+  readonly program: string;
+  readonly identity: ProcessIdentity;
+  readonly level: LogLevel;
+  /** Takes the lines. Standard output if absent. */
+  readonly stream?: NodeJS.WritableStream;
+}
+
+/** The part of a `bunyan` logger that is used here. */
+type LevelWriters = Record<LogLevel, (fields: object, text: string) => void> & {
+  child(fields: object): LevelWriters;
+};
+
+/**
+ * Creates the log of a process. Each line carries the process's id,
+ * incarnation and data centre.
+ */
+export async function createLog(options: LogOptions): Promise<Log> {
+  const {default: bunyan} = await import('bunyan');
+  const logger = bunyan.createLogger({
+    name: options.program,
+    level: options.level,
+    stream: options.stream ?? process.stdout,
+    serializers: {err: bunyan.stdSerializers.err},
+    process: options.identity.id,
+    incarnation: options.identity.incarnation,
+    dataCentre: options.identity.dataCentre,
+  });
+  return wrapLogger(logger as unknown as LevelWriters);
+}
+
+/** Returns a log whose lines carry a job's key and its trace context. */
+export function extendWithJob(log: Log, job: string, trace: string): Log {
+  return log.extend(trace === '' ? {job} : {job, trace});
+}
+
+/** A log that drops everything, for tests and short programs. */
+export const SILENT_LOG: Log = {
+  write: () => {},
+  extend: () => SILENT_LOG,
+};
+
+function wrapLogger(logger: LevelWriters): Log {
+  return {
+    write: (level, event, message, fields) =>
+      logger[level]({event, ...fields}, message),
+    extend: fields => wrapLogger(logger.child(fields)),
+  };
+}
--- /dev/null
+++ b/src/lib/observe/metrics.ts
@@ -0,0 +1,138 @@
+/** Metrics in the StatsD protocol, sent by `hot-shots`. */
+import type {ProcessIdentity} from '../core/identity.js';
+import type {MetricsSettings} from '../settings/settings_schema.js';
+
+/** Names of counters. */
+export enum Counter {
+  JOB_TAKEN = 'job.taken',
+  JOB_ENDED = 'job.ended',
+  JOB_REFUSED = 'job.refused',
+  TASK_SENT = 'task.sent',
+  TASK_ENDED = 'task.ended',
+  TASK_STARTED = 'task.started',
+  START_REFUSED = 'start.refused',
+  MESSAGE_WASTED = 'message.wasted',
+  STORE_CALL = 'store.call',
+  STORE_CALL_FAILED = 'store.call.failed',
+  RECORD_REJECTED = 'record.rejected',
+}
+
+/** Names of histograms; their values are milliseconds. */
+export enum Histogram {
+  JOB_DURATION = 'job.duration',
+  TASK_WAIT = 'task.wait',
+  TASK_RUN = 'task.run',
+  STORE_CALL_DURATION = 'store.call.duration',
+  CONFIGURATION_DELAY = 'configuration.delay',
+}
+
+/** Names of gauges. */
+export enum Gauge {
+  TASKS_WAITING = 'tasks.waiting',
+  TASKS_OUT = 'tasks.out',
+  TASKS_RUNNING = 'tasks.running',
+  JOBS = 'jobs',
+  AGENTS = 'agents',
+  CONFIGURATION_REVISION = 'configuration.revision',
+  LOOP_DELAY_P50 = 'loop.delay.p50',
+  LOOP_DELAY_P99 = 'loop.delay.p99',
+  LOOP_DELAY_MAX = 'loop.delay.max',
+  RESIDENT_BYTES = 'memory.resident',
+}
+
+/** What a metric is split by. Values come from small known sets only. */
+export interface MetricTags {
+  readonly team?: string;
+  /** Class of the tasks. */
+  readonly class?: string;
+  readonly outcome?: string;
+  readonly problem?: string;
+  readonly reason?: string;
+  readonly operation?: string;
+}
+
+/** Counts an event. */
+export type CountEvent = (
+  name: Counter,
+  tags?: MetricTags,
+  count?: number,
+) => void;
+
+/** Records a duration in a histogram. */
+export type RecordDuration = (
+  name: Histogram,
+  durationMs: number,
+  tags?: MetricTags,
+) => void;
+
+/** Reports the present value of something. */
+export type ReportGauge = (
+  name: Gauge,
+  value: number,
+  tags?: MetricTags,
+) => void;
+
+/** The functions by which a process reports its metrics. */
+export interface Metrics {
+  readonly countEvent: CountEvent;
+  readonly recordDuration: RecordDuration;
+  readonly reportGauge: ReportGauge;
+  /** Sends what is buffered and closes the socket. */
+  readonly close: () => Promise<void>;
+}
+
+/** What the metrics of a process need. */
+export interface MetricsOptions {
+  /** Absent: nothing is sent and the library is not loaded. */
+  readonly settings: MetricsSettings | undefined;
+  /** Begins each name, for example `foxtailbay.entry.`. */
+  readonly prefix: string;
+  readonly identity: ProcessIdentity;
+  /** Is told when a packet could not be sent. */
+  readonly reportFailure: (failure: Error) => void;
+}
+
+/** Payload of a UDP packet that no Ethernet link splits. */
+const PACKET_BYTES = 1432;
+const FLUSH_PERIOD_MS = 1000;
+
+/** Metrics that go nowhere. */
+export const SILENT_METRICS: Metrics = {
+  countEvent: () => {},
+  recordDuration: () => {},
+  reportGauge: () => {},
+  close: async () => {},
+};
+
+/** Creates the metrics of a process; silent ones if the settings have none. */
+export async function createMetrics(options: MetricsOptions): Promise<Metrics> {
+  const {settings, identity} = options;
+  if (settings === undefined) return SILENT_METRICS;
+  const {StatsD} = await import('hot-shots');
+  const client = new StatsD({
+    host: settings.host,
+    port: settings.port,
+    prefix: options.prefix,
+    globalTags: {process: identity.id, data_centre: identity.dataCentre},
+    includeDataDogTags: false,
+    maxBufferSize: PACKET_BYTES,
+    bufferFlushInterval: FLUSH_PERIOD_MS,
+    errorHandler: options.reportFailure,
+  });
+  return {
+    countEvent: (name, tags, count = 1) =>
+      client.increment(name, count, {...tags}),
+    recordDuration: (name, durationMs, tags) =>
+      client.histogram(name, durationMs, {...tags}),
+    reportGauge: (name, value, tags) => client.gauge(name, value, {...tags}),
+    close: () => closeClient(callback => client.close(callback)),
+  };
+}
+
+function closeClient(
+  close: (callback: (failure?: Error) => void) => void,
+): Promise<void> {
+  return new Promise((resolve, reject) => {
+    close(failure => (failure ? reject(failure) : resolve()));
+  });
+}
--- /dev/null
+++ b/src/lib/observe/process_health.ts
@@ -0,0 +1,72 @@
+/** Health of a process's event loop and memory, reported as gauges. */
+import {monitorEventLoopDelay} from 'node:perf_hooks';
+import {repeatTimer} from '../core/clock.js';
+import type {StartTimer, StopTimer} from '../core/clock.js';
+import {Gauge} from './metrics.js';
+import type {ReportGauge} from './metrics.js';
+
+const SAMPLE_PERIOD_MS = 10;
+const REPORT_PERIOD_MS = 5000;
+const NANOSECONDS_PER_MS = 1e6;
+
+/** Delay of the event loop since the last report, in milliseconds. */
+export interface LoopDelay {
+  readonly p50Ms: number;
+  readonly p99Ms: number;
+  readonly maxMs: number;
+}
+
+/** Watches the event loop of this process. */
+export interface LoopDelayMonitor {
+  /** Returns the delay since the last call, or undefined without samples. */
+  readonly read: () => LoopDelay | undefined;
+  readonly stop: () => void;
+}
+
+/** Creates a monitor that samples until it is stopped. */
+export function createLoopDelayMonitor(): LoopDelayMonitor {
+  const histogram = monitorEventLoopDelay({resolution: SAMPLE_PERIOD_MS});
+  histogram.enable();
+  const read = () => {
+    if (histogram.count === 0) return undefined;
+    const delay = {
+      p50Ms: subtractPeriod(histogram.percentile(50)),
+      p99Ms: subtractPeriod(histogram.percentile(99)),
+      maxMs: subtractPeriod(histogram.max),
+    };
+    histogram.reset();
+    return delay;
+  };
+  return {read, stop: () => histogram.disable()};
+}
+
+/** What the report of a process's health needs. */
+export interface ProcessHealthOptions {
+  readonly reportGauge: ReportGauge;
+  readonly startTimer: StartTimer;
+  readonly monitor: LoopDelayMonitor;
+  /** Reads the resident memory of the process in bytes. */
+  readonly readResidentBytes: () => number;
+}
+
+/** Reports loop delay and memory by timer until the returned function is called. */
+export function reportProcessHealth(options: ProcessHealthOptions): StopTimer {
+  const {reportGauge, startTimer, monitor} = options;
+  const stopTimer = repeatTimer(startTimer, REPORT_PERIOD_MS, () => {
+    reportGauge(Gauge.RESIDENT_BYTES, options.readResidentBytes());
+    const delay = monitor.read();
+    if (delay === undefined) return;
+    reportGauge(Gauge.LOOP_DELAY_P50, delay.p50Ms);
+    reportGauge(Gauge.LOOP_DELAY_P99, delay.p99Ms);
+    reportGauge(Gauge.LOOP_DELAY_MAX, delay.maxMs);
+  });
+  return () => {
+    stopTimer();
+    monitor.stop();
+  };
+}
+
+/** A sample is the time between two ticks of the sampling timer. */
+function subtractPeriod(sampleNanoseconds: number): number {
+  return Math.max(0, sampleNanoseconds / NANOSECONDS_PER_MS - SAMPLE_PERIOD_MS);
+}
