--- /dev/null
+++ b/stand_ins/http_listener.ts
@@ -0,0 +1,127 @@
+/** An HTTP server on loopback, as the stand-ins share it. */
+import {createServer} from 'node:http';
+import type {IncomingMessage, Server, ServerResponse} from 'node:http';
+import type {AddressInfo} from 'node:net';
+import {AddressError} from '../src/lib/core/errors.js';
+
+/** One request with its body read. */
+export interface HttpExchange {
+  readonly method: string;
+  readonly url: URL;
+  readonly headers: IncomingMessage['headers'];
+  readonly body: string;
+  readonly response: ServerResponse;
+}
+
+/** The one address that stand-ins listen on. */
+export const LOOPBACK_HOST = '127.0.0.1';
+
+const KEEP_ALIVE_MS = 65_000;
+const BODY_BYTES_AT_MOST = 16_777_216;
+
+/** Listens on loopback and hands each whole request to `handle`. */
+export class HttpListener {
+  private constructor(private readonly server: Server) {}
+
+  /** Creates a listener that is listening; port 0 takes a free port. */
+  static async create(
+    port: number,
+    handle: (exchange: HttpExchange) => void,
+  ): Promise<HttpListener> {
+    const server = createServer((request, response) => {
+      collectBody(request, body => {
+        const url = parseTarget(request.url);
+        if (url === undefined) sendJson(response, 400, {});
+        else {
+          const {method = '', headers} = request;
+          handle({method, url, headers, body, response});
+        }
+      });
+    });
+    server.keepAliveTimeout = KEEP_ALIVE_MS;
+    server.requestTimeout = 0;
+    await new Promise<void>((resolve, reject) => {
+      server.once('error', cause =>
+        reject(new AddressError(`Cannot listen on port ${port}.`, {cause})),
+      );
+      server.listen(port, LOOPBACK_HOST, resolve);
+    });
+    return new HttpListener(server);
+  }
+
+  /** Port on which it listens. */
+  get port(): number {
+    return (this.server.address() as AddressInfo).port;
+  }
+
+  /** `http://host:port` of the listener. */
+  get origin(): string {
+    return `http://${LOOPBACK_HOST}:${this.port}`;
+  }
+
+  /** Closes the kept-alive connections on which no request is in progress. */
+  closeIdleConnections(): void {
+    this.server.closeIdleConnections();
+  }
+
+  /** Stops listening and cuts what is left. */
+  close(): Promise<void> {
+    return new Promise(resolve => {
+      this.server.close(() => resolve());
+      this.server.closeAllConnections();
+    });
+  }
+}
+
+/** Answers with a JSON body. */
+export function sendJson(
+  response: ServerResponse,
+  status: number,
+  body: unknown,
+  headers: Readonly<Record<string, string>> = {},
+): void {
+  if (response.destroyed) return;
+  response.writeHead(status, {'content-type': 'application/json', ...headers});
+  response.end(JSON.stringify(body));
+}
+
+/** Cuts the connection on which a request came in. */
+export function cutConnection(response: ServerResponse): void {
+  response.socket?.destroy();
+}
+
+/** Parses a JSON object; undefined if the text is not one. */
+export function parseObject(text: string): Record<string, unknown> | undefined {
+  try {
+    const value: unknown = JSON.parse(text);
+    const isObject = typeof value === 'object' && value !== null;
+    return isObject ? (value as Record<string, unknown>) : undefined;
+  } catch {
+    return undefined;
+  }
+}
+
+function parseTarget(target = '/'): URL | undefined {
+  try {
+    // Decoding here once spares every codec a check of the escapes.
+    decodeURIComponent(target);
+    return new URL(target, 'http://stand-in');
+  } catch {
+    return undefined;
+  }
+}
+
+function collectBody(
+  request: IncomingMessage,
+  done: (body: string) => void,
+): void {
+  const parts: Buffer[] = [];
+  let bytes = 0;
+  request.on('data', (part: Buffer) => {
+    bytes += part.length;
+    if (bytes > BODY_BYTES_AT_MOST) request.destroy();
+    else parts.push(part);
+  });
+  request.on('error', () => undefined);
+  request.on('end', () => done(Buffer.concat(parts).toString('utf8')));
+}
--- /dev/null
+++ b/stand_ins/run_stand_in.ts
@@ -0,0 +1,30 @@
+/** Start and stop that the stand-ins' programs share. */
+
+/** A server that can be stopped. */
+export interface Stoppable {
+  readonly port: number;
+  readonly stop: () => Promise<void>;
+}
+
+/** Prints the ready line and stops the server once, on the first signal. */
+export async function runStandIn(
+  create: () => Promise<Stoppable>,
+  describe: (server: Stoppable) => object = () => ({}),
+): Promise<void> {
+  const server = await create();
+  const stop = () => {
+    void server.stop().catch((failure: unknown) => {
+      process.exitCode = 1;
+      process.stderr.write(`${String(failure)}\n`);
+    });
+  };
+  process.once('SIGTERM', stop);
+  process.once('SIGINT', stop);
+  const line = {event: 'ready', port: server.port, ...describe(server)};
+  process.stdout.write(`${JSON.stringify(line)}\n`);
+}
+
+/** Reads a number from a command-line option. */
+export function parseNumber(text: string): number {
+  return Number(text);
+}
