--- /dev/null
+++ b/src/lib/decisions/quarantine.ts
@@ -0,0 +1,131 @@
+/** Keeps work from targets that fail what they start, and probes them. */
+import {Chart, readChart} from '../core/chart.js';
+import {NO_BACKOFF, recordOutcome, scaleSlots} from './outcome_limit.js';
+import type {OutcomeLimit} from './outcome_limit.js';
+
+/** States of the chart `agent_health`. */
+export enum HealthState {
+  TRUSTED = 'trusted',
+  QUARANTINED = 'quarantined',
+  PROBING = 'probing',
+}
+
+/** Events of the chart `agent_health`. */
+export enum HealthEvent {
+  SUCCEED = 'succeed',
+  FAIL = 'fail',
+  RESUME = 'resume',
+  REPLACE = 'replace',
+}
+
+/** What an entry knows of the health of one agent's target. */
+export interface AgentHealth {
+  readonly state: HealthState;
+  readonly limit: OutcomeLimit;
+  /** Monotonic time at which a quarantine ends. */
+  readonly resumeAtMs: number;
+  readonly pauseMs: number;
+  /** Successes in a row while probing. */
+  readonly successes: number;
+}
+
+/** First pause in milliseconds before a quarantined target is probed. */
+export const FIRST_PAUSE_MS = 1000;
+
+/** Longest pause in milliseconds between probes. */
+export const LONGEST_PAUSE_MS = 16000;
+
+/** Successes in a row after which a probed target is trusted again. */
+export const PROVEN_SUCCESSES = 3;
+
+/** Backoff that a target still has when its probes have succeeded. */
+const BACKOFF_AFTER_PROBES = 0.5;
+
+/** A target of which nothing bad is known. */
+export const HEALTHY: AgentHealth = {
+  state: HealthState.TRUSTED,
+  limit: NO_BACKOFF,
+  resumeAtMs: 0,
+  pauseMs: FIRST_PAUSE_MS,
+  successes: 0,
+};
+
+const CHART = Chart.create<HealthState, HealthEvent>(
+  readChart('agent_health'),
+  {
+    states: HealthState,
+    events: HealthEvent,
+    guards: ['isBackedOff', 'isProven'],
+    actions: ['lengthenPause'],
+  },
+);
+
+/**
+ * Learns how one task ended at the agent's target.
+ *
+ * @param setPoint Share of failures that is ordinary in the fleet.
+ */
+export function recordEnd(
+  health: AgentHealth,
+  isSuccess: boolean,
+  setPoint: number,
+  nowMs: number,
+): AgentHealth {
+  const limit = recordOutcome(health.limit, isSuccess, setPoint);
+  const successes = isSuccess ? health.successes + 1 : 0;
+  const step = CHART.step(
+    health.state,
+    isSuccess ? HealthEvent.SUCCEED : HealthEvent.FAIL,
+    guard =>
+      guard === 'isProven' ? successes >= PROVEN_SUCCESSES : limit.backoff >= 1,
+  );
+  const pauseMs = step.actions.includes('lengthenPause')
+    ? Math.min(LONGEST_PAUSE_MS, health.pauseMs * 2)
+    : health.pauseMs;
+  return enterState({...health, limit, successes, pauseMs}, step.state, nowMs);
+}
+
+/** Lets a quarantine end when its pause is over. */
+export function resumeHealth(health: AgentHealth, nowMs: number): AgentHealth {
+  if (health.state !== HealthState.QUARANTINED) return health;
+  if (nowMs < health.resumeAtMs) return health;
+  const step = CHART.step(health.state, HealthEvent.RESUME);
+  return {...health, state: step.state, successes: 0};
+}
+
+/** Forgets the past of a target that another one has replaced. */
+export function replaceTarget(health: AgentHealth): AgentHealth {
+  const step = CHART.step(health.state, HealthEvent.REPLACE);
+  return {...HEALTHY, state: step.state};
+}
+
+/** Returns the number of tasks the target may have at once. */
+export function limitConcurrency(health: AgentHealth, slots: number): number {
+  switch (health.state) {
+    case HealthState.TRUSTED:
+      return health.limit.backoff === 0
+        ? Infinity
+        : Math.max(1, scaleSlots(health.limit, slots));
+    case HealthState.QUARANTINED:
+      return 0;
+    case HealthState.PROBING:
+      return 1;
+  }
+}
+
+function enterState(
+  health: AgentHealth,
+  state: HealthState,
+  nowMs: number,
+): AgentHealth {
+  if (state === health.state) return health;
+  if (state === HealthState.QUARANTINED) {
+    return {...health, state, resumeAtMs: nowMs + health.pauseMs};
+  }
+  return {
+    ...health,
+    state,
+    limit: {backoff: BACKOFF_AFTER_PROBES},
+    pauseMs: FIRST_PAUSE_MS,
+  };
+}
--- /dev/null
+++ b/src/lib/decisions/tier_lists.ts
@@ -0,0 +1,59 @@
+/** Lists of agents with room, which change in constant time. */
+
+/** Group of agents that a policy tries together. */
+export enum Tier {
+  NO_ROOM = 'no-room',
+  PREFERRED = 'preferred',
+  OTHER = 'other',
+}
+
+/** Where a member stands; only `TierLists` changes it. */
+export interface TierMember {
+  tier: Tier;
+  /** Place in the list of its tier. */
+  place: number;
+}
+
+/** Keeps members in one list for each tier that has room. */
+export class TierLists<T extends TierMember> {
+  private readonly lists = {
+    [Tier.NO_ROOM]: undefined,
+    [Tier.PREFERRED]: [] as T[],
+    [Tier.OTHER]: [] as T[],
+  };
+
+  private constructor() {}
+
+  /** Creates empty lists. */
+  static create<T extends TierMember>(): TierLists<T> {
+    return new TierLists<T>();
+  }
+
+  /** Members to try first, in no order. */
+  get preferred(): readonly T[] {
+    return this.lists[Tier.PREFERRED];
+  }
+
+  /** Members to try when no preferred one is chosen, in no order. */
+  get others(): readonly T[] {
+    return this.lists[Tier.OTHER];
+  }
+
+  /** Moves a member to another tier. */
+  move(member: T, tier: Tier): void {
+    if (member.tier === tier) return;
+    this.take(member);
+    member.tier = tier;
+    const list = this.lists[tier];
+    if (list !== undefined) member.place = list.push(member) - 1;
+  }
+
+  private take(member: T): void {
+    const list = this.lists[member.tier];
+    if (list === undefined) return;
+    const last = list.pop()!;
+    if (last === member) return;
+    list[member.place] = last;
+    last.place = member.place;
+  }
+}
