--- a/src/lib/core/http_listener.ts
+++ b/src/lib/core/http_listener.ts
@@ -89,6 +89,14 @@
 
 const NO_BODY = Buffer.alloc(0);
 
+const TOO_LARGE_BODY: RequestBody = {
+  end: BodyEnd.TOO_LARGE,
+  bytes: NO_BODY,
+};
+
+/** Multiple of the limit up to which the rest of a body is read and dropped. */
+const DISCARD_FACTOR = 8;
+
 /** Reads a request's body up to a limit in bytes. */
 export function readBody(
   request: IncomingMessage,
@@ -103,12 +111,16 @@
         chunks.push(chunk);
         return;
       }
-      request.pause();
-      resolve({end: BodyEnd.TOO_LARGE, bytes: NO_BODY});
+      chunks.length = 0;
+      // Reading on lets the sender see the answer; closing on unread data
+      // would reset the connection under it.
+      if (length > bytesAtMost * DISCARD_FACTOR) resolve(TOO_LARGE_BODY);
+    });
+    request.on('end', () => {
+      const isWhole = length <= bytesAtMost;
+      const bytes = Buffer.concat(chunks);
+      resolve(isWhole ? {end: BodyEnd.WHOLE, bytes} : TOO_LARGE_BODY);
     });
-    request.on('end', () =>
-      resolve({end: BodyEnd.WHOLE, bytes: Buffer.concat(chunks)}),
-    );
     request.on('error', () => resolve({end: BodyEnd.BROKEN, bytes: NO_BODY}));
     request.on('close', () => resolve({end: BodyEnd.BROKEN, bytes: NO_BODY}));
   });
--- /dev/null
+++ b/src/lib/decisions/job_run.ts
@@ -0,0 +1,299 @@
+/** Decides how a job goes on as its tasks are sent and end. */
+import {Chart, ChartRun, readChart} from '../core/chart.js';
+import type {ChartRunOptions} from '../core/chart.js';
+import {Outcome, Problem, TaskEnd} from '../core/job.js';
+import type {JobSpecification, TaskFault} from '../core/job.js';
+
+/** States of `charts/job.yaml`. */
+export enum JobState {
+  WAITING = 'waiting',
+  RUNNING = 'running',
+  FAILING = 'failing',
+  COMPLETE = 'complete',
+  FAILED = 'failed',
+}
+
+/** Events of `charts/job.yaml`. */
+export enum JobEvent {
+  TASK_SENT = 'taskSent',
+  TASK_FAULTED = 'taskFaulted',
+  ALL_SUCCEEDED = 'allSucceeded',
+  ALL_ENDED = 'allEnded',
+  CANCEL = 'cancel',
+  DEADLINE = 'timer.deadline',
+  SETTLE = 'timer.settle',
+}
+
+/** Actions of `charts/job.yaml`. */
+export enum JobAction {
+  WITHDRAW_TASKS = 'withdrawTasks',
+  ABANDON_TASKS = 'abandonTasks',
+  ANSWER = 'answer',
+}
+
+/** States of `charts/entry_task.yaml`. */
+export enum EntryTaskState {
+  WAITING = 'waiting',
+  SENT = 'sent',
+  WITHDRAWING = 'withdrawing',
+  SUCCEEDED = 'succeeded',
+  FAILED = 'failed',
+  NOT_STARTED = 'notStarted',
+  UNKNOWN = 'unknown',
+}
+
+/** Events of `charts/entry_task.yaml`. */
+export enum EntryTaskEvent {
+  SEND = 'send',
+  DROP = 'drop',
+  SUCCEEDED = 'succeeded',
+  FAILED = 'failed',
+  NOT_STARTED = 'notStarted',
+  LOST = 'lost',
+  WITHDRAW = 'withdraw',
+}
+
+const JOB_CHART = Chart.create(readChart('job'), {
+  states: JobState,
+  events: JobEvent,
+  actions: Object.values(JobAction),
+});
+
+const TASK_CHART = Chart.create(readChart('entry_task'), {
+  states: EntryTaskState,
+  events: EntryTaskEvent,
+});
+
+/** How one task ended at an agent. */
+export interface TaskEnding {
+  readonly end: TaskEnd;
+  readonly result: Uint8Array;
+  readonly targetStatus: number;
+}
+
+/** The answer to a job. */
+export interface JobAnswer {
+  readonly outcome: Outcome;
+  /** Undefined if the outcome is complete. */
+  readonly problem: Problem | undefined;
+  /** JSON texts in task order; empty unless the outcome is complete. */
+  readonly results: readonly Uint8Array[];
+  readonly faults: readonly TaskFault[];
+}
+
+/** What becomes of a task whose ending was recorded. */
+export enum Aftermath {
+  /** Nothing more is to be done. */
+  NONE = 'none',
+  /** The task has not started and waits again. */
+  WAIT_AGAIN = 'wait-again',
+}
+
+const FAULTS_AT_MOST = 20;
+const DETAIL_CHARACTERS_AT_MOST = 200;
+const NO_BYTES = new Uint8Array(0);
+
+const TASK_EVENTS: Readonly<Record<TaskEnd, EntryTaskEvent>> = {
+  [TaskEnd.SUCCEEDED]: EntryTaskEvent.SUCCEEDED,
+  [TaskEnd.FAILED]: EntryTaskEvent.FAILED,
+  [TaskEnd.NOT_STARTED]: EntryTaskEvent.NOT_STARTED,
+  [TaskEnd.UNKNOWN]: EntryTaskEvent.LOST,
+};
+
+const ENDS: Partial<Record<EntryTaskState, TaskEnd>> = {
+  [EntryTaskState.SUCCEEDED]: TaskEnd.SUCCEEDED,
+  [EntryTaskState.FAILED]: TaskEnd.FAILED,
+  [EntryTaskState.NOT_STARTED]: TaskEnd.NOT_STARTED,
+  [EntryTaskState.UNKNOWN]: TaskEnd.UNKNOWN,
+};
+
+interface TaskRecord {
+  state: EntryTaskState;
+  result: Uint8Array;
+  targetStatus: number;
+}
+
+/**
+ * Follows one job through its chart. The owner carries out the actions that it
+ * is handed by `perform`; the run itself does no I/O.
+ */
+export class JobRun {
+  private readonly run: ChartRun<JobState, JobEvent>;
+  private readonly tasks: TaskRecord[];
+  private endedCount = 0;
+  private succeededCount = 0;
+  private problem: Problem | undefined;
+
+  private constructor(
+    readonly id: string,
+    readonly specification: JobSpecification,
+    options: ChartRunOptions,
+  ) {
+    this.tasks = specification.tasks.map(() => ({
+      state: TASK_CHART.initial,
+      result: NO_BYTES,
+      targetStatus: 0,
+    }));
+    this.run = ChartRun.create(JOB_CHART, options);
+  }
+
+  /** Creates a job whose tasks all wait, and starts its deadline. */
+  static create(
+    id: string,
+    specification: JobSpecification,
+    options: ChartRunOptions,
+  ): JobRun {
+    return new JobRun(id, specification, options);
+  }
+
+  /** The job's state. */
+  get state(): JobState {
+    return this.run.state;
+  }
+
+  /** Number of tasks that have ended. */
+  get done(): number {
+    return this.endedCount;
+  }
+
+  /** Number of tasks. */
+  get total(): number {
+    return this.tasks.length;
+  }
+
+  /** Tells whether the answer has been given. */
+  get isOver(): boolean {
+    return JOB_CHART.isFinal(this.run.state);
+  }
+
+  /** Records that a task is handed to an agent. */
+  recordSent(index: number): void {
+    this.stepTask(index, EntryTaskEvent.SEND);
+    if (this.run.state === JobState.WAITING) this.run.send(JobEvent.TASK_SENT);
+  }
+
+  /** Records that a task which may wait at an agent was asked back. */
+  recordWithdrawal(index: number): void {
+    this.stepTask(index, EntryTaskEvent.WITHDRAW);
+  }
+
+  /** Drops a task that waits at the entry. */
+  drop(index: number): void {
+    if (this.tasks[index].state !== EntryTaskState.WAITING) return;
+    this.stepTask(index, EntryTaskEvent.DROP);
+    this.countEnd();
+  }
+
+  /** Lists the tasks in a state. */
+  listTasks(state: EntryTaskState): number[] {
+    const found: number[] = [];
+    for (let index = 0; index < this.tasks.length; index += 1) {
+      if (this.tasks[index].state === state) found.push(index);
+    }
+    return found;
+  }
+
+  /** Records how a task ended at an agent and says what becomes of it. */
+  recordEnd(index: number, ending: TaskEnding): Aftermath {
+    const task = this.tasks[index];
+    const step = TASK_CHART.step(task.state, TASK_EVENTS[ending.end]);
+    if (!step.isTaken) return Aftermath.NONE;
+    task.state = step.state;
+    if (task.state === EntryTaskState.WAITING) return this.handleReturn(index);
+    task.result = ending.result;
+    task.targetStatus = ending.targetStatus;
+    if (task.state === EntryTaskState.SUCCEEDED) this.succeededCount += 1;
+    if (task.state === EntryTaskState.FAILED) {
+      this.fault(Problem.TASK_FAILED);
+    }
+    if (task.state === EntryTaskState.UNKNOWN) this.fault(Problem.TASK_LOST);
+    this.countEnd();
+    return Aftermath.NONE;
+  }
+
+  /** Takes an event from outside: a timer or a caller's cancellation. */
+  handle(event: JobEvent): void {
+    if (event === JobEvent.DEADLINE) this.problem ??= Problem.DEADLINE_PASSED;
+    if (event === JobEvent.CANCEL) this.problem ??= Problem.CANCELLED;
+    this.run.send(event);
+  }
+
+  /** Ends the tasks whose end is still not known as unknown. */
+  abandon(): void {
+    for (const task of this.tasks) {
+      if (ENDS[task.state] === undefined) task.state = EntryTaskState.UNKNOWN;
+    }
+    this.endedCount = this.tasks.length;
+  }
+
+  /** Describes the answer; call it when the job is over. */
+  describeAnswer(): JobAnswer {
+    if (this.run.state === JobState.COMPLETE) {
+      return {
+        outcome: Outcome.COMPLETE,
+        problem: undefined,
+        results: this.tasks.map(task => task.result),
+        faults: [],
+      };
+    }
+    return {
+      outcome: this.judgeOutcome(),
+      problem: this.problem ?? Problem.INTERNAL,
+      results: [],
+      faults: this.listFaults(),
+    };
+  }
+
+  /** Stops the job's timers. */
+  stopTimers(): void {
+    this.run.stopTimers();
+  }
+
+  private handleReturn(index: number): Aftermath {
+    if (this.run.state !== JobState.FAILING) return Aftermath.WAIT_AGAIN;
+    this.drop(index);
+    return Aftermath.NONE;
+  }
+
+  private fault(problem: Problem): void {
+    this.problem ??= problem;
+    this.run.send(JobEvent.TASK_FAULTED);
+  }
+
+  private countEnd(): void {
+    this.endedCount += 1;
+    if (this.endedCount < this.tasks.length) return;
+    const isWhole = this.succeededCount === this.tasks.length;
+    this.run.send(isWhole ? JobEvent.ALL_SUCCEEDED : JobEvent.ALL_ENDED);
+  }
+
+  private stepTask(index: number, event: EntryTaskEvent): void {
+    const task = this.tasks[index];
+    task.state = TASK_CHART.step(task.state, event).state;
+  }
+
+  private judgeOutcome(): Outcome {
+    const states = new Set(this.tasks.map(task => task.state));
+    if (states.has(EntryTaskState.UNKNOWN)) return Outcome.UNKNOWN;
+    const isUntouched =
+      states.size === 1 && states.has(EntryTaskState.NOT_STARTED);
+    return isUntouched ? Outcome.DID_NOT_RUN : Outcome.FAILED;
+  }
+
+  private listFaults(): TaskFault[] {
+    const faults: TaskFault[] = [];
+    for (const [index, task] of this.tasks.entries()) {
+      const end = ENDS[task.state];
+      if (end === undefined || end === TaskEnd.SUCCEEDED) continue;
+      if (faults.length >= FAULTS_AT_MOST) break;
+      const detail = Buffer.from(task.result).toString('utf8');
+      faults.push({
+        index,
+        end,
+        targetStatus: task.targetStatus,
+        detail: detail.slice(0, DETAIL_CHARACTERS_AT_MOST),
+      });
+    }
+    return faults;
+  }
+}
--- /dev/null
+++ b/src/lib/entry/answer_encoding.ts
@@ -0,0 +1,155 @@
+/** Writes answers as HTTP bodies: JSON, and problem details (RFC 9457). */
+import {Outcome, Problem} from '../core/job.js';
+import type {TaskFault} from '../core/job.js';
+import type {JobAnswer} from '../decisions/job_run.js';
+import {ReplyKind} from './dispatcher_messages.js';
+import type {DispatcherReply, Refusal} from './dispatcher_messages.js';
+
+/** An answer ready to be sent. */
+export interface EncodedAnswer {
+  /** HTTP status. */
+  readonly status: number;
+  readonly contentType: string;
+  readonly body: Buffer;
+  /** Time in milliseconds after which another try makes sense; 0 if unknown. */
+  readonly retryAfterMs: number;
+}
+
+/** Content type of an answer that is whole. */
+export const JSON_TYPE = 'application/json';
+
+/** Content type of problem details. */
+export const PROBLEM_TYPE = 'application/problem+json';
+
+const STATUSES: Readonly<Record<Problem, number>> = {
+  [Problem.REQUEST_INVALID]: 400,
+  [Problem.BODY_TOO_LARGE]: 413,
+  [Problem.TEAM_UNKNOWN]: 403,
+  [Problem.KEY_INVALID]: 400,
+  [Problem.KEY_REUSED]: 422,
+  [Problem.SESSION_ENDED]: 409,
+  [Problem.OWNER_UNREACHABLE]: 503,
+  [Problem.OVERLOADED]: 503,
+  [Problem.QUOTA_EXCEEDED]: 429,
+  [Problem.DEADLINE_UNREACHABLE]: 503,
+  [Problem.DEADLINE_PASSED]: 504,
+  [Problem.NO_TARGETS]: 503,
+  [Problem.CANNOT_RUN]: 422,
+  [Problem.TASK_FAILED]: 502,
+  [Problem.TASK_LOST]: 502,
+  [Problem.RESULT_TOO_LARGE]: 502,
+  [Problem.CANCELLED]: 409,
+  [Problem.STOPPING]: 503,
+  [Problem.NOT_READY]: 503,
+  [Problem.ANSWER_EXPIRED]: 410,
+  [Problem.NOT_FOUND]: 404,
+  [Problem.INTERNAL]: 500,
+};
+
+const TITLES: Readonly<Record<Outcome, string>> = {
+  [Outcome.COMPLETE]: 'Complete',
+  [Outcome.DID_NOT_RUN]: 'Did not run',
+  [Outcome.FAILED]: 'Failed',
+  [Outcome.UNKNOWN]: 'Outcome unknown',
+};
+
+const DETAILS: Partial<Record<Problem, string>> = {
+  [Problem.TASK_FAILED]: 'At least one task was answered with an error.',
+  [Problem.TASK_LOST]: 'The result of at least one task was lost.',
+  [Problem.DEADLINE_PASSED]: 'The deadline passed before every task had ended.',
+  [Problem.CANCELLED]: 'The job was cancelled.',
+};
+
+const EMPTY_LIST = Buffer.from('[]}');
+const COMMA = Buffer.from(',');
+const OPENING = Buffer.from('[');
+const CLOSING = Buffer.from(']}');
+
+/** Parts of a problem beside those that follow from its code. */
+export interface ProblemParts {
+  readonly problem: Problem;
+  readonly outcome: Outcome;
+  readonly detail: string;
+  readonly key?: string;
+  readonly retryAfterMs?: number;
+  readonly faults?: readonly TaskFault[];
+}
+
+/** Encodes a problem. */
+export function encodeProblem(parts: ProblemParts): EncodedAnswer {
+  const status = STATUSES[parts.problem];
+  const retryAfterMs = parts.retryAfterMs ?? 0;
+  const body = {
+    type: `urn:foxtailbay:problem:${parts.problem}`,
+    title: TITLES[parts.outcome],
+    status,
+    detail: parts.detail,
+    code: parts.problem,
+    outcome: parts.outcome,
+    key: parts.key,
+    retryAfterMs: retryAfterMs === 0 ? undefined : retryAfterMs,
+    faults: parts.faults?.length ? parts.faults : undefined,
+  };
+  return {
+    status,
+    contentType: PROBLEM_TYPE,
+    body: Buffer.from(JSON.stringify(body)),
+    retryAfterMs,
+  };
+}
+
+/** Encodes any JSON body. */
+export function encodeJson(status: number, value: object): EncodedAnswer {
+  const body = Buffer.from(JSON.stringify(value));
+  return {status, contentType: JSON_TYPE, body, retryAfterMs: 0};
+}
+
+/** Encodes the dispatcher's reply to a request under a key, or under none. */
+export function encodeReply(
+  reply: Exclude<DispatcherReply, {kind: ReplyKind.SESSION}>,
+  key: string | undefined,
+  progressStatus: number,
+): EncodedAnswer {
+  switch (reply.kind) {
+    case ReplyKind.ANSWER:
+      return encodeAnswer(reply.answer, key);
+    case ReplyKind.PROGRESS: {
+      const {state, done, total} = reply;
+      return encodeJson(progressStatus, {key, state, done, total});
+    }
+    case ReplyKind.REFUSAL:
+      return encodeRefusal(reply.refusal, key);
+  }
+}
+
+function encodeAnswer(
+  answer: JobAnswer,
+  key: string | undefined,
+): EncodedAnswer {
+  if (answer.problem !== undefined) {
+    const {problem, outcome, faults} = answer;
+    const detail = DETAILS[problem] ?? 'The job did not complete.';
+    return encodeProblem({problem, outcome, detail, key, faults});
+  }
+  const head = JSON.stringify({key, outcome: answer.outcome});
+  const opening = `${head.slice(0, -1)},"results":`;
+  const body = joinResults(Buffer.from(opening), answer.results);
+  return {status: 200, contentType: JSON_TYPE, body, retryAfterMs: 0};
+}
+
+function joinResults(opening: Buffer, results: readonly Uint8Array[]): Buffer {
+  if (results.length === 0) return Buffer.concat([opening, EMPTY_LIST]);
+  const parts: Uint8Array[] = [opening, OPENING, results[0]];
+  for (const result of results.slice(1)) parts.push(COMMA, result);
+  parts.push(CLOSING);
+  return Buffer.concat(parts);
+}
+
+function encodeRefusal(
+  refusal: Refusal,
+  key: string | undefined,
+): EncodedAnswer {
+  const {problem, detail, retryAfterMs, isProvenUnstarted} = refusal;
+  const outcome = isProvenUnstarted ? Outcome.DID_NOT_RUN : Outcome.UNKNOWN;
+  return encodeProblem({problem, outcome, detail, key, retryAfterMs});
+}
--- /dev/null
+++ b/src/lib/entry/dispatcher_messages.ts
@@ -0,0 +1,153 @@
+/** Messages that the dispatcher of an entry takes and posts. */
+import type {JobSpecification, Problem} from '../core/job.js';
+import type {
+  AgentFrame,
+  AgentHello,
+  EntryFrame,
+} from '../core/link_messages.js';
+import type {JobAnswer, JobState} from '../decisions/job_run.js';
+import type {
+  ConfigurationEvidence,
+  ConfigurationView,
+} from '../records/configuration_view.js';
+
+/** Kinds of message that the dispatcher takes. */
+export enum DispatcherMessageKind {
+  OPEN_SESSION = 'open-session',
+  SUBMIT = 'submit',
+  LOOK_UP = 'look-up',
+  CANCEL = 'cancel',
+  AGENT_HELLO = 'agent-hello',
+  AGENT_FRAME = 'agent-frame',
+  AGENT_CLOSED = 'agent-closed',
+  VIEW = 'view',
+  EVIDENCE = 'evidence',
+  JOB_TIMER = 'job-timer',
+  AGENT_TIMER = 'agent-timer',
+  TICK = 'tick',
+  LEAVE = 'leave',
+  REFUSE_WORK = 'refuse-work',
+}
+
+/** A key of this entry's own sessions. */
+export interface OwnKey {
+  readonly serial: number;
+  readonly name: string;
+  readonly team: string;
+}
+
+/** What a caller submits, with optional parts still open. */
+export interface JobDraft {
+  readonly team: string;
+  readonly taskClass: string | undefined;
+  readonly value: number | undefined;
+  readonly deadlineMs: number | undefined;
+  readonly tasks: JobSpecification['tasks'];
+  readonly trace: string;
+}
+
+/** Messages that the dispatcher takes. */
+export type DispatcherMessage =
+  | {
+      readonly kind: DispatcherMessageKind.OPEN_SESSION;
+      readonly team: string;
+      readonly reply: Reply;
+    }
+  | {
+      readonly kind: DispatcherMessageKind.SUBMIT;
+      readonly key: OwnKey | undefined;
+      /** Digest of the body that came under the key. */
+      readonly digest: string;
+      readonly draft: JobDraft;
+      /** True if the caller wants to be told at once that the job is taken. */
+      readonly isDetached: boolean;
+      readonly reply: Reply;
+    }
+  | {
+      readonly kind:
+        DispatcherMessageKind.LOOK_UP | DispatcherMessageKind.CANCEL;
+      readonly key: OwnKey;
+      readonly reply: Reply;
+    }
+  | {
+      readonly kind: DispatcherMessageKind.AGENT_HELLO;
+      readonly stream: AgentStreamHandle;
+      readonly hello: AgentHello;
+    }
+  | {
+      readonly kind: DispatcherMessageKind.AGENT_FRAME;
+      readonly stream: AgentStreamHandle;
+      readonly frame: AgentFrame;
+    }
+  | {
+      readonly kind: DispatcherMessageKind.AGENT_CLOSED;
+      readonly stream: AgentStreamHandle;
+    }
+  | {
+      readonly kind: DispatcherMessageKind.VIEW;
+      readonly view: ConfigurationView;
+    }
+  | {
+      readonly kind: DispatcherMessageKind.EVIDENCE;
+      readonly evidence: ConfigurationEvidence;
+    }
+  | {
+      readonly kind: DispatcherMessageKind.JOB_TIMER;
+      readonly job: string;
+      readonly event: string;
+    }
+  | {
+      readonly kind: DispatcherMessageKind.AGENT_TIMER;
+      readonly agent: string;
+      readonly event: string;
+    }
+  | {readonly kind: DispatcherMessageKind.TICK}
+  | {readonly kind: DispatcherMessageKind.LEAVE}
+  | {readonly kind: DispatcherMessageKind.REFUSE_WORK};
+
+/** Kinds of reply to a caller. */
+export enum ReplyKind {
+  SESSION = 'session',
+  ANSWER = 'answer',
+  PROGRESS = 'progress',
+  REFUSAL = 'refusal',
+}
+
+/** Why a request was refused. */
+export interface Refusal {
+  readonly problem: Problem;
+  /** True if it is certain that nothing under the key has run or will run. */
+  readonly isProvenUnstarted: boolean;
+  readonly detail: string;
+  /** Time in milliseconds after which another try makes sense; 0 if unknown. */
+  readonly retryAfterMs: number;
+}
+
+/** A reply to a caller. */
+export type DispatcherReply =
+  | {
+      readonly kind: ReplyKind.SESSION;
+      readonly serial: number;
+      readonly team: string;
+    }
+  | {readonly kind: ReplyKind.ANSWER; readonly answer: JobAnswer}
+  | {
+      readonly kind: ReplyKind.PROGRESS;
+      readonly state: JobState;
+      readonly done: number;
+      readonly total: number;
+    }
+  | {readonly kind: ReplyKind.REFUSAL; readonly refusal: Refusal};
+
+/** Takes the reply to one request. Posts to the mailbox of whoever asked. */
+export type Reply = (reply: DispatcherReply) => void;
+
+/** The dispatcher's hold on one agent's stream. */
+export interface AgentStreamHandle {
+  /** Different for each stream. */
+  readonly id: number;
+  /** Queues a frame for the agent. */
+  readonly send: (frame: EntryFrame) => void;
+  /** Closes the stream. */
+  readonly close: () => void;
+}
--- /dev/null
+++ b/src/lib/entry/job_draft.ts
@@ -0,0 +1,136 @@
+/** Reads what a caller submits. */
+import type {TaskSpecification} from '../core/job.js';
+import type {JobDraft} from './dispatcher_messages.js';
+
+const DEFAULT_EXPECTED_MS = 300;
+const TIME_MS_AT_MOST = 24 * 3_600_000;
+const NAME_PATTERN = /^[A-Za-z0-9._-]{1,64}$/;
+const KNOWN_FIELDS = ['team', 'class', 'value', 'deadlineMs', 'tasks'];
+const KNOWN_TASK_FIELDS = ['payload', 'expectedMs'];
+
+/** Returned in place of a draft; says in a sentence what is wrong. */
+export class DraftMistake {
+  private constructor(readonly detail: string) {}
+
+  /** Creates a mistake. */
+  static create(detail: string): DraftMistake {
+    return new DraftMistake(detail);
+  }
+}
+
+/** Reads a job from the JSON text of a request's body. */
+export function readJobDraft(
+  body: Uint8Array,
+  trace: string,
+): JobDraft | DraftMistake {
+  const value = parseObject(body);
+  if (value instanceof DraftMistake) return value;
+  const mistake = findMistake(value);
+  if (mistake !== undefined) return DraftMistake.create(mistake);
+  const tasks = value.tasks as Array<Record<string, unknown>>;
+  return {
+    team: value.team as string,
+    taskClass: value.class as string | undefined,
+    value: value.value as number | undefined,
+    deadlineMs: value.deadlineMs as number | undefined,
+    tasks: tasks.map(readTask),
+    trace,
+  };
+}
+
+/** Reads the team from the JSON text of a request for a session. */
+export function readSessionTeam(body: Uint8Array): string | DraftMistake {
+  const value = parseObject(body);
+  if (value instanceof DraftMistake) return value;
+  if (isName(value.team)) return value.team;
+  return DraftMistake.create(describeField('team', NAME_RULE, value.team));
+}
+
+const NAME_RULE = '1 to 64 letters, digits, ".", "_" or "-"';
+
+function parseObject(body: Uint8Array): Record<string, unknown> | DraftMistake {
+  if (body.length === 0) return DraftMistake.create('The body is empty.');
+  let value: unknown;
+  try {
+    value = JSON.parse(Buffer.from(body).toString('utf8'));
+  } catch (failure) {
+    const {message} = failure as SyntaxError;
+    return DraftMistake.create(`The body is not JSON: ${message}`);
+  }
+  if (typeof value === 'object' && value !== null && !Array.isArray(value)) {
+    return value as Record<string, unknown>;
+  }
+  return DraftMistake.create('The body is not a JSON object.');
+}
+
+function findMistake(value: Record<string, unknown>): string | undefined {
+  const unknown = Object.keys(value).find(key => !KNOWN_FIELDS.includes(key));
+  if (unknown !== undefined) {
+    return `"${unknown}" is not a field of a job (${KNOWN_FIELDS.join(', ')}).`;
+  }
+  if (!isName(value.team)) return describeField('team', NAME_RULE, value.team);
+  if (value.class !== undefined && !isName(value.class)) {
+    return describeField('class', NAME_RULE, value.class);
+  }
+  if (value.value !== undefined && !isPositive(value.value)) {
+    return describeField('value', 'a number above 0', value.value);
+  }
+  if (value.deadlineMs !== undefined && !isTime(value.deadlineMs)) {
+    return describeField('deadlineMs', TIME_RULE, value.deadlineMs);
+  }
+  return findTaskMistake(value.tasks);
+}
+
+const TIME_RULE = 'a number of milliseconds above 0, at most a day';
+
+function findTaskMistake(tasks: unknown): string | undefined {
+  if (!Array.isArray(tasks) || tasks.length === 0) {
+    return describeField('tasks', 'a list of at least one task', tasks);
+  }
+  for (const [index, task] of tasks.entries()) {
+    const mistake = findMistakeInTask(task);
+    if (mistake !== undefined) return `tasks[${index}]: ${mistake}`;
+  }
+  return undefined;
+}
+
+function findMistakeInTask(task: unknown): string | undefined {
+  if (typeof task !== 'object' || task === null || Array.isArray(task)) {
+    return 'a task is an object with "payload".';
+  }
+  const fields = task as Record<string, unknown>;
+  const unknown = Object.keys(fields).find(
+    key => !KNOWN_TASK_FIELDS.includes(key),
+  );
+  if (unknown !== undefined) {
+    return `"${unknown}" is not a field of a task (${KNOWN_TASK_FIELDS.join(', ')}).`;
+  }
+  if (fields.payload === undefined) return '"payload" is missing.';
+  if (fields.expectedMs !== undefined && !isTime(fields.expectedMs)) {
+    return describeField('expectedMs', TIME_RULE, fields.expectedMs);
+  }
+  return undefined;
+}
+
+function readTask(task: Record<string, unknown>): TaskSpecification {
+  const expectedMs = (task.expectedMs as number) ?? DEFAULT_EXPECTED_MS;
+  return {payload: task.payload, expectedMs};
+}
+
+function describeField(name: string, rule: string, found: unknown): string {
+  if (found === undefined) return `"${name}" is missing; it must be ${rule}.`;
+  const text = JSON.stringify(found).slice(0, 60);
+  return `"${name}" must be ${rule}; found ${text}.`;
+}
+
+function isName(value: unknown): value is string {
+  return typeof value === 'string' && NAME_PATTERN.test(value);
+}
+
+function isPositive(value: unknown): value is number {
+  return typeof value === 'number' && Number.isFinite(value) && value > 0;
+}
+
+function isTime(value: unknown): value is number {
+  return isPositive(value) && value <= TIME_MS_AT_MOST;
+}
--- /dev/null
+++ b/src/lib/entry/request_desk.ts
@@ -0,0 +1,242 @@
+/** Turns callers' requests into messages for the owner of their key. */
+import {createHash} from 'node:crypto';
+import {KeyError} from '../core/errors.js';
+import type {ProcessIdentity} from '../core/identity.js';
+import {Outcome, Problem} from '../core/job.js';
+import {PostOutcome} from '../core/task.js';
+import type {Post} from '../core/task.js';
+import {
+  composeKey,
+  mintSession,
+  readSessionKey,
+} from '../decisions/session_key.js';
+import type {SessionKey} from '../decisions/session_key.js';
+import {encodeJson, encodeProblem, encodeReply} from './answer_encoding.js';
+import type {EncodedAnswer} from './answer_encoding.js';
+import {DispatcherMessageKind, ReplyKind} from './dispatcher_messages.js';
+import type {
+  DispatcherMessage,
+  DispatcherReply,
+  OwnKey,
+} from './dispatcher_messages.js';
+import {DraftMistake, readJobDraft, readSessionTeam} from './job_draft.js';
+
+/** What a caller asks for. */
+export enum RequestKind {
+  SUBMIT = 'submit',
+  LOOK_UP = 'look-up',
+  CANCEL = 'cancel',
+}
+
+/** A request under a key, or a submission under none. */
+export interface CallerRequest {
+  readonly kind: RequestKind;
+  readonly key: string | undefined;
+  readonly body: Uint8Array;
+  readonly trace: string;
+  /** True if the caller does not wait for the answer. */
+  readonly isDetached: boolean;
+}
+
+/** Takes the encoded answer to a request. */
+export type Answer = (answer: EncodedAnswer) => void;
+
+/** Hands a request to the entry that owns its key. */
+export type ForwardRequest = (
+  ownerAddress: string,
+  request: CallerRequest,
+  answer: Answer,
+) => void;
+
+/** What the desk needs. */
+export interface RequestDeskOptions {
+  readonly identity: ProcessIdentity;
+  /** `host:port` at which other entries reach this one. */
+  readonly address: string;
+  readonly secret: string;
+  readonly sessionLifetimeMs: number;
+  readonly postToDispatcher: Post<DispatcherMessage>;
+  readonly forward: ForwardRequest;
+}
+
+/** Where a request came from. */
+export enum RequestOrigin {
+  CALLER = 'caller',
+  /** Another entry; such a request is never handed on a second time. */
+  PEER = 'peer',
+}
+
+const STATUS_ACCEPTED = 202;
+const STATUS_OK = 200;
+
+/**
+ * Decides who answers a request: the dispatcher of this entry if the key is
+ * its own, the owner's entry otherwise. Holds no state.
+ */
+export class RequestDesk {
+  private constructor(private readonly options: RequestDeskOptions) {}
+
+  /** Creates a desk. */
+  static create(options: RequestDeskOptions): RequestDesk {
+    return new RequestDesk(options);
+  }
+
+  /** Opens a session for the team that the body names. */
+  openSession(body: Uint8Array, answer: Answer): void {
+    const team = readSessionTeam(body);
+    if (team instanceof DraftMistake) {
+      return answer(refuseInvalid(team.detail));
+    }
+    this.post(answer, {
+      kind: DispatcherMessageKind.OPEN_SESSION,
+      team,
+      reply: reply => answer(this.encodeSession(reply)),
+    });
+  }
+
+  /** Answers a request, here or at the owner of its key. */
+  handle(request: CallerRequest, origin: RequestOrigin, answer: Answer): void {
+    if (request.key === undefined && request.isDetached) {
+      const detail = 'A job that nobody waits for needs an Idempotency-Key.';
+      return answer(refuseInvalid(detail));
+    }
+    if (request.key === undefined) {
+      return this.handleOwn(request, undefined, answer);
+    }
+    const key = this.readKey(request.key, answer);
+    if (key === undefined) return;
+    const {ownerAddress, ownerIncarnation, serial, team} = key.token;
+    if (ownerIncarnation === this.options.identity.incarnation) {
+      return this.handleOwn(request, {serial, name: key.name, team}, answer);
+    }
+    const isHere = ownerAddress === this.options.address;
+    if (isHere || origin === RequestOrigin.PEER) {
+      return answer(refuseEndedOwner(request.key));
+    }
+    this.options.forward(ownerAddress, request, answer);
+  }
+
+  private handleOwn(
+    request: CallerRequest,
+    key: OwnKey | undefined,
+    answer: Answer,
+  ): void {
+    const reply = (message: DispatcherReply) =>
+      answer(this.encodeReplyTo(request, message));
+    if (request.kind === RequestKind.SUBMIT) {
+      return this.submit(request, key, answer, reply);
+    }
+    this.post(answer, {
+      kind:
+        request.kind === RequestKind.LOOK_UP
+          ? DispatcherMessageKind.LOOK_UP
+          : DispatcherMessageKind.CANCEL,
+      key: key!,
+      reply,
+    });
+  }
+
+  private submit(
+    request: CallerRequest,
+    key: OwnKey | undefined,
+    answer: Answer,
+    reply: (message: DispatcherReply) => void,
+  ): void {
+    const draft = readJobDraft(request.body, request.trace);
+    if (draft instanceof DraftMistake) {
+      return answer(refuseInvalid(draft.detail));
+    }
+    if (key !== undefined && key.team !== draft.team) {
+      const detail = `The session of this key belongs to team "${key.team}".`;
+      return answer(refuseInvalid(detail));
+    }
+    const {isDetached} = request;
+    const digest = key === undefined ? '' : computeDigest(request.body);
+    this.post(answer, {
+      kind: DispatcherMessageKind.SUBMIT,
+      key,
+      digest,
+      draft,
+      isDetached,
+      reply,
+    });
+  }
+
+  private encodeReplyTo(
+    request: CallerRequest,
+    reply: DispatcherReply,
+  ): EncodedAnswer {
+    if (reply.kind === ReplyKind.SESSION) return this.encodeSession(reply);
+    const isSubmission = request.kind === RequestKind.SUBMIT;
+    const status = isSubmission ? STATUS_ACCEPTED : STATUS_OK;
+    return encodeReply(reply, request.key, status);
+  }
+
+  private encodeSession(reply: DispatcherReply): EncodedAnswer {
+    if (reply.kind !== ReplyKind.SESSION) {
+      return encodeReply(reply, undefined, STATUS_OK);
+    }
+    const session = mintSession(
+      {
+        ownerAddress: this.options.address,
+        ownerIncarnation: this.options.identity.incarnation,
+        serial: reply.serial,
+        team: reply.team,
+      },
+      this.options.secret,
+    );
+    const expiresInMs = this.options.sessionLifetimeMs;
+    const exampleKey = composeKey(session, 'job-1');
+    return encodeJson(201, {session, expiresInMs, exampleKey});
+  }
+
+  private readKey(text: string, answer: Answer): SessionKey | undefined {
+    try {
+      return readSessionKey(text, this.options.secret);
+    } catch (failure) {
+      if (!(failure instanceof KeyError)) throw failure;
+      answer(
+        encodeProblem({
+          problem: Problem.KEY_INVALID,
+          outcome: Outcome.DID_NOT_RUN,
+          detail: failure.message,
+        }),
+      );
+      return undefined;
+    }
+  }
+
+  // A full mailbox is told to the caller: nothing has been taken.
+  private post(answer: Answer, message: DispatcherMessage): void {
+    if (this.options.postToDispatcher(message) === PostOutcome.QUEUED) return;
+    answer(
+      encodeProblem({
+        problem: Problem.OVERLOADED,
+        outcome: Outcome.DID_NOT_RUN,
+        detail: 'The entry takes no more requests at present.',
+        retryAfterMs: 1000,
+      }),
+    );
+  }
+}
+
+function computeDigest(body: Uint8Array): string {
+  return createHash('sha256').update(body).digest('base64url').slice(0, 22);
+}
+
+function refuseInvalid(detail: string): EncodedAnswer {
+  const outcome = Outcome.DID_NOT_RUN;
+  return encodeProblem({problem: Problem.REQUEST_INVALID, outcome, detail});
+}
+
+function refuseEndedOwner(key: string): EncodedAnswer {
+  return encodeProblem({
+    problem: Problem.SESSION_ENDED,
+    outcome: Outcome.UNKNOWN,
+    detail:
+      'The entry that owned this session has ended. This submission started ' +
+      'nothing; an earlier one under the same key may have run. Open a new ' +
+      'session for new jobs.',
+    key,
+  });
+}
