--- /dev/null
+++ b/src/lib/decisions/admission.ts
@@ -0,0 +1,196 @@
+/** Decides at once whether a job is taken, refused, or takes the place of others. */
+import {Problem} from '../core/job.js';
+import type {FairQueue, UntouchedJob} from './fair_queue.js';
+
+/** What becomes of a submission. */
+export enum AdmissionKind {
+  ADMIT = 'admit',
+  /** Admit after shedding cheaper jobs that have not started. */
+  SHED_THEN_ADMIT = 'shed-then-admit',
+  REFUSE = 'refuse',
+}
+
+/** The answer to a submission. */
+export type Admission =
+  | {readonly kind: AdmissionKind.ADMIT}
+  | {readonly kind: AdmissionKind.SHED_THEN_ADMIT; readonly tasksToShed: number}
+  | {
+      readonly kind: AdmissionKind.REFUSE;
+      readonly problem: Problem;
+      readonly detail: string;
+      /** Absent when trying again cannot help. */
+      readonly retryAfterMs?: number;
+    };
+
+/** The job that asks to be taken. */
+export interface AdmissionRequest {
+  readonly tasks: number;
+  /** Sum of the run times expected of the tasks. */
+  readonly workMs: number;
+  /** Longest run time expected of a task. */
+  readonly longestMs: number;
+  readonly deadlineMs: number;
+  /** Value for each millisecond of work. */
+  readonly density: number;
+  /** Work that will be served before the job; see `FairQueue.sumWorkAhead`. */
+  readonly workAheadMs: number;
+}
+
+/** The entry that is asked. */
+export interface AdmissionState {
+  /** Slots of the usable agents. */
+  readonly slots: number;
+  /** Expected work in milliseconds that this entry's share of the fleet does a millisecond. */
+  readonly workPerMs: number;
+  readonly waitingTasks: number;
+  readonly waitingTasksAtMost: number;
+  readonly jobs: number;
+  readonly jobsAtMost: number;
+  readonly tasksPerJob: number;
+  readonly cheapest: UntouchedJob | undefined;
+}
+
+/** Shortest and longest advice in milliseconds on when to try again. */
+const SHORTEST_RETRY_MS = 100;
+const LONGEST_RETRY_MS = 10_000;
+
+/** Part of the longest expected run time that is certain enough to refuse for. */
+const CERTAIN_SHARE = 0.5;
+
+/** Advice in milliseconds when there are no targets. */
+const NO_TARGETS_RETRY_MS = 2000;
+
+/** Factor by which a job must be worth more than one it displaces. */
+const SHED_MARGIN = 1.2;
+
+/** Decides on one submission. */
+export function decideAdmission(
+  request: AdmissionRequest,
+  state: AdmissionState,
+): Admission {
+  return (
+    refuseImpossible(request, state) ??
+    refuseLate(request, state) ??
+    decideRoom(request, state)
+  );
+}
+
+/** Returns the shortest time in which a job can end on an idle fleet. */
+export function computeIdealMs(
+  workMs: number,
+  longestMs: number,
+  workPerMs: number,
+): number {
+  return Math.max(longestMs, workMs / Math.max(1e-9, workPerMs));
+}
+
+/**
+ * Tells whether a job that has not started can no longer meet its deadline, so
+ * that it is better told so than started.
+ */
+export function isHopeless(
+  nowMs: number,
+  deadlineAtMs: number,
+  idealMs: number,
+): boolean {
+  return nowMs + CERTAIN_SHARE * idealMs > deadlineAtMs;
+}
+
+/**
+ * Removes the cheapest jobs that have not started until `tasks` tasks are gone
+ * or the rest is worth as much as the new job; returns the jobs removed, whose
+ * callers are to be told that they did not run.
+ */
+export function shedJobs(
+  queue: FairQueue,
+  density: number,
+  tasks: number,
+): string[] {
+  const shed: string[] = [];
+  let left = tasks;
+  while (left > 0) {
+    const cheapest = queue.findCheapest();
+    if (!isWorthMore(density, cheapest)) break;
+    left -= queue.removeJob(cheapest.job);
+    shed.push(cheapest.job);
+  }
+  return shed;
+}
+
+function isWorthMore(
+  density: number,
+  cheapest: UntouchedJob | undefined,
+): cheapest is UntouchedJob {
+  return cheapest !== undefined && density > cheapest.density * SHED_MARGIN;
+}
+
+function refuseImpossible(
+  request: AdmissionRequest,
+  state: AdmissionState,
+): Admission | undefined {
+  if (request.tasks > state.tasksPerJob) {
+    const detail = `A job has at most ${state.tasksPerJob} tasks; this one has ${request.tasks}.`;
+    return refuse(Problem.CANNOT_RUN, detail);
+  }
+  if (state.slots === 0) {
+    const detail = 'No target in service can take tasks.';
+    return refuse(Problem.NO_TARGETS, detail, NO_TARGETS_RETRY_MS);
+  }
+  const leastMs = computeLeastMs(request, state);
+  if (leastMs > request.deadlineMs) {
+    const detail = `The job needs at least ${Math.ceil(leastMs)} ms of ${request.deadlineMs} ms, even on idle targets.`;
+    return refuse(Problem.DEADLINE_UNREACHABLE, detail);
+  }
+  return undefined;
+}
+
+function refuseLate(
+  request: AdmissionRequest,
+  state: AdmissionState,
+): Admission | undefined {
+  const delayMs = request.workAheadMs / Math.max(1e-9, state.workPerMs);
+  const lateMs = delayMs + computeLeastMs(request, state) - request.deadlineMs;
+  if (lateMs <= 0) return undefined;
+  const detail = `The work that waits would make the answer ${Math.ceil(lateMs)} ms late.`;
+  return refuse(Problem.DEADLINE_UNREACHABLE, detail, lateMs);
+}
+
+function decideRoom(
+  request: AdmissionRequest,
+  state: AdmissionState,
+): Admission {
+  const excess = state.waitingTasks + request.tasks - state.waitingTasksAtMost;
+  const isFull = state.jobs >= state.jobsAtMost;
+  if (excess <= 0 && !isFull) return {kind: AdmissionKind.ADMIT};
+  const {cheapest} = state;
+  const isAffordable = request.tasks <= state.waitingTasksAtMost;
+  if (isAffordable && isWorthMore(request.density, cheapest)) {
+    const tasksToShed = Math.max(excess, isFull ? cheapest.tasks : 0);
+    return {kind: AdmissionKind.SHED_THEN_ADMIT, tasksToShed};
+  }
+  const retryAfterMs = excess / Math.max(1e-9, state.workPerMs);
+  const detail = `${state.waitingTasks} tasks of ${state.jobs} jobs are in hand already.`;
+  return refuse(Problem.OVERLOADED, detail, retryAfterMs);
+}
+
+function computeLeastMs(
+  request: AdmissionRequest,
+  state: AdmissionState,
+): number {
+  const certainMs = request.longestMs * CERTAIN_SHARE;
+  return computeIdealMs(request.workMs, certainMs, state.workPerMs);
+}
+
+function refuse(
+  problem: Problem,
+  detail: string,
+  retryAfterMs?: number,
+): Admission {
+  const refusal = {kind: AdmissionKind.REFUSE, problem, detail} as const;
+  if (retryAfterMs === undefined) return refusal;
+  const bounded = Math.max(SHORTEST_RETRY_MS, retryAfterMs);
+  return {
+    ...refusal,
+    retryAfterMs: Math.ceil(Math.min(LONGEST_RETRY_MS, bounded)),
+  };
+}
--- a/src/lib/decisions/agent_board.ts
+++ b/src/lib/decisions/agent_board.ts
@@ -94,6 +94,11 @@
     return this.slotSpeed / this.meanRunMs;
   }
 
+  /** Expected work in milliseconds that the usable agents do each millisecond. */
+  get workPerMs(): number {
+    return this.slotSpeed;
+  }
+
   /** Returns what the board knows of an agent. */
   getAgent(id: string): AgentLoad | undefined {
     return this.agents.get(id);
--- /dev/null
+++ b/test/decisions/quarantine_test.ts
@@ -0,0 +1,78 @@
+import {expect} from 'chai';
+import fc from 'fast-check';
+import {
+  computeSetPoint,
+  LEAST_SET_POINT,
+} from '../../src/lib/decisions/outcome_limit.js';
+import {
+  HEALTHY,
+  HealthState,
+  limitConcurrency,
+  PROVEN_SUCCESSES,
+  recordEnd,
+  resumeHealth,
+} from '../../src/lib/decisions/quarantine.js';
+import type {AgentHealth} from '../../src/lib/decisions/quarantine.js';
+import {createRandom, SEED} from './seeded_random.js';
+
+function apply(health: AgentHealth, ends: readonly boolean[], nowMs = 0) {
+  return ends.reduce(
+    (each, end) => recordEnd(each, end, LEAST_SET_POINT, nowMs),
+    health,
+  );
+}
+
+describe('AgentHealth', () => {
+  it('stops a target after a few failures in a row', () => {
+    const failing = apply(HEALTHY, Array(5).fill(false));
+    expect(limitConcurrency(failing, 8)).to.equal(0);
+  });
+
+  it('lengthens the pause with each failed probe, up to a bound', () => {
+    let health = apply(HEALTHY, Array(5).fill(false));
+    const pauses: number[] = [];
+    for (let round = 0; round < 7; round += 1) {
+      pauses.push(health.pauseMs);
+      health = resumeHealth(health, health.resumeAtMs);
+      expect(limitConcurrency(health, 8)).to.equal(1);
+      health = apply(health, [false], health.resumeAtMs);
+    }
+    expect(pauses).to.deep.equal([1000, 2000, 4000, 8000, 16000, 16000, 16000]);
+  });
+
+  it('comes back by degrees after probes that succeed', () => {
+    let health = apply(HEALTHY, Array(5).fill(false));
+    health = resumeHealth(health, health.resumeAtMs);
+    health = apply(health, Array(PROVEN_SUCCESSES).fill(true));
+    expect(limitConcurrency(health, 8)).to.equal(4);
+    health = apply(health, Array(20).fill(true));
+    expect(limitConcurrency(health, 8)).to.equal(Infinity);
+  });
+
+  it('stays at full speed where failures are as rare as the set point', () => {
+    const random = createRandom(SEED);
+    let health = HEALTHY;
+    for (let index = 0; index < 20_000; index += 1) {
+      health = apply(health, [random() > 0.02]);
+      expect(health.state).to.equal(HealthState.TRUSTED);
+    }
+  });
+
+  it('keeps the backoff between 0 and 1 and always allows a return', () => {
+    const ends = fc.array(fc.boolean(), {maxLength: 100});
+    const property = fc.property(ends, list => {
+      let health = apply(HEALTHY, list);
+      expect(health.limit.backoff).to.be.within(0, 1);
+      health = resumeHealth(health, health.resumeAtMs);
+      expect(limitConcurrency(health, 8)).to.be.at.least(1);
+    });
+    fc.assert(property, {seed: SEED});
+  });
+});
+
+describe('computeSetPoint', () => {
+  it('blames no target once half of the fleet fails', () => {
+    expect(computeSetPoint(0.5)).to.equal(1);
+    expect(computeSetPoint(0)).to.equal(LEAST_SET_POINT);
+  });
+});
