Describe the policy and name its settings once

The settings file and the decisions each had an enum of placement policies; the settings now take it from the decisions. placement.order chooses the order of jobs in a team.

--- a/src/lib/settings/entry_settings.ts
+++ b/src/lib/settings/entry_settings.ts
@@ -1,4 +1,6 @@
 /** Settings of `foxtailbay-entry`. */
+import {PlacementKind} from '../decisions/choose_agent.js';
+import {JobOrder} from '../decisions/rank_job.js';
 import {
   describeCount,
   describeDuration,
@@ -20,14 +22,6 @@
   SettingsSchema,
 } from './settings_schema.js';
 
-/** Policies that choose the target of a task. */
-export enum PlacementPolicyName {
-  LEAST_LOADED = 'least-loaded',
-  RANDOM = 'random',
-  ROUND_ROBIN = 'round-robin',
-  TWO_CHOICES = 'two-choices',
-}
-
 /** The listeners of an entry. */
 export interface EntryListenSettings {
   /** HTTP for callers. */
@@ -74,7 +68,11 @@
   readonly store: StoreSettings;
   readonly sessions: SessionSettings;
   readonly limits: LimitSettings;
-  readonly placement: {readonly policy: PlacementPolicyName};
+  readonly placement: {
+    readonly policy: PlacementKind;
+    /** Order of the jobs of one team. */
+    readonly order: JobOrder;
+  };
   readonly agents: {readonly returnLimitMs: number};
   readonly administration: {readonly key: string};
   readonly stop: {readonly noticeMs: number; readonly drainMs: number};
@@ -149,8 +147,15 @@
   policy: {
     type: 'string',
     description: 'Policy that chooses the target of a task.',
-    enum: Object.values(PlacementPolicyName),
-    default: PlacementPolicyName.LEAST_LOADED,
+    enum: Object.values(PlacementKind),
+    default: PlacementKind.LEAST_LOADED,
+  },
+  order: {
+    type: 'string',
+    description:
+      'Order of the jobs of one team: `stretch` for response times near the ideal, `value` for value delivered per work, `deadline` or `arrival`.',
+    enum: Object.values(JobOrder),
+    default: JobOrder.STRETCH,
   },
 });
 
--- a/test/settings/read_settings_test.ts
+++ b/test/settings/read_settings_test.ts
@@ -1,10 +1,8 @@
 import {expect} from 'chai';
+import {PlacementKind} from '../../src/lib/decisions/choose_agent.js';
 import {ErrorCode, SettingsError} from '../../src/lib/core/errors.js';
 import {AGENT_SETTINGS_SCHEMA} from '../../src/lib/settings/agent_settings.js';
-import {
-  ENTRY_SETTINGS_SCHEMA,
-  PlacementPolicyName,
-} from '../../src/lib/settings/entry_settings.js';
+import {ENTRY_SETTINGS_SCHEMA} from '../../src/lib/settings/entry_settings.js';
 import {
   checkSettings,
   readSettings,
@@ -49,9 +47,7 @@
     expect(settings.advertise.peers).to.equal('127.0.0.1:7401');
     expect(settings.store.prefix).to.equal('/foxtailbay/');
     expect(settings.limits.tasksPerJob).to.equal(5000);
-    expect(settings.placement.policy).to.equal(
-      PlacementPolicyName.LEAST_LOADED,
-    );
+    expect(settings.placement.policy).to.equal(PlacementKind.LEAST_LOADED);
     expect(settings.metrics).to.equal(undefined);
   });
 
