Follow the configuration and register the entry

Cause: an entry had no source of its configuration. Ruled out: two lists and two watches (each waiting watch is a counted call; one list and one watch of the whole prefix give one revision), and two tasks sharing one store client. Conclusion: outage at start, stale replies, compaction, lost leases and lost replies of the registration are covered with a store in memory.

--- /dev/null
+++ b/src/lib/entry/configuration_watch_chart.ts
@@ -0,0 +1,40 @@
+/** The names of charts/configuration_watch.yaml. */
+import {Chart, readChart} from '../core/chart.js';
+
+/** States of an entry's watch of the store. */
+export enum ConfigurationWatchState {
+  LISTING = 'listing',
+  WATCHING = 'watching',
+  PAUSING = 'pausing',
+  BACKING_OFF_TO_WATCH = 'backingOffToWatch',
+  BACKING_OFF_TO_LIST = 'backingOffToList',
+}
+
+/** Events of an entry's watch of the store. */
+export enum ConfigurationWatchEvent {
+  ANSWERED = 'answered',
+  STALE = 'stale',
+  COMPACTED = 'compacted',
+  FAILED = 'failed',
+  OVERDUE = 'timer.overdue',
+  PAUSE = 'timer.pause',
+  BACKOFF = 'timer.backoff',
+}
+
+/** What the chart asks the watch to do. */
+export enum ConfigurationWatchAction {
+  LIST = 'list',
+  WATCH = 'watch',
+  CONFIRM = 'confirm',
+  LOSE_CONTACT = 'loseContact',
+}
+
+/** Interprets the watch's chart. */
+export const CONFIGURATION_WATCH_CHART = Chart.create(
+  readChart('configuration_watch'),
+  {
+    states: ConfigurationWatchState,
+    events: ConfigurationWatchEvent,
+    actions: Object.values(ConfigurationWatchAction),
+  },
+);
--- /dev/null
+++ b/src/lib/entry/entry_registration.ts
@@ -0,0 +1,256 @@
+/** Keeps an entry registered in the store on behalf of the configuration task. */
+import {ChartRun} from '../core/chart.js';
+import {computeBackoffMs} from '../core/backoff.js';
+import type {DrawRandom, StartTimer} from '../core/clock.js';
+import {ErrorCode, FoxtailbayError} from '../core/errors.js';
+import {ABSENT_REVISION} from '../platform/platform_store.js';
+import type {PlatformStore, StoreSnapshot} from '../platform/platform_store.js';
+import type {ConfigurationMirror} from '../records/configuration_mirror.js';
+import type {EntryAddress} from '../records/configuration_view.js';
+import {ENTRIES_FOLDER} from '../records/record.js';
+import {
+  RegistrationChoice,
+  decideRegistration,
+  formatRegistration,
+} from '../records/registration.js';
+import type {Registration} from '../records/registration.js';
+import {ConfigurationMessageKind} from './configuration_message.js';
+import type {RegistrationMessage} from './configuration_message.js';
+import {
+  ENTRY_REGISTRATION_CHART,
+  EntryRegistrationAction,
+  EntryRegistrationEvent,
+  EntryRegistrationState,
+} from './entry_registration_chart.js';
+
+/** What the registration needs. */
+export interface EntryRegistrationOptions {
+  readonly store: PlatformStore;
+  readonly prefix: string;
+  readonly entry: EntryAddress;
+  readonly leaseMs: number;
+  readonly post: (message: RegistrationMessage) => void;
+  readonly reportState: (state: EntryRegistrationState) => void;
+  readonly reportFailure: (failure: unknown) => void;
+  readonly startTimer: StartTimer;
+  readonly drawRandom: DrawRandom;
+}
+
+/** How a call of the registration ended, without its number. */
+type CallEnd = Omit<RegistrationMessage, 'kind' | 'call'>;
+
+/** Renewals in one life of a lease; two may be lost. */
+const RENEWALS_PER_LEASE = 3;
+
+/** Delays between failed calls. */
+const BACKOFF_LIMITS = {firstMs: 100, longestMs: 2000};
+
+const CHOICE_EVENTS: Readonly<
+  Record<RegistrationChoice, EntryRegistrationEvent>
+> = {
+  [RegistrationChoice.KEEP]: EntryRegistrationEvent.OWN,
+  [RegistrationChoice.WRITE]: EntryRegistrationEvent.FREE,
+  [RegistrationChoice.YIELD]: EntryRegistrationEvent.SUPERSEDED,
+};
+
+/**
+ * Registers an entry under a lease and renews it.
+ *
+ * Belongs to the configuration task, as `ConfigurationWatch` does. One call is
+ * out at a time; the end of a call that was given up is told by its number.
+ */
+export class EntryRegistration {
+  private lease = '';
+  private call = 0;
+  private failures = 0;
+  private hasRegistered = false;
+  /** Revision of the registration as last found or written. */
+  private revision = ABSENT_REVISION;
+  private readonly run: ChartRun<
+    EntryRegistrationState,
+    EntryRegistrationEvent
+  >;
+
+  private constructor(private readonly options: EntryRegistrationOptions) {
+    this.run = ChartRun.create(ENTRY_REGISTRATION_CHART, {
+      startNamedTimer: (name, fire) =>
+        options.startTimer(this.computeDelayMs(name), fire),
+      fire: event =>
+        options.post({
+          kind: ConfigurationMessageKind.REGISTRATION_EVENT,
+          event: event as EntryRegistrationEvent,
+        }),
+      perform: action => this.perform(action as EntryRegistrationAction),
+    });
+  }
+
+  /** Creates a registration and sends its first call. */
+  static create(options: EntryRegistrationOptions): EntryRegistration {
+    const registration = new EntryRegistration(options);
+    registration.openLease();
+    return registration;
+  }
+
+  /** Takes the end of a call or a timer that the registration has posted. */
+  handle(message: RegistrationMessage): void {
+    const isTimer = message.call === undefined;
+    if (!isTimer && message.call !== this.call) return;
+    if (message.lease !== undefined) this.lease = message.lease;
+    if (message.revision !== undefined) this.revision = message.revision;
+    this.send(message.event);
+  }
+
+  /** Compares the registration with what the store shows. */
+  observe({entries, revision}: ConfigurationMirror): void {
+    const isSettled =
+      this.run.state === EntryRegistrationState.REGISTERED ||
+      this.run.state === EntryRegistrationState.RENEWING ||
+      this.run.state === EntryRegistrationState.BACKING_OFF_TO_RENEW;
+    if (!isSettled || revision <= this.revision) return;
+    const {id, incarnation} = this.options.entry;
+    if (entries.get(id)?.incarnation === incarnation) return;
+    this.call += 1;
+    this.send(EntryRegistrationEvent.DISPLACED);
+  }
+
+  /** Withdraws the registration; the process serves on but is not found. */
+  leave(): void {
+    this.send(EntryRegistrationEvent.LEAVE);
+  }
+
+  /** Stops the timers and ends the lease, if one is held. */
+  async stop(): Promise<void> {
+    this.run.stopTimers();
+    const {state} = this.run;
+    if (this.lease === '' || ENTRY_REGISTRATION_CHART.isFinal(state)) return;
+    await this.endLease();
+  }
+
+  private send(event: EntryRegistrationEvent): void {
+    if (event === EntryRegistrationEvent.FAILED) this.failures += 1;
+    if (event === EntryRegistrationEvent.CONFLICT) this.failures += 1;
+    const before = this.run.state;
+    this.run.send(event);
+    if (this.run.state === EntryRegistrationState.REGISTERED) {
+      this.failures = 0;
+      this.hasRegistered = true;
+    }
+    if (this.run.state !== before) this.options.reportState(this.run.state);
+  }
+
+  private perform(action: EntryRegistrationAction): void {
+    switch (action) {
+      case EntryRegistrationAction.OPEN_LEASE:
+        this.openLease();
+        break;
+      case EntryRegistrationAction.READ:
+        this.read();
+        break;
+      case EntryRegistrationAction.WRITE:
+        this.write();
+        break;
+      case EntryRegistrationAction.RENEW:
+        this.renew();
+        break;
+      case EntryRegistrationAction.CLOSE_LEASE:
+        void this.endLease();
+        break;
+      case EntryRegistrationAction.REPORT_SUPERSEDED:
+        this.lease = '';
+        break;
+    }
+  }
+
+  private openLease(): void {
+    const opening = this.options.store.openLease(this.options.leaseMs);
+    this.follow(
+      opening.then(lease => ({event: EntryRegistrationEvent.OPENED, lease})),
+    );
+  }
+
+  private read(): void {
+    const reading = this.options.store.list(this.key);
+    this.follow(reading.then(snapshot => this.choose(snapshot)));
+  }
+
+  private write(): void {
+    const writing = this.options.store.write({
+      key: this.key,
+      value: formatRegistration(this.registration),
+      expectedRevision: this.revision,
+      lease: this.lease,
+    });
+    this.follow(
+      writing.then(revision => ({
+        event: EntryRegistrationEvent.WRITTEN,
+        revision,
+      })),
+    );
+  }
+
+  private renew(): void {
+    const renewing = this.options.store.renewLease(this.lease);
+    this.follow(renewing.then(() => ({event: EntryRegistrationEvent.RENEWED})));
+  }
+
+  private async endLease(): Promise<void> {
+    const {lease} = this;
+    this.lease = '';
+    try {
+      await this.options.store.closeLease(lease);
+    } catch (failure) {
+      // The lease ends by itself.
+      this.options.reportFailure(failure);
+    }
+  }
+
+  private choose(snapshot: StoreSnapshot): CallEnd {
+    const found = snapshot.values.find(value => value.key === this.key);
+    const choice = decideRegistration(
+      found,
+      this.registration,
+      this.hasRegistered,
+    );
+    return {
+      event: CHOICE_EVENTS[choice],
+      revision: found?.revision ?? ABSENT_REVISION,
+    };
+  }
+
+  /** Posts the end of the call that begins now. */
+  private follow(ending: Promise<CallEnd>): void {
+    this.call += 1;
+    const {call} = this;
+    const post = (end: CallEnd) =>
+      this.options.post({
+        kind: ConfigurationMessageKind.REGISTRATION_EVENT,
+        call,
+        ...end,
+      });
+    ending.then(post, failure => post({event: this.classify(failure)}));
+  }
+
+  private classify(failure: unknown): EntryRegistrationEvent {
+    this.options.reportFailure(failure);
+    const isConflict =
+      failure instanceof FoxtailbayError &&
+      failure.code === ErrorCode.STORE_CONFLICT;
+    return isConflict
+      ? EntryRegistrationEvent.CONFLICT
+      : EntryRegistrationEvent.FAILED;
+  }
+
+  private get key(): string {
+    return this.options.prefix + ENTRIES_FOLDER + this.options.entry.id;
+  }
+
+  private get registration(): Registration {
+    return {...this.options.entry, lease: this.lease};
+  }
+
+  private computeDelayMs(timer: string): number {
+    const {leaseMs, drawRandom} = this.options;
+    if (timer === 'renew') return leaseMs / RENEWALS_PER_LEASE;
+    return computeBackoffMs(this.failures, BACKOFF_LIMITS, drawRandom);
+  }
+}
--- /dev/null
+++ b/test/fakes/manual_clock.ts
@@ -0,0 +1,64 @@
+/** Time that a test moves by hand. */
+import type {StartTimer} from '../../src/lib/core/clock.js';
+import {RequestError} from '../../src/lib/core/errors.js';
+
+/** Fires timers in their order when the test advances it. */
+export class ManualClock {
+  nowMs = 0;
+  private timers: Array<{atMs: number; fire: () => void}> = [];
+
+  private constructor() {}
+
+  static create(): ManualClock {
+    return new ManualClock();
+  }
+
+  readonly readMs = (): number => this.nowMs;
+
+  readonly startTimer: StartTimer = (delayMs, fire) => {
+    const timer = {atMs: this.nowMs + delayMs, fire};
+    this.timers.push(timer);
+    return () => {
+      this.timers = this.timers.filter(other => other !== timer);
+    };
+  };
+
+  /** Moves time on; lets replies be handled before and after each timer. */
+  async advance(ms: number): Promise<void> {
+    const endMs = this.nowMs + ms;
+    await yieldToReplies();
+    for (;;) {
+      const [next] = this.timers
+        .filter(timer => timer.atMs <= endMs)
+        .sort((a, b) => a.atMs - b.atMs);
+      if (next === undefined) break;
+      this.timers = this.timers.filter(timer => timer !== next);
+      this.nowMs = Math.max(this.nowMs, next.atMs);
+      next.fire();
+      await yieldToReplies();
+    }
+    this.nowMs = endMs;
+  }
+}
+
+/** Turns of the event loop within which replies in memory are handled. */
+const TURNS = 4;
+
+/** Lets promises and mailboxes do what they have to do. */
+export async function yieldToReplies(): Promise<void> {
+  for (let turn = 0; turn < TURNS; turn += 1) {
+    await new Promise(resolve => setImmediate(resolve));
+  }
+}
+
+/** Waits until a condition holds, for a bounded number of turns. */
+export async function waitUntil(
+  what: string,
+  holds: () => boolean,
+): Promise<void> {
+  for (let turn = 0; turn < 10_000; turn += 1) {
+    if (holds()) return;
+    await new Promise(resolve => setImmediate(resolve));
+  }
+  throw new RequestError(`Test waited in vain until ${what}.`);
+}
--- /dev/null
+++ b/test/fakes/memory_store.ts
@@ -0,0 +1,248 @@
+/** A platform's store in memory, with faults that tests switch on. */
+import {ErrorCode, StoreError} from '../../src/lib/core/errors.js';
+import {
+  ABSENT_REVISION,
+  StoreChangeKind,
+} from '../../src/lib/platform/platform_store.js';
+import type {
+  ConditionalWrite,
+  PlatformStore,
+  StoreChange,
+  StoreChanges,
+  StoreSnapshot,
+  StoredValue,
+} from '../../src/lib/platform/platform_store.js';
+
+/** What the store does wrong. */
+export interface MemoryStoreFaults {
+  /** Every call fails. */
+  isDown: boolean;
+  /** Replies of writes that take effect and are lost. */
+  lostReplies: number;
+  /** Writes that are cut before they take effect. */
+  lostWrites: number;
+  /** Lists and watches answer as of this revision. */
+  staleRevision: number | undefined;
+  /** Watches from before this revision are told to list again. */
+  compactedRevision: number;
+}
+
+interface Waiter {
+  readonly prefix: string;
+  readonly after: number;
+  readonly resolve: (changes: StoreChanges) => void;
+  readonly reject: (failure: unknown) => void;
+}
+
+/** Creates a typed failure of the store. */
+export function createStoreError(code: ErrorCode) {
+  return new StoreError(`Test store: ${code}.`, {props: {code}});
+}
+
+/** Holds values in memory; several clients may use one. */
+export class MemoryStore {
+  readonly faults: MemoryStoreFaults = {
+    isDown: false,
+    lostReplies: 0,
+    lostWrites: 0,
+    staleRevision: undefined,
+    compactedRevision: 0,
+  };
+  /** Calls by name, a waiting watch as one. */
+  readonly calls: Record<string, number> = {};
+  revision = 0;
+
+  private readonly log: Array<StoreChange & {lease?: string}> = [];
+  private readonly leases = new Set<string>();
+  private waiters: Waiter[] = [];
+
+  private constructor() {}
+
+  static create(): MemoryStore {
+    return new MemoryStore();
+  }
+
+  /** Creates one client's view of the store. */
+  createClient(): PlatformStore {
+    return {
+      list: prefix => this.run('list', () => this.list(prefix)),
+      write: write => this.runWrite('write', () => this.write(write)),
+      remove: (key, expected) =>
+        this.runWrite('remove', () => this.remove(key, expected)),
+      watch: (prefix, after) => this.watch(prefix, after),
+      openLease: () => this.run('openLease', () => this.openLease()),
+      renewLease: lease => this.run('renewLease', () => this.checkLease(lease)),
+      closeLease: lease => this.run('closeLease', () => this.endLease(lease)),
+      close: () => this.close(),
+    };
+  }
+
+  /** Returns the value under a key as it stands. */
+  read(key: string): StoredValue | undefined {
+    return this.list(key).values.find(value => value.key === key);
+  }
+
+  /** Writes a value whatever stands there. */
+  put(key: string, value: string): number {
+    const expectedRevision = this.read(key)?.revision ?? ABSENT_REVISION;
+    return this.write({key, value, expectedRevision});
+  }
+
+  /** Ends a lease as its expiry would. */
+  endLease(lease: string): void {
+    this.leases.delete(lease);
+    for (const [key, change] of this.collect(this.revision)) {
+      if (change.lease === lease) this.remove(key, change.revision);
+    }
+  }
+
+  /** Ends the wait of all watches without a change. */
+  releaseWatches(): void {
+    const waiters = this.waiters;
+    this.waiters = [];
+    for (const waiter of waiters) waiter.resolve(this.collectChanges(waiter));
+  }
+
+  /** Makes the store fail and breaks the calls that wait. */
+  breakDown(): void {
+    this.faults.isDown = true;
+    const waiters = this.waiters;
+    this.waiters = [];
+    for (const {reject} of waiters) {
+      reject(createStoreError(ErrorCode.STORE_UNAVAILABLE));
+    }
+  }
+
+  /** Number of watches that wait. */
+  get waiting(): number {
+    return this.waiters.length;
+  }
+
+  private async run<T>(name: string, call: () => T): Promise<T> {
+    this.count(name);
+    return call();
+  }
+
+  private async runWrite(name: string, call: () => number): Promise<number> {
+    this.count(name);
+    if (this.faults.lostWrites > 0) {
+      this.faults.lostWrites -= 1;
+      throw createStoreError(ErrorCode.STORE_OUTCOME_UNKNOWN);
+    }
+    const revision = call();
+    if (this.faults.lostReplies > 0) {
+      this.faults.lostReplies -= 1;
+      throw createStoreError(ErrorCode.STORE_OUTCOME_UNKNOWN);
+    }
+    return revision;
+  }
+
+  private count(name: string): void {
+    this.calls[name] = (this.calls[name] ?? 0) + 1;
+    if (this.faults.isDown) {
+      throw createStoreError(ErrorCode.STORE_UNAVAILABLE);
+    }
+  }
+
+  private collect(revision: number): Map<string, (typeof this.log)[number]> {
+    const values = new Map<string, (typeof this.log)[number]>();
+    for (const change of this.log) {
+      if (change.revision > revision) break;
+      if (change.kind === StoreChangeKind.DELETED) values.delete(change.key);
+      else values.set(change.key, change);
+    }
+    return values;
+  }
+
+  private get visibleRevision(): number {
+    return Math.min(this.revision, this.faults.staleRevision ?? this.revision);
+  }
+
+  private list(prefix: string): StoreSnapshot {
+    const revision = this.visibleRevision;
+    const values = [...this.collect(revision).values()]
+      .filter(({key}) => key.startsWith(prefix))
+      .map(({key, value, revision: written}) => ({
+        key,
+        value,
+        revision: written,
+      }));
+    return {revision, values};
+  }
+
+  private write(write: ConditionalWrite): number {
+    this.expect(write.key, write.expectedRevision);
+    if (write.lease !== undefined) this.checkLease(write.lease);
+    return this.append({
+      kind: StoreChangeKind.WRITTEN,
+      key: write.key,
+      value: write.value,
+      lease: write.lease,
+    });
+  }
+
+  private remove(key: string, expectedRevision: number): number {
+    this.expect(key, expectedRevision);
+    return this.append({kind: StoreChangeKind.DELETED, key, value: ''});
+  }
+
+  private expect(key: string, expectedRevision: number): void {
+    const held = this.collect(this.revision).get(key);
+    if ((held?.revision ?? ABSENT_REVISION) !== expectedRevision) {
+      throw createStoreError(ErrorCode.STORE_CONFLICT);
+    }
+  }
+
+  private append(
+    change: Omit<StoreChange, 'revision'> & {lease?: string},
+  ): number {
+    this.revision += 1;
+    this.log.push({...change, revision: this.revision});
+    const ready = this.waiters.filter(({prefix}) =>
+      change.key.startsWith(prefix),
+    );
+    this.waiters = this.waiters.filter(waiter => !ready.includes(waiter));
+    for (const waiter of ready) waiter.resolve(this.collectChanges(waiter));
+    return this.revision;
+  }
+
+  private collectChanges({prefix, after}: Waiter): StoreChanges {
+    const revision = this.visibleRevision;
+    const changes = this.log.filter(
+      change =>
+        change.key.startsWith(prefix) &&
+        change.revision > after &&
+        change.revision <= revision,
+    );
+    return {revision, changes, isCompacted: false};
+  }
+
+  private async watch(prefix: string, after: number): Promise<StoreChanges> {
+    this.count('watch');
+    if (after < this.faults.compactedRevision) {
+      return {revision: this.revision, changes: [], isCompacted: true};
+    }
+    return new Promise((resolve, reject) => {
+      const waiter = {prefix, after, resolve, reject};
+      const reply = this.collectChanges(waiter);
+      if (reply.changes.length > 0) resolve(reply);
+      else this.waiters.push(waiter);
+    });
+  }
+
+  private openLease(): string {
+    const lease = `lease-${(this.calls.openLease ?? 0).toString()}`;
+    this.leases.add(lease);
+    return lease;
+  }
+
+  private checkLease(lease: string): void {
+    if (!this.leases.has(lease)) {
+      throw createStoreError(ErrorCode.STORE_CONFLICT);
+    }
+  }
+
+  private async close(): Promise<void> {
+    this.breakDown();
+  }
+}
