Add the stand-in target, which keeps the truth of every start

Cause: proofs need a witness outside the system: starts, ends, refusals and broken limits by the host's monotonic clock. Ruled out: fetch() as a client towards targets: it sends a request again that is answered 421 (seen in a test: two refusals for one call), so the test uses request(). Change: work plans, admission and record as plain decisions; a task owns listener and runs; presence is a chart; a stop answers what runs before it closes.

--- a/stand_ins/http_listener.ts
+++ b/stand_ins/http_listener.ts
@@ -2,6 +2,7 @@
 import {createServer} from 'node:http';
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {AddressInfo} from 'node:net';
+import {startTimer} from '../src/lib/core/clock.js';
 import {AddressError} from '../src/lib/core/errors.js';
 
 /** One request with its body read. */
@@ -17,18 +18,25 @@
 export const LOOPBACK_HOST = '127.0.0.1';
 
 const KEEP_ALIVE_MS = 65_000;
+const FLUSH_LIMIT_MS = 2000;
 const BODY_BYTES_AT_MOST = 16_777_216;
 
 /** Listens on loopback and hands each whole request to `handle`. */
 export class HttpListener {
-  private constructor(private readonly server: Server) {}
+  private constructor(
+    private readonly server: Server,
+    private readonly open: ReadonlySet<ServerResponse>,
+  ) {}
 
   /** Creates a listener that is listening; port 0 takes a free port. */
   static async create(
     port: number,
     handle: (exchange: HttpExchange) => void,
   ): Promise<HttpListener> {
+    const open = new Set<ServerResponse>();
     const server = createServer((request, response) => {
+      open.add(response);
+      response.once('close', () => open.delete(response));
       collectBody(request, body => {
         const url = parseTarget(request.url);
         if (url === undefined) sendJson(response, 400, {});
@@ -46,7 +54,7 @@
       );
       server.listen(port, LOOPBACK_HOST, resolve);
     });
-    return new HttpListener(server);
+    return new HttpListener(server, open);
   }
 
   /** Port on which it listens. */
@@ -64,12 +72,13 @@
     this.server.closeIdleConnections();
   }
 
-  /** Stops listening and cuts what is left. */
-  close(): Promise<void> {
-    return new Promise(resolve => {
-      this.server.close(() => resolve());
-      this.server.closeAllConnections();
-    });
+  /** Stops listening, sends out the answers given and cuts what is left. */
+  async close(): Promise<void> {
+    const closed = new Promise(resolve => this.server.close(resolve));
+    const answered = [...this.open].filter(response => response.writableEnded);
+    await Promise.all(answered.map(waitForFlush));
+    this.server.closeAllConnections();
+    await closed;
   }
 }
 
@@ -101,6 +110,19 @@
   }
 }
 
+function waitForFlush(response: ServerResponse): Promise<void> {
+  if (response.writableFinished) return Promise.resolve();
+  return new Promise(resolve => {
+    const stopTimer = startTimer(FLUSH_LIMIT_MS, resolve);
+    for (const event of ['finish', 'close']) {
+      response.once(event, () => {
+        stopTimer();
+        resolve();
+      });
+    }
+  });
+}
+
 function parseTarget(target = '/'): URL | undefined {
   try {
     // Decoding here once spares every codec a check of the escapes.
--- /dev/null
+++ b/stand_ins/target_announcer.ts
@@ -0,0 +1,64 @@
+/** Announces the target stand-in to the agent beside it. */
+import {Client} from 'undici';
+import {startTimer} from '../src/lib/core/clock.js';
+import {SendOutcome, sendOnce} from '../src/lib/platform/send_once.js';
+import type {OutgoingRequest} from '../src/lib/platform/send_once.js';
+
+/** What a target tells its agent. */
+export interface TargetAnnouncement {
+  readonly address: string;
+  readonly instance: string;
+  readonly slots: number;
+  readonly connections: number;
+}
+
+const ANNOUNCE_TIMEOUT_MS = 1000;
+const HEADERS = {'content-type': 'application/json'};
+
+/** Sends announcements and the goodbye; failures show as status 0. */
+export class TargetAnnouncer {
+  private constructor(
+    private readonly client: Client,
+    private readonly path: string,
+  ) {}
+
+  /** Creates an announcer for the target of that name. */
+  static create(agent: string, name: string): TargetAnnouncer {
+    const client = new Client(agent, {
+      pipelining: 1,
+      connectTimeout: ANNOUNCE_TIMEOUT_MS,
+    });
+    const path = `/v1/targets/${encodeURIComponent(name)}`;
+    return new TargetAnnouncer(client, path);
+  }
+
+  /** Announces the target or renews it; returns the agent's status. */
+  announce(announcement: TargetAnnouncement): Promise<number> {
+    return this.send('PUT', announcement);
+  }
+
+  /** Says that the target takes no more tasks; returns the agent's status. */
+  sayGoodbye(instance: string): Promise<number> {
+    return this.send('DELETE', {instance});
+  }
+
+  /** Releases the connection. */
+  close(): Promise<void> {
+    return this.client.destroy();
+  }
+
+  private async send(
+    method: OutgoingRequest['method'],
+    body: object,
+  ): Promise<number> {
+    const request = {
+      method,
+      path: this.path,
+      headers: HEADERS,
+      body: JSON.stringify(body),
+      timeoutMs: ANNOUNCE_TIMEOUT_MS,
+    };
+    const result = await sendOnce(this.client, request, startTimer);
+    return result.outcome === SendOutcome.REPLIED ? result.status : 0;
+  }
+}
--- /dev/null
+++ b/stand_ins/target_request.ts
@@ -0,0 +1,66 @@
+/** Reads a task's request at the target stand-in and decides whether it starts. */
+import {parseObject} from './http_listener.js';
+import type {HttpExchange} from './http_listener.js';
+import {RefusalReason} from './target_record.js';
+import type {TaskName} from './target_record.js';
+
+/** A task as it arrives at the target. */
+export interface TaskRequest {
+  readonly name: TaskName;
+  readonly payload: unknown;
+  /** Instance of the target that is meant, or undefined. */
+  readonly instance: string | undefined;
+  /** Monotonic time in milliseconds after which it must not start. */
+  readonly startBeforeMs: number | undefined;
+}
+
+/** What the target knows of itself when a task arrives. */
+export interface TargetStanding {
+  readonly instance: string;
+  readonly isLeaving: boolean;
+  readonly nowMs: number;
+}
+
+/** Reads the headers and the body of a task's request. */
+export function readTaskRequest(exchange: HttpExchange): TaskRequest {
+  const {headers, body} = exchange;
+  const payload = parsePayload(body);
+  const startBefore = readHeader(headers['foxtailbay-start-before']);
+  return {
+    name: {
+      job: readHeader(headers['foxtailbay-job']) ?? '',
+      index: Number(readHeader(headers['foxtailbay-task']) ?? 0),
+      id: parseObject(body)?.id ?? null,
+    },
+    payload,
+    instance: readHeader(headers['foxtailbay-instance']),
+    startBeforeMs: startBefore === undefined ? undefined : Number(startBefore),
+  };
+}
+
+/** Decides why a task must not start; undefined if it may. */
+export function findRefusal(
+  request: TaskRequest,
+  standing: TargetStanding,
+): RefusalReason | undefined {
+  const {instance, startBeforeMs} = request;
+  if (instance !== undefined && instance !== standing.instance) {
+    return RefusalReason.OTHER_INSTANCE;
+  }
+  if (startBeforeMs !== undefined && !(standing.nowMs <= startBeforeMs)) {
+    return RefusalReason.LATE;
+  }
+  return standing.isLeaving ? RefusalReason.LEAVING : undefined;
+}
+
+function readHeader(value: string | string[] | undefined): string | undefined {
+  return Array.isArray(value) ? value[0] : value;
+}
+
+function parsePayload(body: string): unknown {
+  try {
+    return JSON.parse(body);
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/stand_ins/target_work.ts
@@ -0,0 +1,86 @@
+/** Decides what the target stand-in does with a task. */
+
+/** Kinds of work that a payload asks for in its field `do`. */
+export enum WorkKind {
+  SLEEP = 'sleep',
+  ECHO = 'echo',
+  FAIL = 'fail',
+  HANG = 'hang',
+  LARGE = 'large',
+}
+
+/** How the target behaves; presence at the agent is a matter of its chart. */
+export enum TargetMode {
+  NORMAL = 'normal',
+  /** Starts every task and answers each with an error at once. */
+  FAIL_ALL = 'fail-all',
+  /** Starts every task and answers none. */
+  HANG = 'hang',
+  /** Takes `factor` times as long for each task. */
+  SLOW = 'slow',
+  /** Runs tasks but no longer renews its announcement. */
+  SILENT = 'silent',
+  /** Says goodbye and refuses new tasks. */
+  LEAVE = 'leave',
+}
+
+/** How long a task runs and what is answered then. */
+export interface WorkPlan {
+  /** Undefined if the task never ends. */
+  readonly runMs: number | undefined;
+  readonly status: number;
+  readonly body: unknown;
+}
+
+/** Speed of the target at the moment. */
+export interface WorkPace {
+  readonly mode: TargetMode;
+  /** Divides the run time of every task. */
+  readonly speed: number;
+  /** Multiplies the run time in `TargetMode.SLOW`. */
+  readonly factor: number;
+}
+
+const STATUS_OK = 200;
+const STATUS_BAD_REQUEST = 400;
+const STATUS_FAILED = 500;
+
+/** Plans the run of a task that starts now. */
+export function planWork(payload: unknown, pace: WorkPace): WorkPlan {
+  if (pace.mode === TargetMode.FAIL_ALL) return createFailure('fail-all');
+  if (pace.mode === TargetMode.HANG) return createHang();
+  const work = (payload ?? {}) as Record<string, unknown>;
+  switch (work.do) {
+    case WorkKind.SLEEP:
+      return planSleep(work, pace);
+    case WorkKind.ECHO:
+      return {runMs: 0, status: STATUS_OK, body: work.value ?? null};
+    case WorkKind.FAIL:
+      return createFailure('asked to fail');
+    case WorkKind.HANG:
+      return createHang();
+    case WorkKind.LARGE:
+      return planLarge(work);
+    default:
+      return {runMs: 0, status: STATUS_BAD_REQUEST, body: {detail: 'unknown'}};
+  }
+}
+
+function planSleep(work: Record<string, unknown>, pace: WorkPace): WorkPlan {
+  const factor = pace.mode === TargetMode.SLOW ? pace.factor : 1;
+  const runMs = ((Number(work.ms) || 0) * factor) / pace.speed;
+  return {runMs, status: STATUS_OK, body: {echo: work.echo, ms: runMs}};
+}
+
+function planLarge(work: Record<string, unknown>): WorkPlan {
+  const data = 'x'.repeat(Number(work.bytes) || 0);
+  return {runMs: 0, status: STATUS_OK, body: {data}};
+}
+
+function createFailure(detail: string): WorkPlan {
+  return {runMs: 0, status: STATUS_FAILED, body: {detail}};
+}
+
+function createHang(): WorkPlan {
+  return {runMs: undefined, status: STATUS_OK, body: {}};
+}
--- a/test/platform/http_platform_store_test.ts
+++ b/test/platform/http_platform_store_test.ts
@@ -10,6 +10,7 @@
 import {PlatformStoreServer} from '../../stand_ins/platform_store_server.js';
 import {LostReplies, StoreMode} from '../../stand_ins/store_control.js';
 import type {StoreControl} from '../../stand_ins/store_control.js';
+import {waitUntil} from '../wait_until.js';
 
 const KEY = '/foxtailbay/records/team/tea dance';
 
@@ -64,13 +65,6 @@
     return (await reply.json()) as {revision: number; watches: number};
   }
 
-  async function waitForWatch() {
-    for (let asked = 0; asked < 1000; asked += 1) {
-      if ((await control({})).watches > 0) return;
-    }
-    expect.fail('The watch did not arrive.');
-  }
-
   beforeEach(async () => {
     cleanUp = DisposableStore.create();
     server = await createServerWith(500);
@@ -150,7 +144,9 @@
 
   it('cuts waiting watches with an outage and serves them after it', async () => {
     const watching = readCode(store.watch('/', 0, 4000));
-    await waitForWatch();
+    await waitUntil('the watch waits', async () => {
+      return (await control({})).watches > 0;
+    });
     await control({mode: StoreMode.DOWN});
     expect(await watching).to.equal(ErrorCode.STORE_UNAVAILABLE);
     expect(await readCode(store.list('/'))).to.equal(
