--- /dev/null
+++ b/tools/house_style/module_rules.ts
@@ -0,0 +1,139 @@
+/** House rules on what modules export, import and throw. */
+import {posix} from 'node:path';
+import ts from 'typescript';
+import {hasModifier} from './naming_rules.js';
+import {isTest, reportNode, visitNodes} from './source_files.js';
+import type {FindViolations, SourceFile, Violation} from './source_files.js';
+
+/** Longest source file that is not generated. */
+const LONGEST_FILE_LINES = 300;
+
+const DECISIONS_FOLDER = 'src/lib/decisions/';
+
+/** What decisions may import beside one another. */
+const DECISIONS_MAY_IMPORT = [
+  'src/lib/core/chart',
+  'src/lib/core/errors',
+  'src/lib/core/identity',
+  'src/lib/core/job',
+  'src/lib/core/link_messages',
+  'src/lib/records/configuration_view',
+];
+
+/** Names of the run time that read a clock, draw a number or do I/O. */
+const DECISIONS_MAY_NOT_USE = new Set([
+  'Date',
+  'performance',
+  'process',
+  'crypto',
+  'setTimeout',
+  'setInterval',
+  'setImmediate',
+  'fetch',
+  'Buffer',
+]);
+
+/** Errors of the language, which carry no code. */
+const UNTYPED_FAILURES = new Set(['Error', 'TypeError', 'RangeError']);
+
+/** The module that may read clocks and start timers. */
+const CLOCK_MODULE = 'src/lib/core/clock.ts';
+
+/** Forbids default exports. */
+export const findDefaultExports: FindViolations = file =>
+  visitNodes<Violation>(file, node =>
+    ts.isExportAssignment(node) ||
+    hasModifier(node, ts.SyntaxKind.DefaultKeyword)
+      ? [reportNode(file, node, 'default export')]
+      : [],
+  );
+
+/** Forbids failures without a type of `src/lib/core/errors.ts`. */
+export const findUntypedFailures: FindViolations = file =>
+  visitNodes<Violation>(file, node => {
+    if (ts.isThrowStatement(node) && isText(node.expression)) {
+      return [reportNode(file, node, 'throws a bare string')];
+    }
+    if (!ts.isNewExpression(node)) return [];
+    const name = node.expression.getText(file.tree);
+    const isAllowedHere = isTest(file) && !isThrownError(node, name);
+    return UNTYPED_FAILURES.has(name) && !isAllowedHere
+      ? [reportNode(file, node, `"new ${name}" has no type of the project's`)]
+      : [];
+  });
+
+/** Forbids decisions that import transports, codecs, clocks or random numbers. */
+export const findImpureDecisions: FindViolations = file => {
+  if (!file.path.startsWith(DECISIONS_FOLDER)) return [];
+  return visitNodes<Violation>(file, node => {
+    if (ts.isImportDeclaration(node)) return checkDecisionImport(file, node);
+    return ts.isIdentifier(node) && isForbiddenGlobal(node)
+      ? [reportNode(file, node, `a decision uses "${node.text}"`)]
+      : [];
+  });
+};
+
+/** Forbids reading the wall clock outside the clock's module. */
+export const findClockReads: FindViolations = file =>
+  file.path === CLOCK_MODULE || isTest(file)
+    ? []
+    : visitNodes<Violation>(file, node => {
+        const text = ts.isPropertyAccessExpression(node)
+          ? node.getText(file.tree)
+          : '';
+        return text === 'Date.now'
+          ? [reportNode(file, node, `"${text}" outside ${CLOCK_MODULE}`)]
+          : [];
+      });
+
+/** Forbids long files. */
+export const findLongFiles: FindViolations = ({path, tree}) => {
+  const lines = tree.getLineStarts().length - 1;
+  const message = `has ${lines} lines; at most ${LONGEST_FILE_LINES}`;
+  return lines > LONGEST_FILE_LINES ? [{path, line: 0, message}] : [];
+};
+
+function checkDecisionImport(
+  file: SourceFile,
+  node: ts.ImportDeclaration,
+): Violation[] {
+  const specifier = (node.moduleSpecifier as ts.StringLiteral).text;
+  const target = posix
+    .join(posix.dirname(file.path), specifier)
+    .replace(/\.js$/, '');
+  const isTypeOnly = node.importClause?.isTypeOnly === true;
+  const isAllowed =
+    specifier.startsWith('.') &&
+    (target.startsWith(DECISIONS_FOLDER) ||
+      DECISIONS_MAY_IMPORT.includes(target) ||
+      (isTypeOnly && target === 'src/lib/core/clock'));
+  return isAllowed
+    ? []
+    : [reportNode(file, node, `a decision imports "${specifier}"`)];
+}
+
+function isForbiddenGlobal(node: ts.Identifier): boolean {
+  const isMember =
+    ts.isPropertyAccessExpression(node.parent) && node.parent.name === node;
+  const isMathRandom =
+    isMember &&
+    node.text === 'random' &&
+    node.parent.getText().startsWith('Math.');
+  const isDeclared =
+    (ts.isPropertySignature(node.parent) ||
+      ts.isPropertyAssignment(node.parent) ||
+      ts.isParameter(node.parent) ||
+      ts.isBindingElement(node.parent)) &&
+    node.parent.name === node;
+  if (isMathRandom) return true;
+  return !isMember && !isDeclared && DECISIONS_MAY_NOT_USE.has(node.text);
+}
+
+/** Tests may throw other errors of the language to stand for foreign failures. */
+function isThrownError(node: ts.NewExpression, name: string): boolean {
+  return name === 'Error' && ts.isThrowStatement(node.parent);
+}
+
+function isText(node: ts.Expression): boolean {
+  return ts.isStringLiteralLike(node) || ts.isTemplateExpression(node);
+}
