--- /dev/null
+++ b/src/foxtailbay_agent.ts
@@ -0,0 +1,22 @@
+#!/usr/bin/env node
+/** Starts the agent beside a target. */
+import {runServerProgram} from './lib/core/server_program.js';
+import {AGENT_SETTINGS_SCHEMA} from './lib/settings/agent_settings.js';
+
+process.exitCode = await runServerProgram(
+  {
+    name: 'foxtailbay-agent',
+    description: 'Runs tasks on the target beside it.',
+    schema: AGENT_SETTINGS_SCHEMA,
+    create: async settings => {
+      const {AgentProcess} = await import('./lib/agent/agent_process.js');
+      const agent = await AgentProcess.create(settings);
+      return {
+        start: () => agent.start(),
+        requestStop: () => agent.requestStop(),
+        stopped: agent.stopped,
+      };
+    },
+  },
+  process.argv,
+);
--- a/src/lib/wire/link_client.ts
+++ b/src/lib/wire/link_client.ts
@@ -13,6 +13,8 @@
 /** Longest frame in bytes that either side takes. */
 export const FRAME_BYTES_AT_MOST = 64 * 1024 * 1024;
 
+const KEEPALIVE_PERIOD_MS = 2000;
+
 /**
  * Options of every gRPC channel: no retries, no name lookups beyond the address
  * given, and no proxy.
@@ -25,6 +27,9 @@
   'grpc.max_reconnect_backoff_ms': 1000,
   'grpc.max_receive_message_length': FRAME_BYTES_AT_MOST,
   'grpc.max_send_message_length': FRAME_BYTES_AT_MOST,
+  // A peer that is frozen or cut off is noticed within two periods.
+  'grpc.keepalive_time_ms': KEEPALIVE_PERIOD_MS,
+  'grpc.keepalive_timeout_ms': KEEPALIVE_PERIOD_MS,
   // A channel of its own, so that closing it closes the connection.
   'grpc.use_local_subchannel_pool': 1,
 };
--- /dev/null
+++ b/src/lib/wire/link_server.ts
@@ -0,0 +1,165 @@
+/** Serves agents' streams and peers' calls over gRPC. */
+import {Server, ServerCredentials, status} from '@grpc/grpc-js';
+import type {
+  sendUnaryData,
+  ServerDuplexStream,
+  ServerUnaryCall,
+} from '@grpc/grpc-js';
+import {AddressError} from '../core/errors.js';
+import type {AgentFrame, EntryFrame} from '../core/link_messages.js';
+import {
+  AgentLinkService,
+  ConfigurationState,
+  PeerLinkService,
+} from './generated/foxtailbay.js';
+import type * as wire from './generated/foxtailbay.js';
+import {decodeAgentFrame, encodeEntryFrame} from './link_codec.js';
+import {FRAME_BYTES_AT_MOST} from './link_client.js';
+import {
+  decodeForwardRequest,
+  decodePeerConfiguration,
+  encodeConfigurationState,
+  encodeForwardReply,
+} from './peer_codec.js';
+import type {
+  PeerConfiguration,
+  PeerConfigurationState,
+  PeerReply,
+  PeerRequest,
+} from './peer_codec.js';
+
+/** One agent's stream at the entry. */
+export interface ServedStream {
+  readonly id: number;
+  /** Writes a frame; frames written while the agent reads slowly are kept in order. */
+  readonly send: (frame: EntryFrame) => void;
+  readonly close: () => void;
+}
+
+/** What the server is told. */
+export interface LinkServerOptions {
+  readonly host: string;
+  readonly port: number;
+  readonly receiveFrame: (stream: ServedStream, frame: AgentFrame) => void;
+  readonly reportClosed: (stream: ServedStream) => void;
+  readonly handleForward: (
+    request: PeerRequest,
+    answer: (reply: PeerReply) => void,
+  ) => void;
+  readonly handleAnnouncement: (
+    configuration: PeerConfiguration,
+    answer: (state: PeerConfigurationState) => void,
+  ) => void;
+}
+
+/** An open server. */
+export interface LinkServer {
+  readonly port: number;
+  /** Ends all streams and calls. */
+  readonly close: () => Promise<void>;
+}
+
+const SHUTDOWN_LIMIT_MS = 500;
+
+/**
+ * Opens the gRPC listener of an entry.
+ *
+ * @throws AddressError if the address cannot be listened on.
+ */
+export async function openLinkServer(
+  options: LinkServerOptions,
+): Promise<LinkServer> {
+  const server = new Server({
+    'grpc.max_receive_message_length': FRAME_BYTES_AT_MOST,
+    'grpc.max_send_message_length': FRAME_BYTES_AT_MOST,
+    'grpc.max_concurrent_streams': 100_000,
+    // Two processes on one address would share its connections by chance.
+    'grpc.so_reuseport': 0,
+  });
+  let lastStream = 0;
+  server.addService(AgentLinkService, {
+    connect: (call: AgentCall) => {
+      lastStream += 1;
+      serveStream(options, call, lastStream);
+    },
+  });
+  server.addService(PeerLinkService, {
+    forward: (call: ForwardCall, done: sendUnaryData<wire.ForwardReply>) =>
+      options.handleForward(decodeForwardRequest(call.request), reply =>
+        done(null, encodeForwardReply(reply)),
+      ),
+    announce: (call: AnnounceCall, done: sendUnaryData<ConfigurationState>) =>
+      options.handleAnnouncement(decodePeerConfiguration(call.request), state =>
+        done(null, encodeConfigurationState(state)),
+      ),
+  });
+  const port = await bind(server, options);
+  return {port, close: () => shutDown(server)};
+}
+
+type AgentCall = ServerDuplexStream<wire.AgentFrame, wire.EntryFrame>;
+type ForwardCall = ServerUnaryCall<wire.ForwardRequest, wire.ForwardReply>;
+type AnnounceCall = ServerUnaryCall<
+  wire.PeerConfiguration,
+  wire.ConfigurationState
+>;
+
+function serveStream(
+  options: LinkServerOptions,
+  call: AgentCall,
+  id: number,
+): void {
+  let isDone = false;
+  const finish = () => {
+    if (isDone) return;
+    isDone = true;
+    options.reportClosed(stream);
+  };
+  const stream: ServedStream = {
+    id,
+    send: frame => {
+      if (!isDone) call.write(encodeEntryFrame(frame));
+    },
+    close: () => {
+      finish();
+      call.emit('error', {code: status.CANCELLED, details: 'Closed.'});
+    },
+  };
+  call.on('data', (frame: wire.AgentFrame) => {
+    if (!isDone) options.receiveFrame(stream, decodeAgentFrame(frame));
+  });
+  call.on('error', finish);
+  call.on('cancelled', finish);
+  call.on('end', () => {
+    finish();
+    call.end();
+  });
+}
+
+function bind(server: Server, options: LinkServerOptions): Promise<number> {
+  const {host, port} = options;
+  return new Promise((resolve, reject) => {
+    server.bindAsync(
+      `${host}:${port}`,
+      ServerCredentials.createInsecure(),
+      (cause, bound) => {
+        if (cause === null) return resolve(bound);
+        const text = `Cannot listen on ${host}:${port}.`;
+        reject(new AddressError(text, {cause}));
+      },
+    );
+  });
+}
+
+function shutDown(server: Server): Promise<void> {
+  return new Promise(resolve => {
+    const force = setTimeout(() => {
+      server.forceShutdown();
+      resolve();
+    }, SHUTDOWN_LIMIT_MS);
+    server.tryShutdown(() => {
+      clearTimeout(force);
+      resolve();
+    });
+  });
+}
