--- /dev/null
+++ b/stand_ins/relay_connection.ts
@@ -0,0 +1,187 @@
+/** One connection through the relay: a task that owns its two sockets. */
+import {createConnection} from 'node:net';
+import type {Socket} from 'node:net';
+import {readMonotonicMs, startTimer} from '../src/lib/core/clock.js';
+import {PostOutcome, Task} from '../src/lib/core/task.js';
+import {DelayLine, StreamEnd} from './delay_line.js';
+import type {LineRule, Parcel} from './delay_line.js';
+import {Direction} from './relay_control.js';
+
+/** Rules of both directions. */
+export type RelayRules = Readonly<Record<Direction, LineRule>>;
+
+/** Where the relay passes its bytes on. */
+export interface RelayAddress {
+  readonly host: string;
+  readonly port: number;
+}
+
+enum MessageKind {
+  PARCEL,
+  DRAINED,
+  RULES,
+  RESET,
+  CLOSED,
+}
+
+type Message =
+  | {
+      readonly kind: MessageKind.PARCEL;
+      readonly direction: Direction;
+      readonly parcel: Parcel;
+    }
+  | {readonly kind: MessageKind.DRAINED; readonly direction: Direction}
+  | {readonly kind: MessageKind.RULES; readonly rules: RelayRules}
+  | {readonly kind: MessageKind.RESET | MessageKind.CLOSED};
+
+const MAILBOX_CAPACITY = 10_000;
+/** Backlog at which the relay reads no more, so that senders feel a held link. */
+const BACKLOG_BYTES_AT_MOST = 1_048_576;
+
+/** Passes bytes between a client and the server behind the relay. */
+export class RelayConnection {
+  private readonly task: Task<Message>;
+  private readonly server: Socket;
+  private readonly lines: Record<Direction, DelayLine>;
+
+  private constructor(
+    private readonly client: Socket,
+    address: RelayAddress,
+    rules: RelayRules,
+    private readonly notifyEnd: (connection: RelayConnection) => void,
+  ) {
+    this.task = Task.create<Message>({
+      name: 'relay-connection',
+      capacity: MAILBOX_CAPACITY,
+      handle: message => this.handle(message),
+      reportFailure: failure => process.emitWarning(String(failure)),
+    });
+    this.server = createConnection({...address, allowHalfOpen: true});
+    this.lines = {
+      [Direction.FORWARD]: this.createLine(Direction.FORWARD, rules),
+      [Direction.BACKWARD]: this.createLine(Direction.BACKWARD, rules),
+    };
+    this.listen(client, Direction.FORWARD);
+    this.listen(this.server, Direction.BACKWARD);
+    this.task.store.add(() => this.release());
+  }
+
+  /** Creates a connection for a client that was accepted. */
+  static create(
+    client: Socket,
+    address: RelayAddress,
+    rules: RelayRules,
+    notifyEnd: (connection: RelayConnection) => void,
+  ): RelayConnection {
+    return new RelayConnection(client, address, rules, notifyEnd);
+  }
+
+  /** Changes the rules of both directions. */
+  setRules(rules: RelayRules): void {
+    this.task.post({kind: MessageKind.RULES, rules});
+  }
+
+  /** Resets both sockets. */
+  reset(): void {
+    this.task.post({kind: MessageKind.RESET});
+  }
+
+  /** Closes both sockets. */
+  stop(): Promise<void> {
+    return this.task.stop();
+  }
+
+  private listen(source: Socket, direction: Direction): void {
+    source.setNoDelay(true);
+    source.on('data', (parcel: Buffer) => this.take(direction, parcel));
+    source.on('end', () => this.take(direction, StreamEnd.FINISHED));
+    source.on('drain', () =>
+      // The sink of one direction is the source of the other.
+      this.task.post({
+        kind: MessageKind.DRAINED,
+        direction: getOpposite(direction),
+      }),
+    );
+    source.on('error', () => undefined);
+    source.on('close', isBroken => {
+      if (isBroken) this.take(direction, StreamEnd.BROKEN);
+      this.task.post({kind: MessageKind.CLOSED});
+    });
+    source.resume();
+  }
+
+  private take(direction: Direction, parcel: Parcel): void {
+    const message: Message = {kind: MessageKind.PARCEL, direction, parcel};
+    const outcome = this.task.post(message);
+    // Bytes that cannot be kept must not go missing from the middle.
+    if (outcome === PostOutcome.FULL) this.end();
+  }
+
+  private handle(message: Message): void {
+    switch (message.kind) {
+      case MessageKind.PARCEL:
+        this.lines[message.direction].push(message.parcel);
+        return this.regulate(message.direction);
+      case MessageKind.DRAINED:
+        return this.regulate(message.direction);
+      case MessageKind.RULES:
+        for (const direction of Object.values(Direction)) {
+          this.lines[direction].setRule(message.rules[direction]);
+        }
+        return;
+      case MessageKind.RESET:
+        this.client.resetAndDestroy();
+        this.server.resetAndDestroy();
+        return this.end();
+      case MessageKind.CLOSED:
+        // One closed socket is no news to the other side of a held link.
+        if (this.client.destroyed && this.server.destroyed) this.end();
+        return;
+    }
+  }
+
+  private createLine(direction: Direction, rules: RelayRules): DelayLine {
+    const deliver = (parcel: Parcel) => this.deliver(direction, parcel);
+    return DelayLine.create(
+      {readMonotonicMs, startTimer, deliver},
+      rules[direction],
+    );
+  }
+
+  private deliver(direction: Direction, parcel: Parcel): void {
+    const sink = this.getSink(direction);
+    if (parcel === StreamEnd.FINISHED) sink.end();
+    else if (parcel === StreamEnd.BROKEN) sink.destroy();
+    else if (!sink.destroyed) sink.write(parcel);
+    this.regulate(direction);
+  }
+
+  private regulate(direction: Direction): void {
+    const source = this.getSink(getOpposite(direction));
+    const isFull =
+      this.lines[direction].backlogBytes > BACKLOG_BYTES_AT_MOST ||
+      this.getSink(direction).writableNeedDrain;
+    if (isFull) source.pause();
+    else source.resume();
+  }
+
+  private getSink(direction: Direction): Socket {
+    return direction === Direction.FORWARD ? this.server : this.client;
+  }
+
+  private end(): void {
+    void this.task.stop().then(() => this.notifyEnd(this));
+  }
+
+  private release(): void {
+    for (const line of Object.values(this.lines)) line.stop();
+    this.client.destroy();
+    this.server.destroy();
+  }
+}
+
+function getOpposite(direction: Direction): Direction {
+  return direction === Direction.FORWARD
+    ? Direction.BACKWARD
+    : Direction.FORWARD;
+}
--- a/stand_ins/run_stand_in.ts
+++ b/stand_ins/run_stand_in.ts
@@ -7,9 +7,9 @@
 }
 
 /** Prints the ready line and stops the server once, on the first signal. */
-export async function runStandIn(
-  create: () => Promise<Stoppable>,
-  describe: (server: Stoppable) => object = () => ({}),
+export async function runStandIn<T extends Stoppable>(
+  create: () => Promise<T>,
+  describe: (server: T) => object = () => ({}),
 ): Promise<void> {
   const server = await create();
   const stop = () => {
