Add the command line: submit, session, job, chart, check-config, completion

Cause: callers and operators need a front end that tells truly what became of a request. Ruled out: undici's retry handlers (a request is sent at most once); taking any JSON for an answer (an answer with fewer results than tasks, or cut off, is outcome unknown). Change: verdicts (what is printed, which exit code) are pure and apart from HTTP; the client tells 'not sent' from 'lost'; charts are drawn from their files.

--- /dev/null
+++ b/src/lib/cli/chart_drawing.ts
@@ -0,0 +1,90 @@
+/** Drawings of state charts, made from the files that the programs interpret. */
+import {listWays, TIMER_EVENT_PREFIX} from '../core/chart.js';
+import type {
+  ChartDefinition,
+  ChartState,
+  ChartTransition,
+} from '../core/chart.js';
+
+/** Forms in which a chart is drawn. */
+export enum ChartFormat {
+  TEXT = 'text',
+  MERMAID = 'mermaid',
+}
+
+/** Draws a chart. */
+export type DrawChart = (chart: ChartDefinition) => string;
+
+const DRAW_BY_FORMAT: Readonly<Record<ChartFormat, DrawChart>> = {
+  [ChartFormat.TEXT]: drawChartAsText,
+  [ChartFormat.MERMAID]: drawChartAsMermaid,
+};
+
+/** Draws a chart in a format. */
+export function drawChart(chart: ChartDefinition, format: ChartFormat): string {
+  return DRAW_BY_FORMAT[format](chart);
+}
+
+/** Draws a chart as lines that are read from top to bottom. */
+export function drawChartAsText(chart: ChartDefinition): string {
+  const states = Object.entries(chart.states).flatMap(([name, state]) => [
+    '',
+    `${name}${describeMarks(chart, name, state)}`,
+    ...(state.description === undefined ? [] : [`  ${state.description}`]),
+    ...listLabels(name, state).map(({label, target}) =>
+      target === name ? `  * ${label}` : `  * ${label} --> ${target}`,
+    ),
+  ]);
+  return [`${chart.id}: ${chart.description}`, ...states].join('\n');
+}
+
+/** Draws a chart as a Mermaid state diagram. */
+export function drawChartAsMermaid(chart: ChartDefinition): string {
+  const states = Object.entries(chart.states);
+  const ways = states.flatMap(([name, state]) =>
+    listLabels(name, state).map(
+      ({label, target}) => `  ${name} --> ${target}: ${label}`,
+    ),
+  );
+  const ends = states
+    .filter(([, state]) => state.type === 'final')
+    .map(([name]) => `  ${name} --> [*]`);
+  return [
+    'stateDiagram-v2',
+    `  [*] --> ${chart.initial}`,
+    ...ways,
+    ...ends,
+  ].join('\n');
+}
+
+interface LabelledWay {
+  readonly label: string;
+  readonly target: string;
+}
+
+function listLabels(name: string, state: ChartState): LabelledWay[] {
+  return listWays(state).flatMap(([event, ways]) =>
+    ways.map(way => ({
+      label: formatLabel(event, way),
+      target: way.target ?? name,
+    })),
+  );
+}
+
+function formatLabel(event: string, way: ChartTransition): string {
+  const trigger = event.startsWith(TIMER_EVENT_PREFIX)
+    ? `after ${event.slice(TIMER_EVENT_PREFIX.length)}`
+    : event;
+  const guard = way.guard === undefined ? '' : ` [${way.guard}]`;
+  const actions = way.actions?.length ? ` / ${way.actions.join(', ')}` : '';
+  return `${trigger}${guard}${actions}`;
+}
+
+function describeMarks(
+  chart: ChartDefinition,
+  name: string,
+  state: ChartState,
+): string {
+  if (name === chart.initial) return ' (initial)';
+  return state.type === 'final' ? ' (final)' : '';
+}
--- /dev/null
+++ b/src/lib/cli/chart_files.ts
@@ -0,0 +1,30 @@
+/** The chart files that come with the program. */
+import {readdirSync} from 'node:fs';
+import {readChart} from '../core/chart.js';
+import type {ChartDefinition} from '../core/chart.js';
+import {UsageError} from '../core/errors.js';
+import {findNearestName} from '../settings/nearest_name.js';
+
+const CHARTS_FOLDER = new URL('../../../../charts/', import.meta.url);
+const CHART_ENDING = '.yaml';
+
+/** Lists the names of the charts. */
+export function listChartNames(): string[] {
+  return readdirSync(CHARTS_FOLDER)
+    .filter(file => file.endsWith(CHART_ENDING))
+    .map(file => file.slice(0, -CHART_ENDING.length))
+    .sort();
+}
+
+/**
+ * Reads the chart of a name.
+ *
+ * @throws UsageError if there is none.
+ */
+export function getChart(name: string): ChartDefinition {
+  const names = listChartNames();
+  if (names.includes(name)) return readChart(name);
+  const nearest = findNearestName(name, names);
+  const hint = nearest === undefined ? '' : ` Did you mean "${nearest}"?`;
+  throw new UsageError(`There is no chart "${name}".${hint}`);
+}
--- /dev/null
+++ b/src/lib/cli/command_line.ts
@@ -0,0 +1,97 @@
+/** The program `foxtailbay`: its commands, and what it prints when one ends. */
+import {Command, CommanderError, Option} from 'commander';
+import {ErrorCode, FoxtailbayError, UsageError} from '../core/errors.js';
+import type {BindAction, CommandContext} from './command_context.js';
+import {addChartCommands} from './commands/chart_commands.js';
+import {addCompletionCommand} from './commands/completion_command.js';
+import {addJobCommands} from './commands/job_commands.js';
+import {addSettingsCommands} from './commands/settings_commands.js';
+import {ExitCode} from './exit_code.js';
+import {OutputFormat} from './terminal.js';
+import {printVerdict} from './verdict.js';
+import type {Verdict} from './verdict.js';
+
+const EXIT_CODE_HELP = `
+Exit codes:
+  0  done
+  1  the job failed, or a check found a mistake
+  2  the command was written wrongly
+  3  refused: nothing ran and nothing was changed
+  4  outcome unknown: something may have run or been changed
+  5  unreachable: nothing was sent`;
+
+/** Runs one command and returns the exit code of the program. */
+export async function runCommandLine(
+  words: readonly string[],
+  version: string,
+  context: CommandContext,
+): Promise<ExitCode> {
+  let verdict: Verdict | undefined;
+  const program = createProgram(version, context);
+  const bindAction: BindAction = (command, run) => {
+    command.action(async (...parameters: unknown[]) => {
+      verdict = await run(...(parameters as never));
+    });
+  };
+  addCommands(program, context, bindAction);
+  try {
+    await program.parseAsync(words, {from: 'user'});
+  } catch (failure) {
+    if (failure instanceof CommanderError) return judgeUsage(failure);
+    verdict = judgeThrown(failure);
+  }
+  if (verdict === undefined) return ExitCode.USAGE;
+  const {output} = program.opts<{output: OutputFormat}>();
+  printVerdict(verdict, output, context.terminal);
+  return verdict.exitCode;
+}
+
+function createProgram(version: string, {terminal}: CommandContext): Command {
+  return new Command('foxtailbay')
+    .description('Submit jobs to foxtailbay and operate it.')
+    .version(version)
+    .addOption(
+      new Option('--output <format>', 'form of the result')
+        .choices(Object.values(OutputFormat))
+        .default(OutputFormat.TEXT),
+    )
+    .addHelpText('after', EXIT_CODE_HELP)
+    .showSuggestionAfterError()
+    .exitOverride()
+    .configureOutput({
+      writeOut: text => terminal.write(text),
+      writeErr: text => terminal.writeMessage(text),
+    });
+}
+
+function addCommands(
+  program: Command,
+  context: CommandContext,
+  bindAction: BindAction,
+): void {
+  const adders = [
+    addJobCommands,
+    addChartCommands,
+    addSettingsCommands,
+    addCompletionCommand,
+  ];
+  for (const add of adders) add(program, context, bindAction);
+}
+
+/** Help and version end the parse as well, but are no mistakes. */
+function judgeUsage(failure: CommanderError): ExitCode {
+  return failure.exitCode === 0 ? ExitCode.OK : ExitCode.USAGE;
+}
+
+function judgeThrown(failure: unknown): Verdict {
+  const {message} = failure as Error;
+  const code =
+    failure instanceof FoxtailbayError
+      ? (failure as unknown as {code: ErrorCode}).code
+      : ErrorCode.INTERNAL;
+  return {
+    exitCode: failure instanceof UsageError ? ExitCode.USAGE : ExitCode.FAILED,
+    text: message,
+    document: {code, detail: message},
+  };
+}
--- /dev/null
+++ b/src/lib/cli/commands/job_commands.ts
@@ -0,0 +1,134 @@
+/** Commands of callers: sessions and jobs. */
+import {UsageError} from '../../core/errors.js';
+import type {AddCommands, CommandContext} from '../command_context.js';
+import {addEntryOptions} from '../entry_options.js';
+import type {EntryOptions} from '../entry_options.js';
+import {ExitCode} from '../exit_code.js';
+import {askForJob, cancelJob, openSession, submitJob} from '../job_client.js';
+import type {JobClient} from '../job_client.js';
+import {parseJobFile} from '../job_file.js';
+import {showJobProgress} from '../job_progress.js';
+import type {Verdict} from '../verdict.js';
+import {
+  judgeCancellation,
+  judgeJob,
+  judgeSession,
+  judgeSubmission,
+  readSession,
+} from '../verdicts/job_verdict.js';
+
+interface SubmitOptions extends EntryOptions {
+  readonly key?: string;
+  readonly session?: string;
+  readonly progress?: boolean;
+}
+
+/** Separates the session from the caller's own name in a key. */
+const KEY_SEPARATOR = '.';
+const KEY_NAME_PATTERN = /^[A-Za-z0-9_-]{1,64}$/;
+
+/** Adds `submit`, `session` and `job`. */
+export const addJobCommands: AddCommands = (program, context, bindAction) => {
+  const submit = addEntryOptions(
+    program
+      .command('submit')
+      .description('submit a job and print its results')
+      .argument('<file>', 'job in JSON or YAML; - is standard input')
+      .option('--key <name>', 'name of the job, or a whole key to ask again')
+      .option('--session <token>', 'session to make the key under')
+      .option('--progress', 'show how far the job has come'),
+  );
+  bindAction(submit, (file: string, options: SubmitOptions) =>
+    runSubmission(context, file, options),
+  );
+
+  const session = addEntryOptions(
+    program
+      .command('session')
+      .description('open a session, under which a caller makes its own keys')
+      .requiredOption('--team <name>', 'team that the session is for'),
+  );
+  bindAction(session, async (options: EntryOptions & {team: string}) =>
+    judgeSession(await openSession({context, options}, options.team)),
+  );
+
+  const job = program.command('job').description('look after one job');
+  const get = addEntryOptions(
+    job
+      .command('get')
+      .description('print the answer of a job, or how far it has come')
+      .argument('<key>', "the job's idempotency key"),
+  );
+  bindAction(get, async (key: string, options: EntryOptions) =>
+    judgeJob(await askForJob({context, options}, key)),
+  );
+  const cancel = addEntryOptions(
+    job
+      .command('cancel')
+      .description('cancel a job; tasks that have started are waited for')
+      .argument('<key>', "the job's idempotency key"),
+  );
+  bindAction(cancel, async (key: string, options: EntryOptions) =>
+    judgeCancellation(await cancelJob({context, options}, key)),
+  );
+};
+
+async function runSubmission(
+  context: CommandContext,
+  file: string,
+  options: SubmitOptions,
+): Promise<Verdict> {
+  const job = parseJobFile(file, context.readFile(file));
+  const client = {context, options};
+  const session = await findSession(client, job.team, options);
+  if (typeof session !== 'string') return session;
+  const key = composeKey(context, session, options.key);
+  const stopProgress =
+    options.progress === true ? showJobProgress(client, key) : () => {};
+  const reply = await submitJob(client, job, key);
+  stopProgress();
+  return nameKey(judgeSubmission(reply, job.tasks.length), key);
+}
+
+/** Returns the session to use, or the verdict if none could be opened. */
+async function findSession(
+  client: JobClient,
+  team: string,
+  options: SubmitOptions,
+): Promise<string | Verdict> {
+  if (isWholeKey(options.key)) return '';
+  if (options.session !== undefined) return options.session;
+  const reply = await openSession(client, team);
+  return readSession(reply)?.session ?? judgeSession(reply);
+}
+
+function composeKey(
+  context: CommandContext,
+  session: string,
+  name: string | undefined,
+): string {
+  if (name !== undefined && isWholeKey(name)) return name;
+  const ownName = name ?? context.drawName();
+  if (!KEY_NAME_PATTERN.test(ownName)) {
+    throw new UsageError(
+      `"${ownName}" is no name of a job: 1 to 64 letters, digits, "_" and "-".`,
+    );
+  }
+  return `${session}${KEY_SEPARATOR}${ownName}`;
+}
+
+function isWholeKey(key: string | undefined): boolean {
+  return key?.includes(KEY_SEPARATOR) === true;
+}
+
+/** Adds what a caller needs to ask for the same job again. */
+function nameKey(verdict: Verdict, key: string): Verdict {
+  const isOpen = verdict.exitCode === ExitCode.UNKNOWN;
+  return isOpen
+    ? {
+        ...verdict,
+        text: `${verdict.text}\nAsk for it: foxtailbay job get ${key}`,
+        document: {...(verdict.document as object), key},
+      }
+    : verdict;
+}
--- /dev/null
+++ b/src/lib/cli/completion.ts
@@ -0,0 +1,99 @@
+/** Completion scripts, made from the commands that are registered. */
+import type {Command} from 'commander';
+
+/** Shells that completion is made for. */
+export enum Shell {
+  BASH = 'bash',
+  ZSH = 'zsh',
+  FISH = 'fish',
+}
+
+/** One command with the words that may follow it. */
+export interface CompletionEntry {
+  /** Names of the commands that lead here; empty for the program. */
+  readonly path: readonly string[];
+  readonly words: readonly string[];
+}
+
+type FormatScript = (
+  program: string,
+  entries: readonly CompletionEntry[],
+) => string;
+
+const FORMAT_BY_SHELL: Readonly<Record<Shell, FormatScript>> = {
+  [Shell.BASH]: formatBash,
+  [Shell.ZSH]: formatZsh,
+  [Shell.FISH]: formatFish,
+};
+
+/** Writes the completion script of a program for a shell. */
+export function formatCompletion(program: Command, shell: Shell): string {
+  return FORMAT_BY_SHELL[shell](program.name(), listEntries(program, []));
+}
+
+/** Lists every command with its subcommands and options. */
+export function listEntries(
+  command: Command,
+  path: readonly string[],
+): CompletionEntry[] {
+  const names = command.commands.map(child => child.name());
+  const options = command.options.map(option => option.long ?? option.flags);
+  return [
+    {path, words: [...names, ...options, '--help']},
+    ...command.commands.flatMap(child =>
+      listEntries(child, [...path, child.name()]),
+    ),
+  ];
+}
+
+function formatBash(
+  program: string,
+  entries: readonly CompletionEntry[],
+): string {
+  const cases = entries.map(
+    ({path, words}) => `    "${path.join(' ')}") words="${words.join(' ')}" ;;`,
+  );
+  const name = `_${program}_complete`;
+  return [
+    `${name}() {`,
+    '  local path="" words="" word',
+    '  for word in "${COMP_WORDS[@]:1:COMP_CWORD-1}"; do',
+    '    [[ $word == -* ]] && continue',
+    '    path="${path:+$path }$word"',
+    '  done',
+    '  case "$path" in',
+    ...cases,
+    '  esac',
+    '  COMPREPLY=($(compgen -W "$words" -- "${COMP_WORDS[COMP_CWORD]}"))',
+    '  [[ ${#COMPREPLY[@]} -eq 0 ]] && COMPREPLY=($(compgen -f -- "${COMP_WORDS[COMP_CWORD]}"))',
+    '}',
+    `complete -F ${name} ${program}`,
+  ].join('\n');
+}
+
+function formatZsh(
+  program: string,
+  entries: readonly CompletionEntry[],
+): string {
+  return [
+    'autoload -U +X bashcompinit && bashcompinit',
+    formatBash(program, entries),
+  ].join('\n');
+}
+
+function formatFish(
+  program: string,
+  entries: readonly CompletionEntry[],
+): string {
+  return entries
+    .map(({path, words}) => {
+      const condition =
+        path.length === 0
+          ? '__fish_use_subcommand'
+          : path
+              .map(name => `__fish_seen_subcommand_from ${name}`)
+              .join('; and ');
+      return `complete -c ${program} -n '${condition}' -a '${words.join(' ')}'`;
+    })
+    .join('\n');
+}
--- /dev/null
+++ b/src/lib/cli/http_client.ts
@@ -0,0 +1,101 @@
+/** The commands' HTTP client: each request is sent at most once. */
+import {Agent, request as requestOnce} from 'undici';
+import {ReplyKind} from './http_exchange.js';
+import type {HttpReply, HttpRequest, SendRequest} from './http_exchange.js';
+
+const CONNECT_TIMEOUT_MS = 3000;
+
+/** Failures that happen before a connection stands. */
+const NOT_SENT_CODES = new Set([
+  'ECONNREFUSED',
+  'ENOTFOUND',
+  'EAI_AGAIN',
+  'EHOSTUNREACH',
+  'ENETUNREACH',
+  'UND_ERR_CONNECT_TIMEOUT',
+  'ERR_INVALID_URL',
+  'UND_ERR_INVALID_ARG',
+]);
+
+/** A client and the way to close it. */
+export interface HttpClient {
+  readonly send: SendRequest;
+  readonly close: () => Promise<void>;
+}
+
+/**
+ * Creates a client. Each request has a connection of its own, so that none
+ * meets a stale kept-alive connection, and no retry handler is installed.
+ */
+export function createHttpClient(): HttpClient {
+  const dispatcher = new Agent({
+    pipelining: 0,
+    connect: {timeout: CONNECT_TIMEOUT_MS},
+  });
+  return {
+    send: request => sendOnce(dispatcher, request),
+    close: () => dispatcher.close(),
+  };
+}
+
+async function sendOnce(
+  dispatcher: Agent,
+  request: HttpRequest,
+): Promise<HttpReply> {
+  const {url, method, timeoutMs} = request;
+  try {
+    const answer = await requestOnce(url, {
+      dispatcher,
+      method,
+      reset: true,
+      headers: {
+        accept: 'application/json, application/problem+json',
+        ...(request.body === undefined
+          ? {}
+          : {'content-type': 'application/json'}),
+        ...request.headers,
+      },
+      body: request.body === undefined ? null : JSON.stringify(request.body),
+      headersTimeout: timeoutMs,
+      bodyTimeout: timeoutMs,
+      signal: AbortSignal.timeout(timeoutMs),
+    });
+    const text = await answer.body.text();
+    const headers = convertHeaders(answer.headers);
+    return readAnswer(url, answer.statusCode, headers, text);
+  } catch (failure) {
+    return describeFailure(url, failure);
+  }
+}
+
+function readAnswer(
+  url: string,
+  status: number,
+  headers: Readonly<Record<string, string>>,
+  text: string,
+): HttpReply {
+  if (!/json/.test(headers['content-type'] ?? '')) {
+    return {kind: ReplyKind.ANSWERED, status, headers, document: text};
+  }
+  try {
+    const document: unknown = JSON.parse(text);
+    return {kind: ReplyKind.ANSWERED, status, headers, document};
+  } catch {
+    return {kind: ReplyKind.LOST, url, reason: 'the answer is cut off'};
+  }
+}
+
+function describeFailure(url: string, failure: unknown): HttpReply {
+  const {code, name, message} = failure as NodeJS.ErrnoException;
+  const reason = message || code || name;
+  const isSent = !NOT_SENT_CODES.has(code ?? '');
+  return {kind: isSent ? ReplyKind.LOST : ReplyKind.NOT_SENT, url, reason};
+}
+
+function convertHeaders(
+  headers: Readonly<Record<string, string | string[] | undefined>>,
+): Record<string, string> {
+  return Object.fromEntries(
+    Object.entries(headers).map(([name, value]) => [name, String(value)]),
+  );
+}
--- /dev/null
+++ b/src/lib/cli/job_client.ts
@@ -0,0 +1,68 @@
+/** The calls of the callers' API. */
+import type {CommandContext} from './command_context.js';
+import type {EntryOptions} from './entry_options.js';
+import {MS_PER_S} from './entry_options.js';
+import {composeUrl, Method} from './http_exchange.js';
+import type {HttpReply} from './http_exchange.js';
+import type {JobFile} from './job_file.js';
+
+/** Time for the answer to arrive after the job's deadline. */
+const ANSWER_MARGIN_MS = 5000;
+
+/** What the calls need. */
+export interface JobClient {
+  readonly context: CommandContext;
+  readonly options: EntryOptions;
+}
+
+/** Asks for a session. */
+export function openSession(
+  client: JobClient,
+  team: string,
+): Promise<HttpReply> {
+  return client.context.send({
+    method: Method.POST,
+    url: composeUrl(client.options.entry, 'v1', 'sessions'),
+    body: {team},
+    timeoutMs: client.options.timeout * MS_PER_S,
+  });
+}
+
+/** Submits a job under a key and waits for its answer. */
+export function submitJob(
+  client: JobClient,
+  job: JobFile,
+  key: string,
+): Promise<HttpReply> {
+  const timeoutMs = client.options.timeout * MS_PER_S;
+  const deadlineMs = (job.deadlineMs ?? 0) + ANSWER_MARGIN_MS;
+  return client.context.send({
+    method: Method.POST,
+    url: composeUrl(client.options.entry, 'v1', 'jobs'),
+    headers: {'idempotency-key': key},
+    body: job,
+    timeoutMs: Math.max(timeoutMs, deadlineMs),
+  });
+}
+
+/** Asks for a job's answer or progress. */
+export function askForJob(client: JobClient, key: string): Promise<HttpReply> {
+  return sendJobRequest(client, Method.GET, key);
+}
+
+/** Cancels a job. */
+export function cancelJob(client: JobClient, key: string): Promise<HttpReply> {
+  return sendJobRequest(client, Method.DELETE, key);
+}
+
+function sendJobRequest(
+  {context, options}: JobClient,
+  method: Method,
+  key: string,
+): Promise<HttpReply> {
+  return context.send({
+    method,
+    url: composeUrl(options.entry, 'v1', 'jobs', key),
+    timeoutMs: options.timeout * MS_PER_S,
+  });
+}
--- a/src/lib/settings/nearest_name.ts
+++ b/src/lib/settings/nearest_name.ts
@@ -1,7 +1,7 @@
 /** Suggestions for names that were mistyped. */
 
 /** Largest share of a name that may differ for it to be suggested. */
-const LARGEST_DIFFERENCE = 0.5;
+const LARGEST_DIFFERENCE = 0.4;
 
 /** Finds the known name that differs least from `name`, if one is near. */
 export function findNearestName(
--- /dev/null
+++ b/test/cli/commands/job_commands_test.ts
@@ -0,0 +1,145 @@
+import {expect} from 'chai';
+import {ExitCode} from '../../../src/lib/cli/exit_code.js';
+import {ReplyKind} from '../../../src/lib/cli/http_exchange.js';
+import {createAnswer, createSilence, runFoxtailbay} from '../fake_context.js';
+
+const FILES = {
+  'job.json': JSON.stringify({
+    team: 'search',
+    tasks: [{payload: 1}, {payload: 2}],
+  }),
+  'job.yaml': 'team: search\ntasks: [{payload: 1}, {payload: 2}]\n',
+  'broken.json': '{"team": "search"}',
+};
+const SESSION = createAnswer(201, {session: 'token', expiresInMs: 1000});
+const COMPLETE = createAnswer(200, {
+  key: 'token.drawn',
+  outcome: 'complete',
+  results: ['a', 'b'],
+});
+
+function submit(words: readonly string[], reply = COMPLETE) {
+  return runFoxtailbay(['submit', ...words], {
+    files: FILES,
+    replies: {
+      'POST /v1/sessions': SESSION,
+      'POST /v1/jobs': reply,
+      'GET /v1/jobs/token.drawn': createAnswer(200, {
+        key: 'token.drawn',
+        state: 'running',
+        done: 1,
+        total: 2,
+      }),
+    },
+  });
+}
+
+describe('foxtailbay submit', () => {
+  for (const file of ['job.json', 'job.yaml']) {
+    it(`submits ${file} under a new session and prints the results`, async () => {
+      const run = await submit([file]);
+      expect(run.exitCode).to.equal(ExitCode.OK);
+      expect(JSON.parse(run.output)).to.deep.equal(['a', 'b']);
+      expect(run.requests[1].headers).to.deep.equal({
+        'idempotency-key': 'token.drawn',
+      });
+    });
+  }
+
+  it('asks again with a whole key, without a new session', async () => {
+    const run = await submit(['job.json', '--key', 'old.mine']);
+    expect(run.requests).to.have.length(1);
+    expect(run.requests[0].headers).to.deep.equal({
+      'idempotency-key': 'old.mine',
+    });
+  });
+
+  it('uses the session that it is given', async () => {
+    const run = await submit(['job.json', '--session', 's', '--key', 'n']);
+    expect(run.requests[0].headers).to.deep.equal({'idempotency-key': 's.n'});
+  });
+
+  it('shows no progress off a terminal, and the results alone on the output', async () => {
+    const run = await submit(['job.json', '--progress']);
+    expect(run.messages).to.equal('');
+    expect(JSON.parse(run.output)).to.deep.equal(['a', 'b']);
+  });
+
+  it('does not take an answer with a result missing for a whole one', async () => {
+    const run = await submit(
+      ['job.json'],
+      createAnswer(200, {key: 'k', outcome: 'complete', results: ['a']}),
+    );
+    expect(run.exitCode).to.equal(ExitCode.UNKNOWN);
+    expect(run.messages).to.contain('1 results for 2 tasks');
+  });
+
+  for (const [outcome, exitCode] of [
+    ['did-not-run', ExitCode.REFUSED],
+    ['failed', ExitCode.FAILED],
+    ['unknown', ExitCode.UNKNOWN],
+  ] as const) {
+    it(`tells outcome "${outcome}" by exit code ${exitCode}`, async () => {
+      const problem = {
+        title: 'No.',
+        status: 503,
+        detail: 'So it is.',
+        code: 'overloaded',
+        outcome,
+        retryAfterMs: 200,
+      };
+      const run = await submit(['job.json'], createAnswer(503, problem));
+      expect(run.exitCode).to.equal(exitCode);
+      expect(run.output).to.equal('');
+      expect(run.messages).to.contain('[overloaded]: So it is.');
+      expect(run.messages).to.contain('Try again in 200 ms.');
+    });
+  }
+
+  it('says that the outcome is unknown and how to ask when the answer is lost', async () => {
+    const run = await submit(['job.json'], createSilence(ReplyKind.LOST));
+    expect(run.exitCode).to.equal(ExitCode.UNKNOWN);
+    expect(run.messages).to.contain('foxtailbay job get token.drawn');
+  });
+
+  it('says that nothing was sent without a connection', async () => {
+    const run = await submit(['job.json'], createSilence(ReplyKind.NOT_SENT));
+    expect(run.exitCode).to.equal(ExitCode.UNREACHABLE);
+  });
+
+  it('sends nothing for a broken file or name', async () => {
+    for (const words of [['broken.json'], ['job.json', '--key', 'a b']]) {
+      const run = await submit(words);
+      expect(run.exitCode).to.equal(ExitCode.USAGE);
+      expect(
+        run.requests.filter(({url}) => url.endsWith('/jobs')),
+      ).to.deep.equal([]);
+    }
+  });
+});
+
+describe('foxtailbay job', () => {
+  it('tells the progress of a job that runs', async () => {
+    const progress = {key: 'k.n', state: 'running', done: 3, total: 9};
+    const run = await runFoxtailbay(['job', 'get', 'k.n'], {
+      replies: {'GET /v1/jobs/k.n': createAnswer(200, progress)},
+    });
+    expect(run.output).to.equal('running: 3 of 9 tasks done\n');
+  });
+
+  it('prints documents for programs, failures too', async () => {
+    const problem = {code: 'not-found', outcome: 'unknown'};
+    const run = await runFoxtailbay(['job', 'get', 'k.n', '--output', 'json'], {
+      replies: {'GET /v1/jobs/k.n': createAnswer(404, problem)},
+    });
+    expect(JSON.parse(run.output)).to.deep.equal(problem);
+    expect(run.exitCode).to.equal(ExitCode.UNKNOWN);
+  });
+
+  it('cancels', async () => {
+    const run = await runFoxtailbay(['job', 'cancel', 'k.n'], {
+      replies: {'DELETE /v1/jobs/k.n': createAnswer(202, {key: 'k.n'})},
+    });
+    expect(run.exitCode).to.equal(ExitCode.OK);
+  });
+});
--- /dev/null
+++ b/test/cli/fake_context.ts
@@ -0,0 +1,90 @@
+import {expect} from 'chai';
+import type {CommandContext} from '../../src/lib/cli/command_context.js';
+import {runCommandLine} from '../../src/lib/cli/command_line.js';
+import type {ExitCode} from '../../src/lib/cli/exit_code.js';
+import {ReplyKind} from '../../src/lib/cli/http_exchange.js';
+import type {HttpReply, HttpRequest} from '../../src/lib/cli/http_exchange.js';
+import {createTerminal} from '../../src/lib/cli/terminal.js';
+
+/** What a command did. */
+export interface CommandRun {
+  readonly exitCode: ExitCode;
+  readonly output: string;
+  readonly messages: string;
+  readonly requests: readonly HttpRequest[];
+}
+
+/** Replies to a request, by `METHOD path` without the base URL. */
+export type Replies = Readonly<Record<string, HttpReply | HttpReply[]>>;
+
+/** What a run is given beside its words. */
+export interface RunOptions {
+  readonly replies?: Replies;
+  readonly files?: Readonly<Record<string, string>>;
+  readonly environment?: Readonly<Record<string, string>>;
+}
+
+/** Creates a whole answer. */
+export function createAnswer(
+  status: number,
+  document: unknown,
+  headers: Readonly<Record<string, string>> = {},
+): HttpReply {
+  return {kind: ReplyKind.ANSWERED, status, headers, document};
+}
+
+/** Creates the failure of a request. */
+export function createSilence(
+  kind: ReplyKind.LOST | ReplyKind.NOT_SENT,
+): HttpReply {
+  return {kind, url: 'http://host', reason: 'no luck'};
+}
+
+/** Runs the command line against scripted replies; timers fire at once. */
+export async function runFoxtailbay(
+  words: readonly string[],
+  {replies = {}, files = {}, environment = {}}: RunOptions = {},
+): Promise<CommandRun> {
+  const requests: HttpRequest[] = [];
+  const texts = {output: '', messages: ''};
+  const context: CommandContext = {
+    send: async request => {
+      requests.push(request);
+      return takeReply(replies, request, requests);
+    },
+    terminal: createTerminal({
+      output: {write: text => (texts.output += text)},
+      messages: {write: text => (texts.messages += text)},
+      environment: {},
+    }),
+    readFile: path => files[path] ?? expect.fail(`no file ${path}`),
+    startTimer: (_delayMs, fire) => {
+      const handle = setImmediate(fire);
+      return () => clearImmediate(handle);
+    },
+    readMonotonicMs: () => requests.length * 1000,
+    drawName: () => 'drawn',
+    environment,
+    userName: 'ngoc',
+  };
+  const exitCode = await runCommandLine(words, '1.2.3', context);
+  return {exitCode, ...texts, requests};
+}
+
+/** The last reply of a list stands for all that follow. */
+function takeReply(
+  replies: Replies,
+  request: HttpRequest,
+  requests: readonly HttpRequest[],
+): HttpReply {
+  const name = nameRequest(request);
+  const count = requests.filter(one => nameRequest(one) === name).length;
+  const list = replies[name];
+  if (list === undefined) return expect.fail(`no reply to ${name}`);
+  if (!Array.isArray(list)) return list;
+  return list[Math.min(count, list.length) - 1];
+}
+
+function nameRequest({method, url}: HttpRequest): string {
+  return `${method} ${url.replace(/^https?:\/\/[^/]*/, '')}`;
+}
