--- /dev/null
+++ b/tools/scenario/child_process_task.ts
@@ -0,0 +1,241 @@
+/** Starts, signals and watches one process. */
+import {spawn} from 'node:child_process';
+import type {ChildProcess} from 'node:child_process';
+import {createWriteStream} from 'node:fs';
+import {createInterface} from 'node:readline';
+import {Chart, ChartRun, readChart} from '../../src/lib/core/chart.js';
+import type {StartTimer} from '../../src/lib/core/clock.js';
+import {Task} from '../../src/lib/core/task.js';
+import {ScenarioError} from './scenario_error.js';
+
+/** States of a process; see `charts/child_process.yaml`. */
+export enum ProcessState {
+  ABSENT = 'absent',
+  STARTING = 'starting',
+  SERVING = 'serving',
+  FROZEN = 'frozen',
+  ENDING = 'ending',
+  ENDED = 'ended',
+}
+
+/** Events in a process's life. */
+export enum ProcessEvent {
+  START = 'start',
+  READY = 'ready',
+  EXITED = 'exited',
+  FREEZE = 'freeze',
+  THAW = 'thaw',
+  STOP = 'stop',
+  KILL = 'kill',
+  READINESS_TIMEOUT = 'timer.readiness',
+}
+
+/** How a process ended. */
+export interface ProcessEnd {
+  readonly code: number | null;
+  readonly signal: string | null;
+}
+
+/** What starts a process. */
+export interface ProcessOptions {
+  readonly name: string;
+  readonly program: string;
+  readonly programArguments: readonly string[];
+  /** File to which everything that the process prints is appended. */
+  readonly outputFile: string;
+  readonly startTimer: StartTimer;
+}
+
+const READINESS_TIMEOUT_MS = 15_000;
+const MAILBOX_CAPACITY = 64;
+
+const CHART = Chart.create(readChart('child_process'), {
+  states: ProcessState,
+  events: ProcessEvent,
+  actions: [
+    'spawn',
+    'reportReady',
+    'reportEnd',
+    'signalKill',
+    'signalFreeze',
+    'signalThaw',
+    'signalStop',
+  ],
+});
+
+/** Processes that run, so that none outlives the tool. */
+const RUNNING = new Set<ChildProcess>();
+process.once('exit', () => {
+  for (const child of RUNNING) child.kill('SIGKILL');
+});
+
+/**
+ * Owns one child process through any number of lives.
+ *
+ * Events are posted; an event that the chart does not take in the current
+ * state is a mistake in the scenario and rejects the call that posted it.
+ */
+export class ChildProcessTask {
+  private readonly task: Task<ProcessEvent>;
+  private readonly run: ChartRun<ProcessState, ProcessEvent>;
+  private child: ChildProcess | undefined;
+  private lastEnd: ProcessEnd = {code: null, signal: null};
+  private waiters: Array<() => void> = [];
+  private lives = 0;
+
+  private constructor(private readonly options: ProcessOptions) {
+    this.task = Task.create<ProcessEvent>({
+      name: options.name,
+      capacity: MAILBOX_CAPACITY,
+      handle: event => this.handle(event),
+      reportFailure: () => this.wakeWaiters(),
+    });
+    this.run = ChartRun.create(CHART, {
+      startNamedTimer: (_, fire) =>
+        options.startTimer(READINESS_TIMEOUT_MS, fire),
+      fire: event => this.task.post(event as ProcessEvent),
+      perform: action => this.perform(action),
+    });
+    this.task.store.add(() => this.run.stopTimers());
+  }
+
+  /** Creates the owner of a process that has not been started. */
+  static create(options: ProcessOptions): ChildProcessTask {
+    return new ChildProcessTask(options);
+  }
+
+  /** State of the current life. */
+  get state(): ProcessState {
+    return this.run.state;
+  }
+
+  /** Process id of the current life, 0 if there is none. */
+  get pid(): number {
+    return this.child?.pid ?? 0;
+  }
+
+  /** Starts the process and resolves when it serves. */
+  async start(): Promise<void> {
+    this.task.post(ProcessEvent.START);
+    const life = this.lives + 1;
+    await this.awaitState(
+      state =>
+        this.lives >= life &&
+        (state === ProcessState.SERVING || state === ProcessState.ENDED),
+    );
+    if (this.state === ProcessState.ENDED) {
+      throw new ScenarioError(
+        `${this.options.name} ended with ${this.formatEnd()} before it was ` +
+          `ready; see ${this.options.outputFile}.`,
+      );
+    }
+  }
+
+  /** Sends a signal's event; the chart says whether it fits. */
+  send(event: ProcessEvent): void {
+    if (!CHART.step(this.state, event).isTaken) {
+      throw new ScenarioError(
+        `${this.options.name} takes no "${event}" while ${this.state}.`,
+      );
+    }
+    this.task.post(event);
+  }
+
+  /** Resolves with how the current life ended. */
+  async awaitEnd(): Promise<ProcessEnd> {
+    await this.awaitState(
+      state => state === ProcessState.ENDED || state === ProcessState.ABSENT,
+    );
+    return this.lastEnd;
+  }
+
+  /** Kills the process, waits for its end and releases everything. */
+  async dispose(): Promise<void> {
+    if (
+      this.state !== ProcessState.ABSENT &&
+      this.state !== ProcessState.ENDED
+    ) {
+      this.task.post(ProcessEvent.KILL);
+      await this.awaitEnd();
+    }
+    await this.task.stop();
+  }
+
+  private awaitState(test: (state: ProcessState) => boolean): Promise<void> {
+    return new Promise(resolve => {
+      const check = () => {
+        if (test(this.state)) resolve();
+        else this.waiters.push(check);
+      };
+      check();
+    });
+  }
+
+  private handle(event: ProcessEvent): void {
+    this.run.send(event);
+    this.wakeWaiters();
+  }
+
+  private wakeWaiters(): void {
+    const waiters = this.waiters;
+    this.waiters = [];
+    for (const wake of waiters) wake();
+  }
+
+  private perform(action: string): void {
+    switch (action) {
+      case 'spawn':
+        return this.spawnProcess();
+      case 'signalKill':
+        return this.signalProcess('SIGKILL');
+      case 'signalFreeze':
+        return this.signalProcess('SIGSTOP');
+      case 'signalThaw':
+        return this.signalProcess('SIGCONT');
+      case 'signalStop':
+        return this.signalProcess('SIGTERM');
+      default:
+        return undefined;
+    }
+  }
+
+  private signalProcess(signal: NodeJS.Signals): void {
+    this.child?.kill(signal);
+  }
+
+  private spawnProcess(): void {
+    this.lives += 1;
+    const {program, programArguments, outputFile} = this.options;
+    const output = createWriteStream(outputFile, {flags: 'a'});
+    const child = spawn(process.execPath, [program, ...programArguments], {
+      stdio: ['ignore', 'pipe', 'pipe'],
+    });
+    this.child = child;
+    RUNNING.add(child);
+    child.stderr.pipe(output, {end: false});
+    child.stdout.pipe(output, {end: false});
+    createInterface({input: child.stdout}).on('line', line => {
+      if (isReadyLine(line)) this.task.post(ProcessEvent.READY);
+    });
+    child.once('close', (code, signal) => {
+      RUNNING.delete(child);
+      output.end();
+      this.lastEnd = {code, signal};
+      this.task.post(ProcessEvent.EXITED);
+    });
+  }
+
+  private formatEnd(): string {
+    return this.lastEnd.signal ?? `code ${this.lastEnd.code}`;
+  }
+}
+
+/** Tells whether a line of output says that the process serves. */
+export function isReadyLine(line: string): boolean {
+  if (!line.includes('"ready"')) return false;
+  try {
+    return (JSON.parse(line) as {event?: string}).event === 'ready';
+  } catch {
+    return false;
+  }
+}
--- /dev/null
+++ b/tools/scenario/fleet.ts
@@ -0,0 +1,144 @@
+/** The processes of one scenario and where each can be reached. */
+import {writeFileSync} from 'node:fs';
+import {mkdtemp} from 'node:fs/promises';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import {fileURLToPath} from 'node:url';
+import {stringify} from 'yaml';
+import type {DrawRandom, StartTimer} from '../../src/lib/core/clock.js';
+import {ChildProcessTask, ProcessState} from './child_process_task.js';
+import type {FleetDefinition} from './definition.js';
+import {Listener, ProcessKind, formatAddress, planFleet} from './fleet_plan.js';
+import type {FindPort, ProcessPlan} from './fleet_plan.js';
+import {createPortFinder, findFreePorts} from './free_ports.js';
+import {ScenarioError} from './scenario_error.js';
+
+/** What a fleet is made with. */
+export interface FleetOptions {
+  readonly definition: FleetDefinition;
+  readonly drawRandom: DrawRandom;
+  readonly startTimer: StartTimer;
+}
+
+const PORTS_PER_PROCESS = 3;
+const KINDS_STARTED_FIRST: readonly ProcessKind[] = [
+  ProcessKind.STORE,
+  ProcessKind.RELAY,
+];
+
+/** Owns the processes of a scenario. */
+export class Fleet {
+  private readonly processes = new Map<string, ChildProcessTask>();
+
+  private constructor(
+    readonly plans: readonly ProcessPlan[],
+    /** Folder that holds the settings and the output of the processes. */
+    readonly folder: string,
+    private readonly findPort: FindPort,
+    private readonly definition: FleetDefinition,
+    startTimer: StartTimer,
+  ) {
+    for (const plan of plans) {
+      this.processes.set(plan.name, createProcess(plan, folder, startTimer));
+    }
+  }
+
+  /** Creates a fleet of which nothing runs yet. */
+  static async create(options: FleetOptions): Promise<Fleet> {
+    const {definition, drawRandom, startTimer} = options;
+    const folder = await mkdtemp(join(tmpdir(), 'foxtailbay-'));
+    const count =
+      2 + definition.entries + 2 * definition.agents + definition.relays.length;
+    const ports = await findFreePorts(count * PORTS_PER_PROCESS, drawRandom);
+    const findPort = createPortFinder(ports);
+    const plans = planFleet(definition, findPort);
+    return new Fleet(plans, folder, findPort, definition, startTimer);
+  }
+
+  /** Starts everything that is not to be started later. */
+  async startAll(): Promise<void> {
+    const names = this.plans
+      .filter(plan => !this.definition.later.includes(plan.name))
+      .map(plan => plan.name);
+    const isFirst = (name: string) =>
+      KINDS_STARTED_FIRST.includes(this.findPlan(name).kind);
+    await this.start(names.filter(isFirst));
+    await this.start(names.filter(name => !isFirst(name)));
+  }
+
+  /** Starts processes and resolves when all of them serve. */
+  async start(names: readonly string[]): Promise<void> {
+    await Promise.all(names.map(name => this.findProcess(name).start()));
+  }
+
+  /** Returns the owner of a process. */
+  findProcess(name: string): ChildProcessTask {
+    const found = this.processes.get(name);
+    if (found === undefined) {
+      throw new ScenarioError(`The fleet has no process "${name}".`);
+    }
+    return found;
+  }
+
+  /** Returns the plan of a process. */
+  findPlan(name: string): ProcessPlan {
+    const found = this.plans.find(plan => plan.name === name);
+    if (found === undefined) {
+      throw new ScenarioError(`The fleet has no process "${name}".`);
+    }
+    return found;
+  }
+
+  /** Lists the processes of a kind that serve now. */
+  listServing(kind: ProcessKind): ProcessPlan[] {
+    return this.plans.filter(
+      plan =>
+        plan.kind === kind &&
+        this.findProcess(plan.name).state === ProcessState.SERVING,
+    );
+  }
+
+  /** Returns the HTTP address of one of a process's listeners. */
+  findAddress(name: string, listener: Listener): string {
+    return formatAddress(this.findPort(name, listener));
+  }
+
+  /** Returns the address to which callers of an entry or balancer go. */
+  findCallersAddress(name: string): string {
+    const relay = this.definition.relays.find(
+      ({place, process}) => place === 'callers' && process === name,
+    );
+    if (relay !== undefined) {
+      return this.findAddress(relay.name, Listener.MAIN);
+    }
+    const isEntry = this.findPlan(name).kind === ProcessKind.ENTRY;
+    return this.findAddress(name, isEntry ? Listener.CALLERS : Listener.MAIN);
+  }
+
+  /** Kills whatever still runs. */
+  async dispose(): Promise<void> {
+    const all = [...this.processes.values()];
+    await Promise.all(all.map(owner => owner.dispose()));
+  }
+}
+
+function createProcess(
+  plan: ProcessPlan,
+  folder: string,
+  startTimer: StartTimer,
+): ChildProcessTask {
+  const settingsArguments: string[] = [];
+  if (plan.settings !== undefined) {
+    const path = join(folder, `${plan.name}.yaml`);
+    writeFileSync(path, stringify(plan.settings));
+    settingsArguments.push('--settings', path);
+  }
+  const program = new URL(`../../${plan.program}`, import.meta.url);
+  return ChildProcessTask.create({
+    name: plan.name,
+    program: fileURLToPath(program),
+    programArguments: [...plan.programArguments, ...settingsArguments],
+    outputFile: join(folder, `${plan.name}.log`),
+    startTimer,
+  });
+}
--- /dev/null
+++ b/tools/scenario/stand_in_controls.ts
@@ -0,0 +1,63 @@
+/** What the stand-ins are told and asked over HTTP. */
+import {LinkMode, StoreMode} from './step.js';
+import type {LinkStep, StoreStep, TargetStep} from './step.js';
+import {readReply} from './http_call.js';
+import type {CallHttp, HttpCall} from './http_call.js';
+
+/** Returns the body of the control call that a step on the store makes. */
+export function createStoreControl(step: StoreStep, revision: number): object {
+  switch (step.mode) {
+    case StoreMode.UP:
+      return {mode: 'up', slowMs: 0, loseReplies: 'none', staleRevision: null};
+    case StoreMode.DOWN:
+    case StoreMode.HANG:
+      return {mode: step.mode};
+    case StoreMode.SLOW:
+      return {slowMs: step.slowMs};
+    case StoreMode.STALE:
+      return {staleRevision: revision};
+    case StoreMode.LOSE_NEXT_REPLY:
+      return {loseReplies: 'next-write'};
+    case StoreMode.LOSE_ALL_REPLIES:
+      return {loseReplies: 'all-writes'};
+    case StoreMode.CUT_WATCHES:
+      return {cutWatches: true};
+    case StoreMode.COMPACT:
+      return {compact: true};
+    case StoreMode.LEASES_EXPIRE:
+      return {leasesExpireInOutage: true};
+  }
+}
+
+/** Returns the body of the control call that a step on a relay makes. */
+export function createLinkControl(step: LinkStep): object {
+  switch (step.mode) {
+    case LinkMode.CUT:
+      return {mode: 'cut', direction: 'both'};
+    case LinkMode.CUT_FORWARD:
+      return {mode: 'cut', direction: 'forward'};
+    case LinkMode.CUT_BACK:
+      return {mode: 'cut', direction: 'back'};
+    case LinkMode.RESET:
+      return {mode: 'reset'};
+    case LinkMode.SLOW:
+      return {mode: 'slow', delayMs: step.delayMs};
+    case LinkMode.RESTORE:
+      return {mode: 'restore'};
+  }
+}
+
+/** Returns the body of the control call that a step on a target makes. */
+export function createTargetControl(step: TargetStep): object {
+  return {mode: step.mode, factor: step.factor};
+}
+
+/** Sends a control call to a stand-in. */
+export async function postControl(
+  callHttp: CallHttp,
+  address: string,
+  body: object,
+): Promise<void> {
+  const call: HttpCall = {method: 'POST', url: `${address}/control`, body};
+  readReply(call, await callHttp(call));
+}
--- /dev/null
+++ b/tools/scenario/target_record.ts
@@ -0,0 +1,39 @@
+/** Reads the record that a stand-in target keeps of what really started. */
+import type {RecordedStart} from './evidence.js';
+import type {ProcessPlan} from './fleet_plan.js';
+import {readReply} from './http_call.js';
+import type {CallHttp, HttpCall} from './http_call.js';
+
+/** What a target's record holds, as far as the verdict needs it. */
+export interface TargetRecord {
+  readonly starts: readonly RecordedStart[];
+  /** Times that more tasks or connections came than the target allows. */
+  readonly violations: number;
+}
+
+interface RecordBody {
+  readonly starts: ReadonlyArray<{
+    payloadId: string;
+    instance: string;
+    startedAtMs: number;
+  }>;
+  readonly violations: number;
+}
+
+/** Reads the whole record of a target. */
+export async function readTargetRecord(
+  callHttp: CallHttp,
+  address: string,
+  plan: ProcessPlan,
+): Promise<TargetRecord> {
+  const call: HttpCall = {method: 'GET', url: `${address}/record?after=0`};
+  const body = readReply<RecordBody>(call, await callHttp(call));
+  const starts = body.starts.map(start => ({
+    taskId: start.payloadId,
+    target: plan.name,
+    dataCentre: plan.dataCentre,
+    instance: start.instance,
+    startedAtMs: start.startedAtMs,
+  }));
+  return {starts, violations: body.violations};
+}
