Plan loads and work out the ideal time of a job

The load tool needs the same jobs for every policy, and a lower bound to set response times against: longest task first on the slots that were free or came free, as the targets recorded them. Settings are checked like the servers'.

--- /dev/null
+++ b/test/load/ideal_time_test.ts
@@ -0,0 +1,50 @@
+import {expect} from 'chai';
+import {computeIdealMs, listRunsAt} from '../../tools/load/ideal_time.js';
+import type {IdealTarget, RecordedRun} from '../../tools/load/ideal_time.js';
+
+const TARGET: IdealTarget = {
+  slots: 2,
+  slowness: 1,
+  networkMs: 0,
+  isInService: () => true,
+};
+
+function describeRun(target: number, startMs: number, endMs: number) {
+  return {job: 0, task: 0, target, startMs, endMs} satisfies RecordedRun;
+}
+
+describe('computeIdealMs', () => {
+  it('is the longest task when there are slots for all', () => {
+    expect(computeIdealMs([10, 30], 0, [TARGET], [])).to.equal(30);
+  });
+
+  it('queues tasks behind each other when there are not', () => {
+    expect(computeIdealMs([10, 20, 30], 0, [TARGET], [])).to.equal(30);
+    expect(computeIdealMs([30, 30, 30], 0, [TARGET], [])).to.equal(60);
+  });
+
+  it('waits for slots that other jobs occupy', () => {
+    const busy = [describeRun(0, 0, 150), describeRun(0, 0, 120)];
+    expect(computeIdealMs([10], 100, [TARGET], busy)).to.equal(30);
+  });
+
+  it('prefers the faster of two targets and leaves out one out of service', () => {
+    const slow = {...TARGET, slowness: 4};
+    const out = {...TARGET, isInService: () => false};
+    expect(computeIdealMs([10, 10, 10], 0, [slow, TARGET], [])).to.equal(20);
+    expect(computeIdealMs([10], 0, [slow, out], [])).to.equal(40);
+    expect(computeIdealMs([10], 0, [out], [])).to.equal(Infinity);
+  });
+});
+
+describe('listRunsAt', () => {
+  it('finds the runs that go on and no others', () => {
+    const runs = [
+      describeRun(0, 0, 10),
+      describeRun(1, 5, 20),
+      describeRun(2, 12, 30),
+    ];
+    const found = listRunsAt(runs, 11, 100).map(run => run.target);
+    expect(found).to.deep.equal([1]);
+  });
+});
--- /dev/null
+++ b/test/load/load_plan_test.ts
@@ -0,0 +1,62 @@
+import {expect} from 'chai';
+import {computeCapacity, createPlan} from '../../tools/load/load_plan.js';
+import {
+  LOAD_SETTINGS_SCHEMA,
+  LoadEventKind,
+} from '../../tools/load/load_settings.js';
+import {checkSettings} from '../../src/lib/settings/read_settings.js';
+import {SettingsSource} from '../../src/lib/settings/settings_source.js';
+import {createRandom, SEED} from '../decisions/seeded_random.js';
+import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+
+function readText(text: string) {
+  const folder = mkdtempSync(join(tmpdir(), 'foxtailbay-'));
+  try {
+    const file = join(folder, 'load.yaml');
+    writeFileSync(file, `schemaVersion: 1\nname: test\n${text}`);
+    return checkSettings(SettingsSource.create(file), LOAD_SETTINGS_SCHEMA);
+  } finally {
+    rmSync(folder, {recursive: true});
+  }
+}
+
+describe('createPlan', () => {
+  it('offers the work that the utilisation asks for', () => {
+    const settings = readText('durationMs: 2000000\n');
+    const plan = createPlan(settings, createRandom(SEED));
+    const work = plan
+      .flatMap(job => job.tasks)
+      .reduce((sum, task) => sum + task.runMs, 0);
+    const share = work / 2_003_000 / computeCapacity(settings.fleet);
+    expect(share).to.be.within(0.6, 0.8);
+  });
+
+  it('draws the same plan from the same seed', () => {
+    const settings = readText('durationMs: 5000\n');
+    const draw = () => createPlan(settings, createRandom(SEED));
+    expect(draw()).to.deep.equal(draw());
+  });
+
+  it('declares run times wrong by up to the given factor', () => {
+    const settings = readText('load: {declaredErrorFactor: 10}\n');
+    const plan = createPlan(settings, createRandom(SEED));
+    for (const {runMs, declaredMs} of plan.flatMap(job => job.tasks)) {
+      expect(declaredMs / runMs).to.be.within(0.09, 10.1);
+    }
+  });
+});
+
+describe('LOAD_SETTINGS_SCHEMA', () => {
+  it('refuses shares that do not sum to 100', () => {
+    const text = 'load: {teams: [{name: a, sharePercent: 50}]}\n';
+    expect(() => readText(text)).to.throw(/sum to 50/);
+  });
+
+  it('takes events', () => {
+    const text = 'events: [{atMs: 5, kind: store-down}]\n';
+    const kind = LoadEventKind.STORE_DOWN;
+    expect(readText(text).events[0].kind).to.equal(kind);
+  });
+});
--- /dev/null
+++ b/tools/load/load_settings.ts
@@ -0,0 +1,293 @@
+/** Settings of `foxtailbay-load`. */
+import {PlacementKind} from '../../src/lib/decisions/choose_agent.js';
+import {JobOrder} from '../../src/lib/decisions/rank_job.js';
+import {
+  describeCount,
+  describeDuration,
+  describeSection,
+  SCHEMA_VERSION_NODE,
+} from '../../src/lib/settings/settings_schema.js';
+import type {
+  SettingsConflict,
+  SettingsNode,
+  SettingsSchema,
+} from '../../src/lib/settings/settings_schema.js';
+
+/** What happens to the fleet or the load at a given time. */
+export enum LoadEventKind {
+  DATA_CENTRE_OUT = 'data-centre-out',
+  DATA_CENTRE_IN = 'data-centre-in',
+  TARGET_FAILS = 'target-fails',
+  TARGET_HANGS = 'target-hangs',
+  TARGET_HEALS = 'target-heals',
+  KILL_TARGET = 'kill-target',
+  START_TARGET = 'start-target',
+  KILL_AGENT = 'kill-agent',
+  START_AGENT = 'start-agent',
+  KILL_ENTRY = 'kill-entry',
+  STOP_ENTRY = 'stop-entry',
+  START_ENTRY = 'start-entry',
+  STORE_DOWN = 'store-down',
+  STORE_UP = 'store-up',
+  CANCEL_JOBS = 'cancel-jobs',
+}
+
+/** One event of a run. */
+export interface LoadEvent {
+  /** Time since the start of the load, warm-up included. */
+  readonly atMs: number;
+  readonly kind: LoadEventKind;
+  /** Name of the data centre, or number of the process from 0. */
+  readonly subject: string;
+}
+
+/** A range that is drawn from with a given share. */
+export interface SharedRange {
+  readonly sharePercent: number;
+  readonly from: number;
+  readonly to: number;
+}
+
+/** One team of callers. */
+export interface TeamSketch {
+  readonly name: string;
+  readonly sharePercent: number;
+  readonly weight: number;
+  readonly value: number;
+}
+
+/** A time of higher or lower load. */
+export interface LoadPhase {
+  readonly atMs: number;
+  readonly untilMs: number;
+  /** Arrival rate against `load.utilisationPercent`. */
+  readonly factorPercent: number;
+}
+
+/** The processes that are started. */
+export interface FleetSettings {
+  readonly dataCentres: readonly string[];
+  readonly entries: number;
+  readonly targets: number;
+  readonly slots: number;
+  readonly connections: number;
+  /** Run time of each target against the usual one, repeated in turn. */
+  readonly slownessPercent: readonly number[];
+  readonly agentQueueLimit: number;
+}
+
+/** Everything in the settings file of a load. */
+export interface LoadSettings {
+  readonly schemaVersion: number;
+  readonly name: string;
+  readonly seed: number;
+  readonly repeats: number;
+  readonly policies: readonly PlacementKind[];
+  readonly orders: readonly JobOrder[];
+  readonly warmUpMs: number;
+  readonly durationMs: number;
+  /** Time to wait for answers after the last arrival. */
+  readonly drainMs: number;
+  readonly fleet: FleetSettings;
+  readonly network: {
+    readonly callerOneWayMs: number;
+  };
+  readonly load: {
+    readonly utilisationPercent: number;
+    readonly deadlineMs: number;
+    /** Largest factor by which a declared run time is wrong. */
+    readonly declaredErrorFactor: number;
+    readonly jobSizes: readonly SharedRange[];
+    readonly runTimesMs: readonly SharedRange[];
+    readonly teams: readonly TeamSketch[];
+    readonly phases: readonly LoadPhase[];
+  };
+  readonly events: readonly LoadEvent[];
+}
+
+const PERCENT = 100;
+
+const SHARE_NODE: SettingsNode = {
+  type: 'integer',
+  description: 'Share in percent; the shares of a list sum to 100.',
+  minimum: 0,
+  maximum: PERCENT,
+};
+
+const RANGES_NODE: SettingsNode = {
+  type: 'array',
+  description: 'Ranges, one of which is drawn by share, then evenly within.',
+  minItems: 1,
+  items: describeSection(
+    'One range.',
+    {
+      sharePercent: SHARE_NODE,
+      from: describeCount('Least value.', 1),
+      to: describeCount('Greatest value.', 1),
+    },
+    ['sharePercent', 'from', 'to'],
+  ),
+};
+
+const TEAMS_NODE: SettingsNode = {
+  type: 'array',
+  description: 'Teams of callers.',
+  minItems: 1,
+  items: describeSection(
+    'One team.',
+    {
+      name: {type: 'string', description: 'Name.'},
+      sharePercent: SHARE_NODE,
+      weight: describeCount('Weight of its record.', 1),
+      value: describeCount('Value of each of its jobs.', 1),
+    },
+    ['name', 'sharePercent'],
+  ),
+};
+
+const PHASES_NODE: SettingsNode = {
+  type: 'array',
+  description: 'Times of higher or lower load.',
+  default: [],
+  items: describeSection(
+    'One phase.',
+    {
+      atMs: describeDuration('Begin.', 0, 0),
+      untilMs: describeDuration('End.', 1),
+      factorPercent: describeCount('Arrival rate against the usual.', PERCENT),
+    },
+    ['atMs', 'untilMs', 'factorPercent'],
+  ),
+};
+
+const EVENTS_NODE: SettingsNode = {
+  type: 'array',
+  description: 'What happens, and when.',
+  default: [],
+  items: describeSection(
+    'One event.',
+    {
+      atMs: describeDuration('Time since the start of the load.', 0, 0),
+      kind: {
+        type: 'string',
+        description: 'What happens.',
+        enum: Object.values(LoadEventKind),
+      },
+      subject: {
+        type: 'string',
+        description: 'Data centre, number of a process from 0, or percentage.',
+        default: '',
+      },
+    },
+    ['atMs', 'kind'],
+  ),
+};
+
+const FLEET_NODE = describeSection('The processes that are started.', {
+  dataCentres: {
+    type: 'array',
+    description: 'Names; targets and entries are spread over them in turn.',
+    items: {type: 'string', description: 'Name.'},
+    minItems: 1,
+    default: ['vn-south-a', 'vn-south-b', 'vn-south-c', 'vn-south-d'],
+  },
+  entries: describeCount('Entries.', 2),
+  targets: describeCount('Targets, each with its agent.', 10),
+  slots: describeCount('Slots of a target.', 8),
+  connections: describeCount('Connections of a target.', 64),
+  slownessPercent: {
+    type: 'array',
+    description: 'Run time of each target against the usual, in turn.',
+    items: {type: 'integer', description: 'Percent.', minimum: 1},
+    minItems: 1,
+    default: [PERCENT],
+  },
+  agentQueueLimit: describeCount('Tasks that may wait at an agent.', 4, 0),
+});
+
+const LOAD_NODE = describeSection('What the callers submit.', {
+  utilisationPercent: describeCount('Offered work over capacity.', 70),
+  deadlineMs: describeDuration('Deadline of each job.', 30_000),
+  declaredErrorFactor: describeCount('Largest error of declarations.', 10),
+  jobSizes: {
+    ...RANGES_NODE,
+    default: [
+      {sharePercent: 60, from: 1, to: 4},
+      {sharePercent: 30, from: 5, to: 20},
+      {sharePercent: 9, from: 21, to: 100},
+      {sharePercent: 1, from: 101, to: 580},
+    ],
+  },
+  runTimesMs: {
+    ...RANGES_NODE,
+    default: [
+      {sharePercent: 97, from: 50, to: 1000},
+      {sharePercent: 3, from: 2000, to: 5000},
+    ],
+  },
+  teams: {...TEAMS_NODE, default: [{name: 'listings', sharePercent: 100}]},
+  phases: PHASES_NODE,
+});
+
+/** Schema of the settings file of a load. */
+export const LOAD_SETTINGS_SCHEMA: SettingsSchema<LoadSettings> = {
+  kind: 'load',
+  root: describeSection(
+    'Settings of `foxtailbay-load`.',
+    {
+      schemaVersion: SCHEMA_VERSION_NODE,
+      name: {type: 'string', description: 'Name of the experiment.'},
+      seed: describeCount('Seed of the first run; later runs add 1.', 1),
+      repeats: describeCount('Runs of each policy.', 1),
+      policies: {
+        type: 'array',
+        description: 'Policies to compare.',
+        items: {
+          type: 'string',
+          description: 'Policy.',
+          enum: Object.values(PlacementKind),
+        },
+        minItems: 1,
+        default: [PlacementKind.LEAST_LOADED],
+      },
+      orders: {
+        type: 'array',
+        description: 'Orders of jobs to compare.',
+        items: {
+          type: 'string',
+          description: 'Order.',
+          enum: Object.values(JobOrder),
+        },
+        minItems: 1,
+        default: [JobOrder.STRETCH],
+      },
+      warmUpMs: describeDuration('Load before anything is counted.', 3000, 0),
+      durationMs: describeDuration('Load that is counted.', 10_000),
+      drainMs: describeDuration('Time for the last answers.', 40_000),
+      fleet: FLEET_NODE,
+      network: describeSection('Delays.', {
+        callerOneWayMs: describeCount('From caller to entry.', 3, 0),
+      }),
+      load: LOAD_NODE,
+      events: EVENTS_NODE,
+    },
+    ['schemaVersion', 'name'],
+  ),
+  complete: settings => settings,
+  findConflicts: settings => [
+    ...findWrongShares(settings, 'jobSizes'),
+    ...findWrongShares(settings, 'runTimesMs'),
+    ...findWrongShares(settings, 'teams'),
+  ],
+};
+
+function findWrongShares(
+  settings: LoadSettings,
+  key: 'jobSizes' | 'runTimesMs' | 'teams',
+): SettingsConflict[] {
+  const list: ReadonlyArray<{sharePercent: number}> = settings.load[key];
+  const sum = list.reduce((total, each) => total + each.sharePercent, 0);
+  if (sum === PERCENT) return [];
+  const found = `shares that sum to ${sum}`;
+  return [{path: ['load', key], found, allowed: 'shares that sum to 100'}];
+}
