--- a/src/lib/decisions/admission.ts
+++ b/src/lib/decisions/admission.ts
@@ -101,7 +101,7 @@
  * or the rest is worth as much as the new job; returns the jobs removed, whose
  * callers are to be told that they did not run.
  */
-export function shedJobs(
+export function dropCheapJobs(
   queue: FairQueue,
   density: number,
   tasks: number,
--- a/src/lib/decisions/run_time_estimate.ts
+++ b/src/lib/decisions/run_time_estimate.ts
@@ -56,7 +56,7 @@
   const weight = Math.max(LEAST_WEIGHT, 1 / (count + PRIOR_TASKS));
   const dx = x - estimate.meanDeclared;
   const dy = y - estimate.meanObserved;
-  const error = y - predictLog(estimate, x);
+  const error = y - estimateLog(estimate, x);
   return {
     count,
     meanDeclared: estimate.meanDeclared + weight * dx,
@@ -73,21 +73,21 @@
   declaredMs: number,
 ): number {
   const x = toLog(declaredMs || UNDECLARED_MS);
-  const median = Math.exp(predictLog(estimate, x));
+  const median = Math.exp(estimateLog(estimate, x));
   const factor = Math.min(MEAN_FACTOR_LIMIT, Math.exp(estimate.residual / 2));
-  return clamp(median * factor);
+  return limitRange(median * factor);
 }
 
-function predictLog(estimate: RunTimeEstimate, x: number): number {
+function estimateLog(estimate: RunTimeEstimate, x: number): number {
   const slope = estimate.covariance / Math.max(1e-9, estimate.variance);
   const bounded = Math.min(1, Math.max(0, slope));
   return estimate.meanObserved + bounded * (x - estimate.meanDeclared);
 }
 
 function toLog(milliseconds: number): number {
-  return Math.log(clamp(milliseconds));
+  return Math.log(limitRange(milliseconds));
 }
 
-function clamp(milliseconds: number): number {
+function limitRange(milliseconds: number): number {
   return Math.min(LONGEST_MS, Math.max(SHORTEST_MS, milliseconds));
 }
--- a/src/lib/decisions/team_limits.ts
+++ b/src/lib/decisions/team_limits.ts
@@ -60,7 +60,7 @@
     return {bucket, isAdmitted: true, retryAfterMs: 0};
   }
   const perSecond = tasksPerSecondAtMost / Math.max(1, entries);
-  const filled = fillBucket(bucket, perSecond, nowMs);
+  const filled = refreshBucket(bucket, perSecond, nowMs);
   if (filled.tokens > 0) {
     const rest = {...filled, tokens: filled.tokens - tasks};
     return {bucket: rest, isAdmitted: true, retryAfterMs: 0};
@@ -69,7 +69,7 @@
   return {bucket: filled, isAdmitted: false, retryAfterMs};
 }
 
-function fillBucket(
+function refreshBucket(
   bucket: RateBucket,
   tasksPerSecond: number,
   nowMs: number,
--- a/test/decisions/admission_test.ts
+++ b/test/decisions/admission_test.ts
@@ -4,7 +4,7 @@
   AdmissionKind,
   decideAdmission,
   isHopeless,
-  shedJobs,
+  dropCheapJobs,
 } from '../../src/lib/decisions/admission.js';
 import type {
   AdmissionRequest,
@@ -84,15 +84,15 @@
   });
 });
 
-describe('shedJobs', () => {
+describe('dropCheapJobs', () => {
   it('removes the cheapest untouched jobs and no more than needed', () => {
     const queue = FairQueue.create();
     [5, 1, 3].forEach((value, rank) => {
       const tasks = [{index: 0, expectedMs: 10}];
       queue.add({job: `worth${value}`, team: 't', rank, value, tasks});
     });
-    expect(shedJobs(queue, 10, 2)).to.deep.equal(['worth1', 'worth3']);
-    expect(shedJobs(queue, 0.1, 2)).to.deep.equal([]);
+    expect(dropCheapJobs(queue, 10, 2)).to.deep.equal(['worth1', 'worth3']);
+    expect(dropCheapJobs(queue, 0.1, 2)).to.deep.equal([]);
     expect(queue.size).to.equal(1);
   });
 });
