--- a/src/foxtailbay_agent.ts
+++ b/src/foxtailbay_agent.ts
@@ -3,7 +3,7 @@
 import {runServerProgram} from './lib/core/server_program.js';
 import {AGENT_SETTINGS_SCHEMA} from './lib/settings/agent_settings.js';
 
-process.exitCode = await runServerProgram(
+const exitCode = await runServerProgram(
   {
     name: 'foxtailbay-agent',
     description: 'Runs tasks on the target beside it.',
@@ -20,3 +20,6 @@
   },
   process.argv,
 );
+
+// Everything is released; a call to a dead peer may still wait for its limit.
+process.exit(exitCode);
--- a/src/foxtailbay_entry.ts
+++ b/src/foxtailbay_entry.ts
@@ -3,7 +3,7 @@
 import {runServerProgram} from './lib/core/server_program.js';
 import {ENTRY_SETTINGS_SCHEMA} from './lib/settings/entry_settings.js';
 
-process.exitCode = await runServerProgram(
+const exitCode = await runServerProgram(
   {
     name: 'foxtailbay-entry',
     description: 'Takes jobs from callers and dispatches their tasks.',
@@ -20,3 +20,6 @@
   },
   process.argv,
 );
+
+// Everything is released; a call to a dead peer may still wait for its limit.
+process.exit(exitCode);
--- a/src/lib/core/clock.ts
+++ b/src/lib/core/clock.ts
@@ -41,11 +41,15 @@
   periodMs: number,
   fire: () => void,
 ): StopTimer {
+  let isStopped = false;
   let stop: StopTimer;
   const run = () => {
     fire();
-    stop = start(periodMs, run);
+    if (!isStopped) stop = start(periodMs, run);
   };
   stop = start(periodMs, run);
-  return () => stop();
+  return () => {
+    isStopped = true;
+    stop();
+  };
 }
