--- a/test/decisions/seeded_random.ts
+++ b/test/decisions/seeded_random.ts
@@ -1,18 +1,9 @@
-/** Random numbers that can be drawn again from a seed. */
-import type {DrawRandom} from '../../src/lib/core/clock.js';
+/** The seed of the property tests. */
+import {createRandom} from '../../tools/load/random.js';
+
+export {createRandom};
 
 /** Seed of the property tests; the environment variable SEED replaces it. */
 export const SEED = Number(process.env.SEED ?? 20251204);
 
 console.log(`# seed of the property tests: SEED=${SEED}`);
-
-/** Creates a generator of numbers from 0 up to but not including 1. */
-export function createRandom(seed: number): DrawRandom {
-  let state = seed >>> 0;
-  return () => {
-    state = (state + 0x6d2b79f5) >>> 0;
-    let mixed = Math.imul(state ^ (state >>> 15), state | 1);
-    mixed ^= mixed + Math.imul(mixed ^ (mixed >>> 7), mixed | 61);
-    return ((mixed ^ (mixed >>> 14)) >>> 0) / 4294967296;
-  };
-}
--- a/tools/load/load_settings.ts
+++ b/tools/load/load_settings.ts
@@ -91,6 +91,8 @@
   readonly fleet: FleetSettings;
   readonly network: {
     readonly callerOneWayMs: number;
+    /** Between entries and agents; 0 leaves the relays out. */
+    readonly agentOneWayMs: number;
   };
   readonly load: {
     readonly utilisationPercent: number;
@@ -267,6 +269,7 @@
       fleet: FLEET_NODE,
       network: describeSection('Delays.', {
         callerOneWayMs: describeCount('From caller to entry.', 3, 0),
+        agentOneWayMs: describeCount('From entry to agent.', 1, 0),
       }),
       load: LOAD_NODE,
       events: EVENTS_NODE,
--- /dev/null
+++ b/tools/load/run_load.ts
@@ -0,0 +1,222 @@
+/** One run of a load against one fleet. */
+import {mkdtempSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import {readMonotonicMs, startTimer} from '../../src/lib/core/clock.js';
+import {DisposableStore} from '../../src/lib/core/disposable_store.js';
+import type {PlacementKind} from '../../src/lib/decisions/choose_agent.js';
+import type {JobOrder} from '../../src/lib/decisions/rank_job.js';
+import {Callers} from './caller.js';
+import type {JobOutcome} from './caller.js';
+import {Fleet, ProcessKind} from './fleet.js';
+import {callJson} from './http_client.js';
+import type {RecordedRun} from './ideal_time.js';
+import {performEvent} from './load_events.js';
+import {createPlan} from './load_plan.js';
+import type {PlannedJob} from './load_plan.js';
+import type {LoadSettings} from './load_settings.js';
+import {sumProcessUsage} from './process_usage.js';
+import {createRandom} from './random.js';
+
+/** What one run compares. */
+export interface RunVariant {
+  readonly policy: PlacementKind;
+  readonly order: JobOrder;
+  readonly seed: number;
+}
+
+/** Counts of one entry, as its status shows them. */
+export type EntryCounters = Readonly<Record<string, number>>;
+
+/** What a run recorded; times are since the start of the load. */
+export interface RunRecord {
+  readonly variant: RunVariant;
+  readonly plan: readonly PlannedJob[];
+  readonly outcomes: readonly JobOutcome[];
+  /** Every run of a task, sorted by its start. */
+  readonly runs: readonly RecordedRun[];
+  /** Sums over the entries; empty if they have no status. */
+  readonly counters: EntryCounters;
+  /** Calls of the store while the load ran. */
+  readonly storeCalls: number;
+  readonly usage: {
+    readonly entryProcessorMs: number;
+    readonly agentProcessorMs: number;
+    readonly entryResidentBytes: number;
+    readonly agentResidentBytes: number;
+  };
+  /** Largest delay of this tool's own event loop, which blurs its figures. */
+  readonly loopDelayMs: number;
+}
+
+const LOOP_CHECK_MS = 20;
+const NANOSECONDS_PER_MS = 1e6;
+
+/** Time in milliseconds for agents to connect and ramps to end. */
+const SETTLE_MS = 4000;
+
+/** Runs one variant of a load and returns what was recorded. */
+export async function runLoad(
+  settings: LoadSettings,
+  variant: RunVariant,
+): Promise<RunRecord> {
+  const store = DisposableStore.create();
+  try {
+    const fleet = await Fleet.create({
+      settings: settings.fleet,
+      teams: settings.load.teams,
+      policy: variant.policy,
+      order: variant.order,
+      agentOneWayMs: settings.network.agentOneWayMs,
+      folder: mkdtempSync(join(tmpdir(), 'foxtailbay-load-')),
+    });
+    store.add(() => fleet.stop());
+    await waitMs(SETTLE_MS);
+    return await driveLoad(settings, variant, fleet, store);
+  } finally {
+    await store.dispose();
+  }
+}
+
+async function driveLoad(
+  settings: LoadSettings,
+  variant: RunVariant,
+  fleet: Fleet,
+  store: DisposableStore,
+): Promise<RunRecord> {
+  const plan = createPlan(settings, createRandom(variant.seed));
+  const outcomes: JobOutcome[] = [];
+  const startAtMs = readMonotonicMs();
+  const hostStartMs = readHostMs();
+  const callers = Callers.create({
+    entryPorts: fleet.entryPorts.map(ports => ports.callers),
+    deadlineMs: settings.load.deadlineMs,
+    readMonotonicMs,
+    startAtMs,
+    reportOutcome: outcome => void outcomes.push(outcome),
+  });
+  store.add(() => callers.stop());
+  const storeBefore = await fleet.readStoreCounts();
+  const before = readUsage(fleet);
+  const loop = watchLoop();
+  store.add(loop.stop);
+  callers.schedule(plan);
+  scheduleEvents(settings, fleet, callers, store);
+  await waitMs(settings.warmUpMs + settings.durationMs);
+  const after = readUsage(fleet);
+  await awaitAnswers(callers, settings.drainMs);
+  const storeAfter = await fleet.readStoreCounts();
+  return {
+    variant,
+    plan,
+    outcomes,
+    runs: await readRuns(fleet, settings.fleet.targets, hostStartMs),
+    counters: await readCounters(fleet),
+    storeCalls: storeAfter.total - storeBefore.total,
+    usage: {
+      entryProcessorMs: after.entries.processorMs - before.entries.processorMs,
+      agentProcessorMs: after.agents.processorMs - before.agents.processorMs,
+      entryResidentBytes: after.entries.residentBytes,
+      agentResidentBytes: after.agents.residentBytes,
+    },
+    loopDelayMs: loop.readLargestMs(),
+  };
+}
+
+function scheduleEvents(
+  settings: LoadSettings,
+  fleet: Fleet,
+  callers: Callers,
+  store: DisposableStore,
+): void {
+  for (const event of settings.events) {
+    const perform = () => {
+      performEvent(event, fleet, callers).catch((failure: unknown) =>
+        process.emitWarning(`${event.kind}: ${String(failure)}`),
+      );
+    };
+    store.add(startTimer(event.atMs, perform));
+  }
+}
+
+function awaitAnswers(callers: Callers, limitMs: number): Promise<void> {
+  return new Promise(resolve => {
+    const cancel = startTimer(limitMs, resolve);
+    void callers.answered.then(() => {
+      cancel();
+      resolve();
+    });
+  });
+}
+
+function readUsage(fleet: Fleet) {
+  return {
+    entries: sumProcessUsage(fleet.listIds(ProcessKind.ENTRY)),
+    agents: sumProcessUsage(fleet.listIds(ProcessKind.AGENT)),
+  };
+}
+
+interface TargetStart {
+  readonly id: string | null;
+  readonly startMs: number;
+  readonly endMs: number | null;
+}
+
+async function readRuns(
+  fleet: Fleet,
+  targets: number,
+  hostStartMs: number,
+): Promise<RecordedRun[]> {
+  const runs: RecordedRun[] = [];
+  for (let target = 0; target < targets; target += 1) {
+    const record = await fleet.readTargetRecord(target);
+    const starts = (record as {starts: TargetStart[]} | undefined)?.starts;
+    for (const start of starts ?? []) {
+      const [job, task] = (start.id ?? '').split('/').map(Number);
+      const startMs = start.startMs - hostStartMs;
+      const endMs = (start.endMs ?? Infinity) - hostStartMs;
+      runs.push({job, task, target, startMs, endMs});
+    }
+  }
+  return runs.sort((a, b) => a.startMs - b.startMs);
+}
+
+async function readCounters(fleet: Fleet): Promise<EntryCounters> {
+  const sums: Record<string, number> = {};
+  for (const {administration} of fleet.entryPorts) {
+    try {
+      const {counters} = await callJson<{counters: EntryCounters}>({
+        port: administration,
+        path: '/v1/status',
+      });
+      for (const [name, count] of Object.entries(counters)) {
+        sums[name] = (sums[name] ?? 0) + count;
+      }
+    } catch (failure) {
+      process.emitWarning(`An entry has no status: ${String(failure)}`);
+    }
+  }
+  return sums;
+}
+
+function watchLoop() {
+  let largestMs = 0;
+  let lastMs = readMonotonicMs();
+  const handle = setInterval(() => {
+    const nowMs = readMonotonicMs();
+    largestMs = Math.max(largestMs, nowMs - lastMs - LOOP_CHECK_MS);
+    lastMs = nowMs;
+  }, LOOP_CHECK_MS);
+  return {
+    readLargestMs: () => largestMs,
+    stop: () => clearInterval(handle),
+  };
+}
+
+function readHostMs(): number {
+  return Number(process.hrtime.bigint()) / NANOSECONDS_PER_MS;
+}
+
+function waitMs(delayMs: number): Promise<void> {
+  return new Promise(resolve => void startTimer(delayMs, resolve));
+}
--- /dev/null
+++ b/tools/load/run_summary.ts
@@ -0,0 +1,246 @@
+/** The measures of one run. */
+import {build} from 'hdr-histogram-js';
+import {Outcome} from '../../src/lib/core/job.js';
+import {computeIdealMs, listRunsAt} from './ideal_time.js';
+import type {IdealTarget} from './ideal_time.js';
+import {computeCapacity, getSlowness} from './load_plan.js';
+import type {PlannedJob} from './load_plan.js';
+import {LoadEventKind} from './load_settings.js';
+import type {LoadSettings} from './load_settings.js';
+import type {RunRecord, RunVariant} from './run_load.js';
+import {measureWindows} from './work_windows.js';
+import type {WorkWindow} from './work_windows.js';
+
+/** Percentiles of a set of figures. */
+export interface Percentiles {
+  readonly count: number;
+  readonly median: number;
+  readonly p90: number;
+  readonly p99: number;
+  readonly largest: number;
+}
+
+/** The measures of one run. */
+export interface RunSummary {
+  readonly variant: RunVariant;
+  readonly jobs: number;
+  readonly tasks: number;
+  /** Number of counted jobs by outcome, or by the code of the problem. */
+  readonly ends: Readonly<Record<string, number>>;
+  readonly wrongAnswers: number;
+  /** Starts of a task beyond its first. */
+  readonly duplicateStarts: number;
+  /** Response over ideal of the jobs that were answered whole. */
+  readonly ratio: Percentiles;
+  readonly responseMs: Percentiles;
+  /** Time to be told of jobs that did not run. */
+  readonly refusalMs: Percentiles;
+  /** Work of whole answers over the capacity of the counted time. */
+  readonly goodputShare: number;
+  /** Value of whole answers a second. */
+  readonly valuePerSecond: number;
+  /** Messages that led to no start, for each task; absent if not counted. */
+  readonly wastedPerTask?: number;
+  readonly storeCallsPerSecond: number;
+  readonly entryProcessorMsPerTask: number;
+  readonly agentProcessorMsPerTask: number;
+  readonly entryResidentMebibytes: number;
+  readonly agentResidentMebibytes: number;
+  readonly toolLoopDelayMs: number;
+  readonly windows: readonly WorkWindow[];
+  /** Points of the distribution of `ratio`: percentile, ratio. */
+  readonly ratioCurve: ReadonlyArray<readonly [number, number]>;
+  /** Response over ideal by second of the load: second, median, largest. */
+  readonly ratioBySecond: ReadonlyArray<readonly [number, number, number]>;
+}
+
+const MEBIBYTE = 1_048_576;
+
+/** Histograms count in thousandths, which keeps three digits of a ratio of 1. */
+const SCALE = 1000;
+
+const LARGEST_SCALED = 1_000_000_000;
+
+/** Works out the measures of a run. */
+export function summariseRun(
+  settings: LoadSettings,
+  record: RunRecord,
+): RunSummary {
+  const counted = record.plan.filter(job => job.isCounted);
+  const outcomes = new Map(record.outcomes.map(each => [each.number, each]));
+  const ends: Record<string, number> = {};
+  for (const job of counted) {
+    const name = nameEnd(outcomes.get(job.number));
+    ends[name] = (ends[name] ?? 0) + 1;
+  }
+  const whole = counted.filter(
+    job => outcomes.get(job.number)?.outcome === Outcome.COMPLETE,
+  );
+  const ratios = computeRatios(settings, record, whole);
+  const refused = counted
+    .map(job => outcomes.get(job.number))
+    .filter(each => each?.outcome === Outcome.DID_NOT_RUN);
+  const tasks = record.runs.length;
+  const {durationMs} = settings;
+  const value = whole.reduce((sum, job) => sum + job.value, 0);
+  const loadMs = settings.warmUpMs + durationMs;
+  return {
+    variant: record.variant,
+    jobs: counted.length,
+    tasks,
+    ends,
+    wrongAnswers: record.outcomes.filter(each => each.isWrong).length,
+    duplicateStarts: countDuplicates(record),
+    ratio: describePercentiles(ratios.map(([, ratio]) => ratio)),
+    responseMs: describePercentiles(
+      whole.map(job => outcomes.get(job.number)!.responseMs),
+    ),
+    refusalMs: describePercentiles(refused.map(each => each!.responseMs)),
+    goodputShare:
+      sumWork(whole) / (computeCapacity(settings.fleet) * durationMs),
+    valuePerSecond: (value * 1000) / durationMs,
+    ...describeWaste(record, tasks),
+    storeCallsPerSecond: (record.storeCalls * 1000) / loadMs,
+    entryProcessorMsPerTask: record.usage.entryProcessorMs / tasks,
+    agentProcessorMsPerTask: record.usage.agentProcessorMs / tasks,
+    entryResidentMebibytes:
+      record.usage.entryResidentBytes / MEBIBYTE / settings.fleet.entries,
+    agentResidentMebibytes:
+      record.usage.agentResidentBytes / MEBIBYTE / settings.fleet.targets,
+    toolLoopDelayMs: record.loopDelayMs,
+    windows: measureWindows(settings, record, listTargets(settings)),
+    ratioCurve: describeCurve(ratios.map(([, ratio]) => ratio)),
+    ratioBySecond: groupBySecond(ratios),
+  };
+}
+
+/** Describes the targets of a load with the times they were in service. */
+export function listTargets(settings: LoadSettings): IdealTarget[] {
+  const {fleet, network, events} = settings;
+  return Array.from({length: fleet.targets}, (_, number) => {
+    const dataCentre = fleet.dataCentres[number % fleet.dataCentres.length];
+    const changes = events.flatMap(({atMs, kind, subject}) => {
+      const isOwn = subject === dataCentre || subject === `${number}`;
+      const isInService = SERVICE_CHANGES.get(kind);
+      return isOwn && isInService !== undefined ? [{atMs, isInService}] : [];
+    });
+    return {
+      slots: fleet.slots,
+      slowness: getSlowness(fleet, number),
+      networkMs: 2 * network.agentOneWayMs,
+      isInService: (atMs: number) =>
+        changes.filter(each => each.atMs <= atMs).pop()?.isInService ?? true,
+    };
+  });
+}
+
+const SERVICE_CHANGES: ReadonlyMap<LoadEventKind, boolean> = new Map([
+  [LoadEventKind.DATA_CENTRE_OUT, false],
+  [LoadEventKind.DATA_CENTRE_IN, true],
+  [LoadEventKind.TARGET_FAILS, false],
+  [LoadEventKind.TARGET_HANGS, false],
+  [LoadEventKind.TARGET_HEALS, true],
+  [LoadEventKind.KILL_TARGET, false],
+  [LoadEventKind.START_TARGET, true],
+]);
+
+/** Describes a set of figures by its percentiles. */
+export function describePercentiles(figures: readonly number[]): Percentiles {
+  const histogram = fillHistogram(figures);
+  const read = (percentile: number) =>
+    figures.length === 0
+      ? 0
+      : histogram.getValueAtPercentile(percentile) / SCALE;
+  return {
+    count: figures.length,
+    median: read(50),
+    p90: read(90),
+    p99: read(99),
+    largest: read(100),
+  };
+}
+
+function computeRatios(
+  settings: LoadSettings,
+  record: RunRecord,
+  jobs: readonly PlannedJob[],
+): Array<[atMs: number, ratio: number]> {
+  const targets = listTargets(settings);
+  const callerMs = 2 * settings.network.callerOneWayMs;
+  const longestMs = record.runs.reduce(
+    (most, run) => Math.max(most, Math.min(run.endMs, 1e9) - run.startMs),
+    0,
+  );
+  const outcomes = new Map(record.outcomes.map(each => [each.number, each]));
+  return jobs.map(job => {
+    const busy = listRunsAt(record.runs, job.atMs, longestMs).filter(
+      run => run.job !== job.number,
+    );
+    const runTimes = job.tasks.map(task => task.runMs);
+    const idealMs = computeIdealMs(runTimes, job.atMs, targets, busy);
+    const {responseMs} = outcomes.get(job.number)!;
+    return [job.atMs, (responseMs + callerMs) / (idealMs + callerMs)];
+  });
+}
+
+function describeWaste(record: RunRecord, tasks: number) {
+  const {ordersReturned, withdrawals} = record.counters;
+  if (ordersReturned === undefined) return {};
+  // An order that is given back has cost a message each way.
+  return {wastedPerTask: (2 * ordersReturned + (withdrawals ?? 0)) / tasks};
+}
+
+function countDuplicates(record: RunRecord): number {
+  const names = record.runs.map(run => `${run.job}/${run.task}`);
+  return names.length - new Set(names).size;
+}
+
+function nameEnd(
+  outcome: {outcome?: Outcome; code: string} | undefined,
+): string {
+  if (outcome === undefined) return 'no-answer';
+  return outcome.outcome === Outcome.COMPLETE
+    ? Outcome.COMPLETE
+    : `${outcome.outcome ?? 'none'}:${outcome.code}`;
+}
+
+function sumWork(jobs: readonly PlannedJob[]): number {
+  return jobs
+    .flatMap(job => job.tasks)
+    .reduce((sum, task) => sum + task.runMs, 0);
+}
+
+function fillHistogram(figures: readonly number[]) {
+  const histogram = build({
+    highestTrackableValue: LARGEST_SCALED,
+    numberOfSignificantValueDigits: 3,
+  });
+  for (const figure of figures) {
+    const scaled = Math.round(figure * SCALE);
+    histogram.recordValue(Math.min(LARGEST_SCALED, Math.max(0, scaled)));
+  }
+  return histogram;
+}
+
+function describeCurve(
+  ratios: readonly number[],
+): Array<readonly [number, number]> {
+  const sorted = [...ratios].sort((a, b) => a - b);
+  return Array.from({length: 101}, (_, percentile) => {
+    const place = Math.round((percentile / 100) * (sorted.length - 1));
+    return [percentile, sorted[Math.max(0, place)] ?? 0] as const;
+  });
+}
+
+function groupBySecond(ratios: ReadonlyArray<readonly [number, number]>) {
+  const groups = new Map<number, number[]>();
+  for (const [atMs, ratio] of ratios) {
+    const second = Math.floor(atMs / 1000);
+    groups.set(second, [...(groups.get(second) ?? []), ratio]);
+  }
+  return [...groups].map(([second, list]) => {
+    const sorted = list.sort((a, b) => a - b);
+    const median = sorted[Math.floor(sorted.length / 2)];
+    return [second, median, sorted[sorted.length - 1]] as const;
+  });
+}
