Plan work with the planner; split the dispatcher into desks

Change: job desk, agent desk and refusals in files of their own; admission, order, team limits, run time estimates and placement come from WorkPlanner.

--- a/src/lib/decisions/job_run.ts
+++ b/src/lib/decisions/job_run.ts
@@ -204,22 +204,28 @@
     task.targetStatus = ending.targetStatus;
     if (task.state === EntryTaskState.SUCCEEDED) this.succeededCount += 1;
     if (task.state === EntryTaskState.FAILED) {
-      this.fault(Problem.TASK_FAILED);
+      this.recordFault(Problem.TASK_FAILED);
     }
-    if (task.state === EntryTaskState.UNKNOWN) this.fault(Problem.TASK_LOST);
+    if (task.state === EntryTaskState.UNKNOWN)
+      this.recordFault(Problem.TASK_LOST);
     this.countEnd();
     return Aftermath.NONE;
   }
 
-  /** Takes an event from outside: a timer or a caller's cancellation. */
-  handle(event: JobEvent): void {
+  /** Takes the event of a timer. */
+  handleTimer(event: JobEvent): void {
     if (event === JobEvent.DEADLINE) this.problem ??= Problem.DEADLINE_PASSED;
-    if (event === JobEvent.CANCEL) this.problem ??= Problem.CANCELLED;
     this.run.send(event);
   }
 
+  /** Ends the job as soon as the tasks that have started allow it. */
+  cancel(problem: Problem): void {
+    this.problem ??= problem;
+    this.run.send(JobEvent.CANCEL);
+  }
+
   /** Ends the tasks whose end is still not known as unknown. */
-  abandon(): void {
+  endUnknown(): void {
     for (const task of this.tasks) {
       if (ENDS[task.state] === undefined) task.state = EntryTaskState.UNKNOWN;
     }
@@ -255,7 +261,7 @@
     return Aftermath.NONE;
   }
 
-  private fault(problem: Problem): void {
+  private recordFault(problem: Problem): void {
     this.problem ??= problem;
     this.run.send(JobEvent.TASK_FAULTED);
   }
--- a/src/lib/entry/agent_account.ts
+++ b/src/lib/entry/agent_account.ts
@@ -1,5 +1,6 @@
 /** One life of an agent, as the dispatcher of an entry accounts for it. */
 import {Chart, ChartRun, readChart} from '../core/chart.js';
+import type {QueuedTask} from '../decisions/fair_queue.js';
 import type {ProcessIdentity} from '../core/identity.js';
 import type {
   AgentHello,
@@ -39,9 +40,7 @@
 /** A task that has been sent to an agent and has not ended. */
 export interface SentTask {
   readonly sequence: number;
-  readonly job: string;
-  readonly index: number;
-  readonly expectedMs: number;
+  readonly task: QueuedTask;
 }
 
 /** What an account needs to be created. */
@@ -137,7 +136,7 @@
    * @return false if the greeting is of an older stream than one seen, whose
    *     highest sequence must not be trusted.
    */
-  adoptStream(hello: AgentHello, handle: AgentStreamHandle): boolean {
+  replaceStream(hello: AgentHello, handle: AgentStreamHandle): boolean {
     if (hello.streamNumber <= this.streamNumber) return false;
     if (handle.id !== this.handle.id) this.handle.close();
     this.streamNumber = hello.streamNumber;
@@ -168,15 +167,13 @@
     return tasks;
   }
 
-  /** Numbers a task and queues its start order. */
-  addStart(order: Omit<StartOrder, 'sequence'>, expectedMs: number): SentTask {
+  /** Numbers a task, queues its start order and returns the number. */
+  addStart(order: Omit<StartOrder, 'sequence'>, task: QueuedTask): number {
     this.lastSequence += 1;
     const sequence = this.lastSequence;
-    const {job, index} = order;
-    const task: SentTask = {sequence, job, index, expectedMs};
-    this.sent.set(sequence, task);
+    this.sent.set(sequence, {sequence, task});
     this.starts.push({...order, sequence});
-    return task;
+    return sequence;
   }
 
   /** Queues a request to give a task back. */
--- a/src/lib/entry/caller_front.ts
+++ b/src/lib/entry/caller_front.ts
@@ -109,7 +109,7 @@
   const prefer = headers.prefer?.toString() ?? '';
   return {
     kind,
-    key: key === undefined ? undefined : stripQuotes(key),
+    key: key === undefined ? undefined : removeQuotes(key),
     body,
     trace: TRACE_PATTERN.test(trace) ? trace : '',
     isDetached: prefer.includes('respond-async'),
@@ -125,7 +125,7 @@
 }
 
 // The header is a structured string in the draft standard: "key" in quotes.
-function stripQuotes(key: string): string {
+function removeQuotes(key: string): string {
   return /^".*"$/.test(key) ? key.slice(1, -1) : key;
 }
 
@@ -162,7 +162,7 @@
   }
   if (encoded.status === 202) {
     const key = request.headers['idempotency-key']?.toString() ?? '';
-    headers.location = `/v1/jobs/${encodeURIComponent(stripQuotes(key))}`;
+    headers.location = `/v1/jobs/${encodeURIComponent(removeQuotes(key))}`;
   }
   response.writeHead(encoded.status, headers).end(encoded.body);
 }
--- /dev/null
+++ b/src/lib/entry/dispatcher_counters.ts
@@ -0,0 +1,35 @@
+/** What a dispatcher counts. */
+
+/** Counts since the start of the process. */
+export interface DispatcherCounters {
+  jobs: number;
+  jobsComplete: number;
+  jobsFailed: number;
+  jobsRefused: number;
+  tasks: number;
+  /** Start orders sent to agents. */
+  ordersSent: number;
+  /** Start orders that led to no start. */
+  ordersReturned: number;
+  withdrawals: number;
+  framesSent: number;
+  loadReports: number;
+  pings: number;
+}
+
+/** Creates counters at zero. */
+export function createDispatcherCounters(): DispatcherCounters {
+  return {
+    jobs: 0,
+    jobsComplete: 0,
+    jobsFailed: 0,
+    jobsRefused: 0,
+    tasks: 0,
+    ordersSent: 0,
+    ordersReturned: 0,
+    withdrawals: 0,
+    framesSent: 0,
+    loadReports: 0,
+    pings: 0,
+  };
+}
--- a/src/lib/entry/dispatcher_messages.ts
+++ b/src/lib/entry/dispatcher_messages.ts
@@ -46,6 +46,18 @@
   readonly trace: string;
 }
 
+/** A submission. */
+export interface SubmitMessage {
+  readonly kind: DispatcherMessageKind.SUBMIT;
+  readonly key: OwnKey | undefined;
+  /** Digest of the body that came under the key. */
+  readonly digest: string;
+  readonly draft: JobDraft;
+  /** True if the caller wants to be told at once that the job is taken. */
+  readonly isDetached: boolean;
+  readonly reply: Reply;
+}
+
 /** Messages that the dispatcher takes. */
 export type DispatcherMessage =
   | {
@@ -53,16 +65,7 @@
       readonly team: string;
       readonly reply: Reply;
     }
-  | {
-      readonly kind: DispatcherMessageKind.SUBMIT;
-      readonly key: OwnKey | undefined;
-      /** Digest of the body that came under the key. */
-      readonly digest: string;
-      readonly draft: JobDraft;
-      /** True if the caller wants to be told at once that the job is taken. */
-      readonly isDetached: boolean;
-      readonly reply: Reply;
-    }
+  | SubmitMessage
   | {
       readonly kind:
         DispatcherMessageKind.LOOK_UP | DispatcherMessageKind.CANCEL;
--- a/src/lib/entry/entry_process.ts
+++ b/src/lib/entry/entry_process.ts
@@ -32,7 +32,7 @@
 import {ConfigurationMessageKind} from './configuration_message.js';
 import {ConfigurationTask} from './configuration_task.js';
 import {Dispatcher} from './dispatcher.js';
-import type {EndedJob, EndedTask} from './dispatcher.js';
+import type {EndedJob, EndedTask} from './job_desk.js';
 import {DispatcherMessageKind} from './dispatcher_messages.js';
 import {PeerKeeper, PeerMessageKind} from './peer_keeper.js';
 import {RequestDesk, RequestOrigin} from './request_desk.js';
@@ -142,10 +142,7 @@
         keysAtMost: sessions.keysAtMost,
         answerBytesAtMost: sessions.answerBytesAtMost,
       },
-      tasksPerJobAtMost: limits.tasksPerJob,
-      waitingTasksAtMost: limits.waitingTasksAtMost,
-      jobsAtMost: limits.jobsAtMost,
-      resultBytesAtMost: limits.resultBytes,
+      limits,
       returnLimitMs: agents.returnLimitMs,
       policy: createPlacementPolicy(placement.policy),
       rankJob: selectRankJob(JobOrder.STRETCH),
--- /dev/null
+++ b/src/lib/entry/job_refusal.ts
@@ -0,0 +1,89 @@
+/** The refusals that a dispatcher gives of its own accord. */
+import {Problem} from '../core/job.js';
+import {LedgerVerdict} from '../decisions/key_ledger.js';
+import type {Refusal} from './dispatcher_messages.js';
+
+/** Advice in milliseconds on when another try makes sense. */
+const RETRY_AFTER_MS = 1000;
+
+/** The session's memory is gone, so whether the key has run is not known. */
+export const SESSION_ENDED: Refusal = {
+  problem: Problem.SESSION_ENDED,
+  isProvenUnstarted: false,
+  detail:
+    'The session of this key is not remembered any more. This submission ' +
+    'started nothing; an earlier one under the same key may have run.',
+  retryAfterMs: 0,
+};
+
+/** No submission has come under the key. */
+export const NOT_FOUND: Refusal = {
+  problem: Problem.NOT_FOUND,
+  isProvenUnstarted: true,
+  detail: 'No job has been submitted under this key.',
+  retryAfterMs: 0,
+};
+
+/** The entry has not read the operators' records yet. */
+export const NOT_READY: Refusal = {
+  problem: Problem.NOT_READY,
+  isProvenUnstarted: true,
+  detail: 'The entry has no configuration yet.',
+  retryAfterMs: RETRY_AFTER_MS,
+};
+
+/** The entry takes nothing new. */
+export const STOPPING: Refusal = {
+  problem: Problem.STOPPING,
+  isProvenUnstarted: true,
+  detail: 'The entry is stopping; submit through another one.',
+  retryAfterMs: RETRY_AFTER_MS,
+};
+
+const REUSED: Refusal = {
+  problem: Problem.KEY_REUSED,
+  isProvenUnstarted: false,
+  detail: 'The key stands for another body. This submission started nothing.',
+  retryAfterMs: 0,
+};
+
+const ANSWER_EXPIRED: Refusal = {
+  problem: Problem.ANSWER_EXPIRED,
+  isProvenUnstarted: false,
+  detail: 'The job has ended; its answer is no longer kept.',
+  retryAfterMs: 0,
+};
+
+const SESSION_FULL: Refusal = {
+  problem: Problem.SESSION_ENDED,
+  isProvenUnstarted: true,
+  detail: 'The session holds its number of keys; open another one.',
+  retryAfterMs: 0,
+};
+
+/** Returns the refusal for a verdict under which nothing runs. */
+export function describeVerdict(verdict: LedgerVerdict): Refusal {
+  switch (verdict) {
+    case LedgerVerdict.REUSED:
+      return REUSED;
+    case LedgerVerdict.ANSWER_EXPIRED:
+      return ANSWER_EXPIRED;
+    case LedgerVerdict.SESSION_FULL:
+      return SESSION_FULL;
+    case LedgerVerdict.NEW:
+    case LedgerVerdict.RUNNING:
+    case LedgerVerdict.ANSWERED:
+    case LedgerVerdict.SESSION_ENDED:
+      return SESSION_ENDED;
+  }
+}
+
+/** Returns the refusal of a team that has no record. */
+export function describeUnknownTeam(team: string): Refusal {
+  return {
+    problem: Problem.TEAM_UNKNOWN,
+    isProvenUnstarted: true,
+    detail: `There is no record of a team "${team}".`,
+    retryAfterMs: 0,
+  };
+}
--- a/src/lib/entry/peer_keeper.ts
+++ b/src/lib/entry/peer_keeper.ts
@@ -151,11 +151,11 @@
     this.recordRevision(this.options.identity.incarnation, view.revision);
     for (const entry of view.entries) {
       if (entry.incarnation === this.options.identity.incarnation) continue;
-      void this.announce(entry.address, view);
+      void this.sendView(entry.address, view);
     }
   }
 
-  private async announce(
+  private async sendView(
     address: string,
     view: ConfigurationView,
   ): Promise<void> {
--- a/src/lib/entry/request_desk.ts
+++ b/src/lib/entry/request_desk.ts
@@ -121,10 +121,10 @@
     key: OwnKey | undefined,
     answer: Answer,
   ): void {
-    const reply = (message: DispatcherReply) =>
-      answer(this.encodeReplyTo(request, message));
+    const sendReply = (reply: DispatcherReply) =>
+      answer(this.encodeReplyTo(request, reply));
     if (request.kind === RequestKind.SUBMIT) {
-      return this.submit(request, key, answer, reply);
+      return this.submit(request, key, answer, sendReply);
     }
     this.post(answer, {
       kind:
@@ -132,7 +132,7 @@
           ? DispatcherMessageKind.LOOK_UP
           : DispatcherMessageKind.CANCEL,
       key: key!,
-      reply,
+      reply: sendReply,
     });
   }
 
@@ -140,7 +140,7 @@
     request: CallerRequest,
     key: OwnKey | undefined,
     answer: Answer,
-    reply: (message: DispatcherReply) => void,
+    sendReply: (reply: DispatcherReply) => void,
   ): void {
     const draft = readJobDraft(request.body, request.trace);
     if (draft instanceof DraftMistake) {
@@ -158,7 +158,7 @@
       digest,
       draft,
       isDetached,
-      reply,
+      reply: sendReply,
     });
   }
 
--- a/src/lib/wire/link_server.ts
+++ b/src/lib/wire/link_server.ts
@@ -94,7 +94,7 @@
       ),
   });
   const port = await bind(server, options);
-  return {port, close: () => shutDown(server)};
+  return {port, close: () => stopServer(server)};
 }
 
 type AgentCall = ServerDuplexStream<wire.AgentFrame, wire.EntryFrame>;
@@ -151,7 +151,7 @@
   });
 }
 
-function shutDown(server: Server): Promise<void> {
+function stopServer(server: Server): Promise<void> {
   return new Promise(resolve => {
     const force = setTimeout(() => {
       server.forceShutdown();
