Take a target for as fast as is certain; fix the load's work

Cause: a target that looked slow on a few tasks by chance got no more of them and kept its bad estimate; free fast slots were passed over (61 of 108 starts in one second of a trial). Ruled out: stale reports, contention cost. Change: the choice uses the estimate less 0.7 standard errors; a sudden change restarts the average at 6 tasks; declarations are half believed at first.

--- a/src/lib/decisions/agent_board.ts
+++ b/src/lib/decisions/agent_board.ts
@@ -3,6 +3,7 @@
 import {createAgentRecord} from './agent_record.js';
 import type {AgentRecord} from './agent_record.js';
 import {
+  computeOptimisticSlowness,
   computeSlowness,
   recordRunTime,
   UNKNOWN_SLOWNESS,
@@ -283,7 +284,7 @@
     );
     agent.reportAgeMs = nowMs - agent.reportedAtMs;
     const usual = this.slotSpeed / Math.max(1, this.usableSlots);
-    agent.slowness = computeSlowness(agent.estimate) * (usual || 1);
+    agent.slowness = computeOptimisticSlowness(agent.estimate) * (usual || 1);
     this.refresh(agent);
   }
 
--- a/src/lib/decisions/agent_slowness.ts
+++ b/src/lib/decisions/agent_slowness.ts
@@ -19,7 +19,16 @@
 const QUICK_WEIGHT = 0.15;
 
 /** Difference of the averages at which the target's speed has changed. */
-const CHANGE_THRESHOLD = Math.log(3);
+const CHANGE_THRESHOLD = Math.log(4);
+
+/** Tasks that the short average stands for after a change. */
+const TASKS_AFTER_CHANGE = 6;
+
+/** Standard deviation of the logarithm of one task's ratio. */
+const RATIO_DEVIATION = 0.7;
+
+/** Standard errors by which a target is taken for faster than it looks. */
+const OPTIMISM = 0.7;
 
 /** A target that has not run anything. */
 export const UNKNOWN_SLOWNESS: SlownessEstimate = {slow: 0, quick: 0, count: 0};
@@ -35,11 +44,24 @@
   const weight = Math.max(SLOW_WEIGHT, 1 / (count + PRIOR_TASKS));
   const slow = estimate.slow + weight * (ratio - estimate.slow);
   const quick = estimate.quick + QUICK_WEIGHT * (ratio - estimate.quick);
-  const hasChanged = Math.abs(quick - slow) > CHANGE_THRESHOLD;
-  return {slow: hasChanged ? quick : slow, quick, count};
+  if (Math.abs(quick - slow) > CHANGE_THRESHOLD) {
+    return {slow: quick, quick, count: TASKS_AFTER_CHANGE};
+  }
+  return {slow, quick, count};
 }
 
 /** Returns the run time at this target over the expected one. */
 export function computeSlowness(estimate: SlownessEstimate): number {
   return Math.exp(estimate.slow);
 }
+
+/**
+ * Returns the slowness as far as it is certain.
+ *
+ * A target that looked slow on a few tasks by chance would otherwise get no
+ * more of them, and be held for slow for ever.
+ */
+export function computeOptimisticSlowness(estimate: SlownessEstimate): number {
+  const error = RATIO_DEVIATION / Math.sqrt(estimate.count + PRIOR_TASKS);
+  return Math.exp(estimate.slow - OPTIMISM * error);
+}
--- a/src/lib/decisions/run_time_estimate.ts
+++ b/src/lib/decisions/run_time_estimate.ts
@@ -18,12 +18,15 @@
 /** Expected run time in milliseconds of a task that declares none. */
 export const UNDECLARED_MS = 300;
 
-/** Weight, in tasks, of the assumption that declarations are true. */
+/** Weight, in tasks, of what is assumed of a class that is not known. */
 const PRIOR_TASKS = 8;
 
 /** Variance of log declarations that the prior assumes. */
 const PRIOR_VARIANCE = 0.5;
 
+/** Slope that the prior assumes: declarations are worth something. */
+const PRIOR_SLOPE = 0.5;
+
 /** Least weight of one task, so that a class whose tasks change is learnt anew. */
 const LEAST_WEIGHT = 0.005;
 
@@ -40,7 +43,7 @@
   meanDeclared: Math.log(UNDECLARED_MS),
   meanObserved: Math.log(UNDECLARED_MS),
   variance: PRIOR_VARIANCE,
-  covariance: PRIOR_VARIANCE,
+  covariance: PRIOR_SLOPE * PRIOR_VARIANCE,
   residual: 0,
 };
 
--- a/test/decisions/run_time_estimate_test.ts
+++ b/test/decisions/run_time_estimate_test.ts
@@ -19,8 +19,9 @@
 }
 
 describe('RunTimeEstimate', () => {
-  it('believes a declaration before any task has ended', () => {
-    expect(estimateRunMs(FIRST_ESTIMATE, 500)).to.be.closeTo(500, 1);
+  it('half believes a declaration before any task has ended', () => {
+    expect(estimateRunMs(FIRST_ESTIMATE, 300)).to.be.closeTo(300, 1);
+    expect(estimateRunMs(FIRST_ESTIMATE, 30_000)).to.be.closeTo(3000, 1);
   });
 
   it('corrects a class that always declares a tenth', () => {
--- a/test/load/load_plan_test.ts
+++ b/test/load/load_plan_test.ts
@@ -30,7 +30,7 @@
       .flatMap(job => job.tasks)
       .reduce((sum, task) => sum + task.runMs, 0);
     const share = work / 2_003_000 / computeCapacity(settings.fleet);
-    expect(share).to.be.within(0.6, 0.8);
+    expect(share).to.be.within(0.69, 0.72);
   });
 
   it('draws the same plan from the same seed', () => {
--- a/tools/load/caller.ts
+++ b/tools/load/caller.ts
@@ -1,5 +1,6 @@
 /** The callers of a load: submit each job at its time, whatever came of others. */
 import {Pool} from 'undici';
+import {RequestError} from '../../src/lib/core/errors.js';
 import {Outcome} from '../../src/lib/core/job.js';
 import {startTimer} from '../../src/lib/core/clock.js';
 import type {ReadMonotonicMs} from '../../src/lib/core/clock.js';
@@ -210,7 +211,7 @@
       body: JSON.stringify({team}),
     });
     const {session} = (await answer.body.json()) as {session?: string};
-    if (session === undefined) throw new RangeError('no session was opened');
+    if (session === undefined) throw new RequestError('An entry opened no session.');
     return session;
   }
 
@@ -282,11 +283,12 @@
     return {...NO_ANSWER, code: 'answer-truncated'};
   }
   const isWrong =
-    body.outcome === Outcome.COMPLETE && !holdsAll(job, body.results ?? []);
+    body.outcome === Outcome.COMPLETE &&
+    !hasAllResults(job, body.results ?? []);
   return {outcome: body.outcome, code: body.code ?? '', isWrong};
 }
 
-function holdsAll(job: PlannedJob, results: readonly unknown[]): boolean {
+function hasAllResults(job: PlannedJob, results: readonly unknown[]): boolean {
   return (
     results.length === job.tasks.length &&
     results.every(
--- a/tools/load/foxtailbay_load.ts
+++ b/tools/load/foxtailbay_load.ts
@@ -9,7 +9,7 @@
 import type {LoadSettings} from './load_settings.js';
 import {runLoad} from './run_load.js';
 import type {RunVariant} from './run_load.js';
-import {summariseRun} from './run_summary.js';
+import {measureRun} from './run_summary.js';
 import type {RunSummary} from './run_summary.js';
 
 interface Options {
@@ -17,6 +17,7 @@
   readonly output: string;
   readonly repeats?: string;
   readonly policy?: PlacementKind;
+  readonly together: string;
 }
 
 /** Lists the variants of all repeats, so that each repeat compares all of them. */
@@ -35,20 +36,31 @@
   ).flat();
 }
 
+async function runVariant(
+  settings: LoadSettings,
+  variant: RunVariant,
+): Promise<RunSummary> {
+  const summary = measureRun(settings, await runLoad(settings, variant));
+  const {policy, order, seed} = variant;
+  process.stderr.write(
+    `${settings.name}: ${policy}, ${order}, seed ${seed}: ratio ` +
+      `${summary.ratio.median} p99 ${summary.ratio.p99}, ` +
+      `ends ${JSON.stringify(summary.ends)}\n`,
+  );
+  return summary;
+}
+
+/** Runs variants, `together` of them side by side. */
 async function runVariants(
   settings: LoadSettings,
   variants: readonly RunVariant[],
+  together: number,
 ): Promise<RunSummary[]> {
   const summaries: RunSummary[] = [];
-  for (const variant of variants) {
-    const summary = summariseRun(settings, await runLoad(settings, variant));
-    summaries.push(summary);
-    const {policy, order, seed} = variant;
-    process.stderr.write(
-      `${settings.name}: ${policy}, ${order}, seed ${seed}: ratio ` +
-        `${summary.ratio.median} p99 ${summary.ratio.p99}, ` +
-        `ends ${JSON.stringify(summary.ends)}\n`,
-    );
+  for (let first = 0; first < variants.length; first += together) {
+    const group = variants.slice(first, first + together);
+    const runs = group.map(variant => runVariant(settings, variant));
+    summaries.push(...(await Promise.all(runs)));
   }
   return summaries;
 }
@@ -60,11 +72,16 @@
   .option('--output <folder>', 'folder for result and report', 'docs/reports')
   .option('--repeats <number>', 'runs of each variant')
   .option('--policy <name>', 'only this policy')
+  .option('--together <number>', 'fleets at the same time', '1')
   .parse();
 
 const options = program.opts<Options>();
 const settings = readSettings(options.settings, LOAD_SETTINGS_SCHEMA);
-const summaries = await runVariants(settings, listVariants(settings, options));
+const summaries = await runVariants(
+  settings,
+  listVariants(settings, options),
+  Number(options.together),
+);
 mkdirSync(options.output, {recursive: true});
 const path = join(options.output, settings.name);
 writeFileSync(`${path}.json`, JSON.stringify({settings, summaries}, null, 1));
--- a/tools/load/load_plan.ts
+++ b/tools/load/load_plan.ts
@@ -43,29 +43,42 @@
   return list[target % list.length] / PERCENT;
 }
 
-/** Draws a plan; the same seed gives the same plan for every policy. */
+/**
+ * Draws a plan; the same seed gives the same plan for every policy.
+ *
+ * Jobs are drawn until they hold the work that the utilisation asks for, then
+ * spread over the time by chance: arrivals are those of a Poisson process of
+ * which the offered work is known, so that seeds differ less.
+ */
 export function createPlan(
   settings: LoadSettings,
   drawRandom: DrawRandom,
 ): PlannedJob[] {
-  const jobs: PlannedJob[] = [];
-  const endMs = settings.warmUpMs + settings.durationMs;
-  const meanGapMs = computeMeanGapMs(settings);
-  let atMs = 0;
-  for (;;) {
-    const factor = getFactor(settings, atMs);
-    atMs += (-Math.log(1 - drawRandom()) * meanGapMs) / factor;
-    if (atMs >= endMs) return jobs;
-    jobs.push(drawJob(settings, jobs.length, atMs, drawRandom));
+  const drafts = drawJobs(settings, drawRandom);
+  const times = drafts
+    .map(() => drawTime(settings, drawRandom))
+    .sort((a, b) => a - b);
+  return drafts.map((draft, number) => {
+    const atMs = times[number];
+    const isCounted = atMs >= settings.warmUpMs;
+    return {...draft, number, atMs, isCounted};
+  });
+}
+
+type JobDraft = Pick<PlannedJob, 'team' | 'value' | 'tasks'>;
+
+function drawJobs(settings: LoadSettings, drawRandom: DrawRandom): JobDraft[] {
+  let leftMs = computeOfferedWork(settings);
+  const drafts: JobDraft[] = [];
+  while (leftMs > 0) {
+    const draft = drawJob(settings, drawRandom);
+    drafts.push(draft);
+    leftMs -= draft.tasks.reduce((sum, task) => sum + task.runMs, 0);
   }
+  return drafts;
 }
 
-function drawJob(
-  settings: LoadSettings,
-  number: number,
-  atMs: number,
-  drawRandom: DrawRandom,
-): PlannedJob {
+function drawJob(settings: LoadSettings, drawRandom: DrawRandom): JobDraft {
   const {load} = settings;
   const team = drawShared<TeamSketch>(load.teams, drawRandom);
   const size = drawRange(load.jobSizes, drawRandom);
@@ -74,30 +87,54 @@
     const error = Math.pow(load.declaredErrorFactor, 2 * drawRandom() - 1);
     return {runMs, declaredMs: Math.max(1, Math.round(runMs * error))};
   });
-  const isCounted = atMs >= settings.warmUpMs;
-  return {number, atMs, team: team.name, value: team.value, tasks, isCounted};
+  return {team: team.name, value: team.value, tasks};
 }
 
-function computeMeanGapMs(settings: LoadSettings): number {
-  const {load, fleet} = settings;
-  const work = computeMean(load.jobSizes) * computeMean(load.runTimesMs);
-  const share = load.utilisationPercent / PERCENT;
-  return work / (computeCapacity(fleet) * share);
+function computeOfferedWork(settings: LoadSettings): number {
+  const share = settings.load.utilisationPercent / PERCENT;
+  const weightMs = listStretches(settings).reduce(
+    (sum, each) => sum + each.lengthMs * each.factor,
+    0,
+  );
+  return computeCapacity(settings.fleet) * share * weightMs;
 }
 
-function getFactor(settings: LoadSettings, atMs: number): number {
-  const phase = settings.load.phases.find(
-    each => each.atMs <= atMs && atMs < each.untilMs,
+function drawTime(settings: LoadSettings, drawRandom: DrawRandom): number {
+  const stretches = listStretches(settings);
+  const total = stretches.reduce(
+    (sum, each) => sum + each.lengthMs * each.factor,
+    0,
   );
-  return (phase?.factorPercent ?? PERCENT) / PERCENT;
+  let left = drawRandom() * total;
+  for (const {fromMs, lengthMs, factor} of stretches) {
+    if (left < lengthMs * factor) return fromMs + left / factor;
+    left -= lengthMs * factor;
+  }
+  return settings.warmUpMs + settings.durationMs;
 }
 
-function computeMean(ranges: readonly SharedRange[]): number {
-  return ranges.reduce(
-    (sum, each) =>
-      sum + ((each.sharePercent / PERCENT) * (each.from + each.to)) / 2,
-    0,
+interface Stretch {
+  readonly fromMs: number;
+  readonly lengthMs: number;
+  /** Arrival rate against the usual. */
+  readonly factor: number;
+}
+
+function listStretches(settings: LoadSettings): Stretch[] {
+  const endMs = settings.warmUpMs + settings.durationMs;
+  const {phases} = settings.load;
+  const cuts = phases.flatMap(phase => [phase.atMs, phase.untilMs]);
+  const bounds = [0, ...cuts.filter(cut => cut < endMs), endMs].sort(
+    (a, b) => a - b,
   );
+  return bounds.slice(1).map((toMs, index) => {
+    const fromMs = bounds[index];
+    const phase = phases.find(
+      each => each.atMs <= fromMs && fromMs < each.untilMs,
+    );
+    const factor = (phase?.factorPercent ?? PERCENT) / PERCENT;
+    return {fromMs, lengthMs: toMs - fromMs, factor};
+  });
 }
 
 function drawRange(
--- a/tools/load/load_report.ts
+++ b/tools/load/load_report.ts
@@ -39,7 +39,7 @@
 ];
 
 /** Groups runs by policy and order. */
-export function groupRuns(runs: readonly RunSummary[]): VariantRuns[] {
+export function collectVariants(runs: readonly RunSummary[]): VariantRuns[] {
   const groups = new Map<string, RunSummary[]>();
   for (const run of runs) {
     const name = `${run.variant.policy}, ${run.variant.order}`;
@@ -64,7 +64,7 @@
 /** Formats the table as text for a terminal or a Markdown page. */
 export function formatTable(runs: readonly RunSummary[]): string {
   const headings = ['variant', 'runs', ...COLUMNS.map(([name]) => name)];
-  const lines = groupRuns(runs).map(variant => [
+  const lines = collectVariants(runs).map(variant => [
     variant.name,
     `${variant.runs.length}`,
     ...COLUMNS.map(([, read]) => formatSpread(describeSpread(variant, read))),
@@ -78,7 +78,7 @@
   settings: LoadSettings,
   runs: readonly RunSummary[],
 ): string {
-  const variants = groupRuns(runs);
+  const variants = collectVariants(runs);
   return `<!doctype html>
 <html lang="en"><head><meta charset="utf-8"><title>${settings.name}</title>
 <style>body{font:14px sans-serif;margin:2em}td,th{border:1px solid #bbb;padding:3px 7px}
--- a/tools/load/run_load.ts
+++ b/tools/load/run_load.ts
@@ -72,13 +72,13 @@
     });
     store.add(() => fleet.stop());
     await waitMs(SETTLE_MS);
-    return await driveLoad(settings, variant, fleet, store);
+    return await performLoad(settings, variant, fleet, store);
   } finally {
     await store.dispose();
   }
 }
 
-async function driveLoad(
+async function performLoad(
   settings: LoadSettings,
   variant: RunVariant,
   fleet: Fleet,
--- a/tools/load/run_summary.ts
+++ b/tools/load/run_summary.ts
@@ -62,7 +62,7 @@
 const LARGEST_SCALED = 1_000_000_000;
 
 /** Works out the measures of a run. */
-export function summariseRun(
+export function measureRun(
   settings: LoadSettings,
   record: RunRecord,
 ): RunSummary {
@@ -110,7 +110,7 @@
     toolLoopDelayMs: record.loopDelayMs,
     windows: measureWindows(settings, record, listTargets(settings)),
     ratioCurve: describeCurve(ratios.map(([, ratio]) => ratio)),
-    ratioBySecond: groupBySecond(ratios),
+    ratioBySecond: collectBySecond(ratios),
   };
 }
 
@@ -146,7 +146,7 @@
 
 /** Describes a set of figures by its percentiles. */
 export function describePercentiles(figures: readonly number[]): Percentiles {
-  const histogram = fillHistogram(figures);
+  const histogram = buildHistogram(figures);
   const read = (percentile: number) =>
     figures.length === 0
       ? 0
@@ -210,7 +210,7 @@
     .reduce((sum, task) => sum + task.runMs, 0);
 }
 
-function fillHistogram(figures: readonly number[]) {
+function buildHistogram(figures: readonly number[]) {
   const histogram = build({
     highestTrackableValue: LARGEST_SCALED,
     numberOfSignificantValueDigits: 3,
@@ -232,7 +232,7 @@
   });
 }
 
-function groupBySecond(ratios: ReadonlyArray<readonly [number, number]>) {
+function collectBySecond(ratios: ReadonlyArray<readonly [number, number]>) {
   const groups = new Map<number, number[]>();
   for (const [atMs, ratio] of ratios) {
     const second = Math.floor(atMs / 1000);
