--- a/tools/load/load_plan.ts
+++ b/tools/load/load_plan.ts
@@ -145,13 +145,13 @@
   return from + Math.floor(drawRandom() * (to - from + 1));
 }
 
-function drawShared<T extends {readonly sharePercent: number}>(
+function drawShared<T extends {readonly share: number}>(
   list: readonly T[],
   drawRandom: DrawRandom,
 ): T {
-  let left = drawRandom() * PERCENT;
+  let left = drawRandom() * list.reduce((sum, each) => sum + each.share, 0);
   for (const each of list) {
-    left -= each.sharePercent;
+    left -= each.share;
     if (left < 0) return each;
   }
   return list[list.length - 1];
--- a/tools/load/load_settings.ts
+++ b/tools/load/load_settings.ts
@@ -8,7 +8,6 @@
   SCHEMA_VERSION_NODE,
 } from '../../src/lib/settings/settings_schema.js';
 import type {
-  SettingsConflict,
   SettingsNode,
   SettingsSchema,
 } from '../../src/lib/settings/settings_schema.js';
@@ -41,9 +40,9 @@
   readonly subject: string;
 }
 
-/** A range that is drawn from with a given share. */
+/** A range that is drawn from with a given share of all draws. */
 export interface SharedRange {
-  readonly sharePercent: number;
+  readonly share: number;
   readonly from: number;
   readonly to: number;
 }
@@ -51,7 +50,7 @@
 /** One team of callers. */
 export interface TeamSketch {
   readonly name: string;
-  readonly sharePercent: number;
+  readonly share: number;
   readonly weight: number;
   readonly value: number;
 }
@@ -111,9 +110,8 @@
 
 const SHARE_NODE: SettingsNode = {
   type: 'integer',
-  description: 'Share in percent; the shares of a list sum to 100.',
+  description: 'Share of the draws, in parts of the sum of the list.',
   minimum: 0,
-  maximum: PERCENT,
 };
 
 const RANGES_NODE: SettingsNode = {
@@ -123,11 +121,11 @@
   items: describeSection(
     'One range.',
     {
-      sharePercent: SHARE_NODE,
+      share: SHARE_NODE,
       from: describeCount('Least value.', 1),
       to: describeCount('Greatest value.', 1),
     },
-    ['sharePercent', 'from', 'to'],
+    ['share', 'from', 'to'],
   ),
 };
 
@@ -139,11 +137,11 @@
     'One team.',
     {
       name: {type: 'string', description: 'Name.'},
-      sharePercent: SHARE_NODE,
+      share: SHARE_NODE,
       weight: describeCount('Weight of its record.', 1),
       value: describeCount('Value of each of its jobs.', 1),
     },
-    ['name', 'sharePercent'],
+    ['name', 'share'],
   ),
 };
 
@@ -214,20 +212,20 @@
   jobSizes: {
     ...RANGES_NODE,
     default: [
-      {sharePercent: 60, from: 1, to: 4},
-      {sharePercent: 30, from: 5, to: 20},
-      {sharePercent: 9, from: 21, to: 100},
-      {sharePercent: 1, from: 101, to: 580},
+      {share: 600, from: 1, to: 4},
+      {share: 300, from: 5, to: 20},
+      {share: 97, from: 21, to: 100},
+      {share: 3, from: 101, to: 580},
     ],
   },
   runTimesMs: {
     ...RANGES_NODE,
     default: [
-      {sharePercent: 97, from: 50, to: 1000},
-      {sharePercent: 3, from: 2000, to: 5000},
+      {share: 97, from: 50, to: 1000},
+      {share: 3, from: 2000, to: 5000},
     ],
   },
-  teams: {...TEAMS_NODE, default: [{name: 'listings', sharePercent: 100}]},
+  teams: {...TEAMS_NODE, default: [{name: 'listings', share: 100}]},
   phases: PHASES_NODE,
 });
 
@@ -277,20 +275,5 @@
     ['schemaVersion', 'name'],
   ),
   complete: settings => settings,
-  findConflicts: settings => [
-    ...findWrongShares(settings, 'jobSizes'),
-    ...findWrongShares(settings, 'runTimesMs'),
-    ...findWrongShares(settings, 'teams'),
-  ],
+  findConflicts: () => [],
 };
-
-function findWrongShares(
-  settings: LoadSettings,
-  key: 'jobSizes' | 'runTimesMs' | 'teams',
-): SettingsConflict[] {
-  const list: ReadonlyArray<{sharePercent: number}> = settings.load[key];
-  const sum = list.reduce((total, each) => total + each.sharePercent, 0);
-  if (sum === PERCENT) return [];
-  const found = `shares that sum to ${sum}`;
-  return [{path: ['load', key], found, allowed: 'shares that sum to 100'}];
-}
