Refuse late jobs at once by the work that has to start before them

Cause: at twice the capacity 56 jobs were given up and 12 ran out of time after up to 8 s in the queue (refusal 99th percentile 8016 ms), since only work of a lower rank was counted and smaller jobs kept passing. Change: admission counts the work that has to start no later than the new job, whatever the order of service. Probes of a failing target each cost a job: the first pause is 10 s, a restarted target is tried at once. Goodput counts answers by their time.

--- a/src/lib/decisions/fair_queue.ts
+++ b/src/lib/decisions/fair_queue.ts
@@ -15,6 +15,8 @@
   readonly team: string;
   /** Order within the team; see `RankJob`. */
   readonly rank: number;
+  /** Time at which the job has to start in order to meet its deadline. */
+  readonly startByMs: number;
   readonly value: number;
   readonly tasks: readonly WaitingTask[];
 }
@@ -38,8 +40,7 @@
   readonly team: TeamEntry;
   readonly density: number;
   rank: number;
-  /** Rank when it was added, under which the ledger counts its work. */
-  readonly firstRank: number;
+  readonly startByMs: number;
   /** Served from the end, so that taking and giving back cost O(1). */
   readonly tasks: WaitingTask[];
   workMs: number;
@@ -109,12 +110,14 @@
   }
 
   /**
-   * Estimates the work in milliseconds that is served before a new job: that
-   * of its own team up to its rank, with the other teams' shares beside it.
+   * Estimates the work in milliseconds that has to be done before a new job:
+   * that of its own team which has to start no later, with the other teams'
+   * shares beside it. Whatever the order of service, less would make some job
+   * that was admitted late.
    */
-  sumWorkAhead(team: string, rank: number): number {
+  sumWorkAhead(team: string, startByMs: number): number {
     const entry = this.teams.get(team);
-    const own = entry?.ledger.sumUpTo(rank) ?? 0;
+    const own = entry?.ledger.sumUpTo(startByMs) ?? 0;
     const weight = entry?.weight ?? DEFAULT_WEIGHT;
     let weights = entry === undefined || entry.tasks === 0 ? weight : 0;
     for (const each of this.teams.values()) {
@@ -137,7 +140,7 @@
       team: this.ensureTeam(job.team),
       density: computeDensity({value: job.value, workMs}),
       rank: job.rank,
-      firstRank: job.rank,
+      startByMs: job.startByMs,
       tasks,
       workMs: 0,
     };
@@ -253,7 +256,7 @@
   private count(entry: JobEntry, tasks: number, workMs: number): void {
     entry.workMs += workMs;
     entry.team.tasks += tasks;
-    entry.team.ledger.add(entry.firstRank, workMs);
+    entry.team.ledger.add(entry.startByMs, workMs);
     this.taskCount += tasks;
     // Sums of fractions drift; an empty queue has no work.
     this.workSum = this.taskCount === 0 ? 0 : this.workSum + workMs;
--- a/src/lib/decisions/quarantine.ts
+++ b/src/lib/decisions/quarantine.ts
@@ -29,11 +29,15 @@
   readonly successes: number;
 }
 
-/** First pause in milliseconds before a quarantined target is probed. */
-export const FIRST_PAUSE_MS = 1000;
+/**
+ * First pause in milliseconds before a quarantined target is probed. A probe
+ * that fails costs a job; a target that was mended by a restart has a new
+ * instance and does not wait for it.
+ */
+export const FIRST_PAUSE_MS = 10_000;
 
 /** Longest pause in milliseconds between probes. */
-export const LONGEST_PAUSE_MS = 16000;
+export const LONGEST_PAUSE_MS = 160_000;
 
 /** Successes in a row after which a probed target is trusted again. */
 export const PROVEN_SUCCESSES = 3;
--- a/src/lib/decisions/work_ledger.ts
+++ b/src/lib/decisions/work_ledger.ts
@@ -1,9 +1,9 @@
-/** Work that waits, summed by rank. */
+/** Work that waits, summed by the time at which it has to start. */
 
-/** Width in ranks (milliseconds) of one sum. */
-const STEP = 250;
+/** Width in milliseconds of one sum. */
+const STEP_MS = 250;
 
-/** Answers how much work stands before a rank, to within one step. */
+/** Answers how much work has to start by a time, to within one step. */
 export class WorkLedger {
   private readonly sums = new Map<number, number>();
 
@@ -14,18 +14,18 @@
     return new WorkLedger();
   }
 
-  /** Adds work at a rank, or takes it away if `workMs` is negative. */
-  add(rank: number, workMs: number): void {
-    const step = Math.floor(rank / STEP);
+  /** Adds work that has to start by a time; takes it away if negative. */
+  add(startByMs: number, workMs: number): void {
+    const step = Math.floor(startByMs / STEP_MS);
     const sum = (this.sums.get(step) ?? 0) + workMs;
     // What is left of a sum below this is rounding.
     if (sum < 1e-6) this.sums.delete(step);
     else this.sums.set(step, sum);
   }
 
-  /** Returns the work of all ranks up to and including that of `rank`. */
-  sumUpTo(rank: number): number {
-    const last = Math.floor(rank / STEP);
+  /** Returns the work that has to start by a time. */
+  sumUpTo(startByMs: number): number {
+    const last = Math.floor(startByMs / STEP_MS);
     let total = 0;
     for (const [step, sum] of this.sums) if (step <= last) total += sum;
     return total;
--- a/src/lib/decisions/work_planner.ts
+++ b/src/lib/decisions/work_planner.ts
@@ -7,7 +7,7 @@
   isHopeless,
   dropCheapJobs,
 } from './admission.js';
-import type {Admission} from './admission.js';
+import type {Admission, AdmissionRequest} from './admission.js';
 import type {AgentBoard} from './agent_board.js';
 import {FairQueue} from './fair_queue.js';
 import type {QueuedTask} from './fair_queue.js';
@@ -140,10 +140,11 @@
       idealMs,
       workMs,
     });
+    const startByMs = nowMs + job.deadlineMs - idealMs;
     const density = computeDensity({value: job.value, workMs});
     const admission = this.decide(
       job,
-      {workMs, longestMs, density, rank},
+      {workMs, longestMs, density, startByMs},
       nowMs,
     );
     if (admission.kind === AdmissionKind.REFUSE) return {admission, shed: []};
@@ -152,7 +153,7 @@
         ? dropCheapJobs(this.queue, density, admission.tasksToShed)
         : [];
     for (const each of shed) this.jobs.delete(each);
-    this.add(job, expected, rank, idealMs, nowMs);
+    this.add(job, expected, {rank, startByMs, idealMs}, nowMs);
     return {admission, shed};
   }
 
@@ -214,21 +215,24 @@
 
   private decide(
     job: SubmittedJob,
-    estimate: {
-      readonly workMs: number;
-      readonly longestMs: number;
-      readonly density: number;
-      readonly rank: number;
+    estimate: Pick<AdmissionRequest, 'workMs' | 'longestMs' | 'density'> & {
+      readonly startByMs: number;
     },
     nowMs: number,
   ): Admission {
     const {board, limits} = this.options;
-    const {workMs, longestMs, density, rank} = estimate;
+    const {workMs, longestMs, density, startByMs} = estimate;
     const tasks = job.declaredMs.length;
-    const {deadlineMs} = job;
-    const workAheadMs = this.queue.sumWorkAhead(job.team, rank);
+    const workAheadMs = this.queue.sumWorkAhead(job.team, startByMs);
     const admission = decideAdmission(
-      {tasks, workMs, longestMs, deadlineMs, density, workAheadMs},
+      {
+        tasks,
+        workMs,
+        longestMs,
+        deadlineMs: job.deadlineMs,
+        density,
+        workAheadMs,
+      },
       {
         ...limits,
         slots: board.slots,
@@ -252,8 +256,11 @@
   private add(
     job: SubmittedJob,
     expected: readonly number[],
-    rank: number,
-    idealMs: number,
+    place: {
+      readonly rank: number;
+      readonly startByMs: number;
+      readonly idealMs: number;
+    },
     nowMs: number,
   ): void {
     const {team, taskClass, declaredMs, value} = job;
@@ -261,12 +268,13 @@
       team,
       taskClass,
       deadlineAtMs: nowMs + job.deadlineMs,
-      idealMs,
+      idealMs: place.idealMs,
       declaredMs,
       hasStarted: false,
     });
     const tasks = expected.map((expectedMs, index) => ({index, expectedMs}));
-    this.queue.add({job: job.job, team, rank, value, tasks});
+    const {rank, startByMs} = place;
+    this.queue.add({job: job.job, team, rank, startByMs, value, tasks});
     this.settleTeam(team);
   }
 
--- a/test/decisions/fair_queue_test.ts
+++ b/test/decisions/fair_queue_test.ts
@@ -16,6 +16,7 @@
     job,
     team: sketch.team ?? 'team',
     rank: sketch.rank ?? 0,
+    startByMs: sketch.rank ?? 0,
     value: sketch.value ?? 1,
     tasks: sketch.sizes.map((expectedMs, index) => ({index, expectedMs})),
   });
--- a/tools/load/caller.ts
+++ b/tools/load/caller.ts
@@ -40,7 +40,6 @@
   ANSWERED = 'answered',
   SILENT = 'silent',
   CANCEL_SHARE = 'cancel-share',
-  CANCELLED = 'cancelled',
 }
 
 /** Messages that callers take. */
@@ -57,8 +56,7 @@
       readonly job: PlannedJob;
       readonly entry: number;
     }
-  | {readonly kind: CallerMessageKind.CANCEL_SHARE; readonly percent: number}
-  | {readonly kind: CallerMessageKind.CANCELLED};
+  | {readonly kind: CallerMessageKind.CANCEL_SHARE; readonly percent: number};
 
 const MAILBOX_CAPACITY = 100_000;
 const CONNECTIONS_PER_ENTRY = 1024;
@@ -154,8 +152,6 @@
       case CallerMessageKind.CANCEL_SHARE:
         this.cancel(message.percent);
         break;
-      case CallerMessageKind.CANCELLED:
-        break;
     }
   }
 
@@ -221,8 +217,8 @@
     const numbers = [...this.open.keys()];
     const count = Math.round((numbers.length * percent) / PERCENT);
     for (const number of numbers.slice(0, count)) {
-      void this.sendCancellation(number, this.open.get(number)!).finally(() =>
-        this.post({kind: CallerMessageKind.CANCELLED}),
+      this.sendCancellation(number, this.open.get(number)!).catch(
+        (failure: unknown) => process.emitWarning(String(failure)),
       );
     }
   }
--- a/tools/load/run_summary.ts
+++ b/tools/load/run_summary.ts
@@ -35,7 +35,7 @@
   readonly responseMs: Percentiles;
   /** Time to be told of jobs that did not run. */
   readonly refusalMs: Percentiles;
-  /** Work of whole answers over the capacity of the counted time. */
+  /** Work of the whole answers of the counted time over its capacity. */
   readonly goodputShare: number;
   /** Value of whole answers a second. */
   readonly valuePerSecond: number;
@@ -82,7 +82,8 @@
     .filter(each => each?.outcome === Outcome.DID_NOT_RUN);
   const tasks = record.runs.length;
   const {durationMs} = settings;
-  const value = whole.reduce((sum, job) => sum + job.value, 0);
+  const inTime = listAnsweredInTime(settings, record);
+  const value = inTime.reduce((sum, job) => sum + job.value, 0);
   const loadMs = settings.warmUpMs + durationMs;
   return {
     variant: record.variant,
@@ -97,7 +98,7 @@
     ),
     refusalMs: describePercentiles(refused.map(each => each!.responseMs)),
     goodputShare:
-      sumWork(whole) / (computeCapacity(settings.fleet) * durationMs),
+      sumWork(inTime) / (computeCapacity(settings.fleet) * durationMs),
     valuePerSecond: (value * 1000) / durationMs,
     ...describeWaste(record, tasks),
     storeCallsPerSecond: (record.storeCalls * 1000) / loadMs,
@@ -114,6 +115,23 @@
   };
 }
 
+/** Lists the jobs whose whole answer came within the counted time. */
+function listAnsweredInTime(
+  settings: LoadSettings,
+  record: RunRecord,
+): PlannedJob[] {
+  const fromMs = settings.warmUpMs;
+  const toMs = fromMs + settings.durationMs;
+  return record.outcomes
+    .filter(
+      each =>
+        each.outcome === Outcome.COMPLETE &&
+        each.answeredAtMs >= fromMs &&
+        each.answeredAtMs < toMs,
+    )
+    .map(each => record.plan[each.number]);
+}
+
 /** Describes the targets of a load with the times they were in service. */
 export function listTargets(settings: LoadSettings): IdealTarget[] {
   const {fleet, network, events} = settings;
