Serve operators: records by compare-and-swap, data centres, status

Cause: operators had no way to write records. Ruled out: history under a key of its own (two writes that can part; kept inside the record's value instead) and answering 'already out' from a read (a stale replica would make it a lie: the change is always written).

--- /dev/null
+++ b/src/lib/admin/record_reader.ts
@@ -0,0 +1,130 @@
+/** Answers what operators ask about records in the store. */
+import type {PlatformStore, StoredValue} from '../platform/platform_store.js';
+import {
+  RECORDS_FOLDER,
+  RecordKind,
+  ServiceState,
+  formatRecordKey,
+  parseRecordPath,
+} from '../records/record.js';
+import type {ConfigurationRecord, RecordIdentity} from '../records/record.js';
+import {
+  parseEnvelope,
+  parseRecord,
+  recoverRecord,
+} from '../records/record_body.js';
+import type {PastRecordVersion} from '../records/record_body.js';
+import type {StoredRecord} from './administration_answer.js';
+import {listVersions} from './write_plan.js';
+
+/** Records read from the store at one revision. */
+export interface StoredRecords {
+  readonly revision: number;
+  readonly records: readonly StoredRecord[];
+}
+
+/** What the store says of a data centre. */
+export interface StoredDataCentre {
+  readonly service: ServiceState;
+  readonly by: string;
+  /** Revision of the record; that of the store if there is none. */
+  readonly revision: number;
+}
+
+/** What the reading functions need. */
+export interface RecordSource {
+  readonly store: Pick<PlatformStore, 'list'>;
+  readonly prefix: string;
+}
+
+/** Lists the records of one kind, or of all. */
+export async function listRecords(
+  {store, prefix}: RecordSource,
+  kind?: RecordKind,
+): Promise<StoredRecords> {
+  const folder = prefix + RECORDS_FOLDER;
+  const subfolder = kind === undefined ? folder : `${folder}${kind}/`;
+  const {revision, values} = await store.list(subfolder);
+  const records = values.flatMap(value => {
+    const identity = parseRecordPath(value.key.slice(folder.length));
+    return identity === undefined ? [] : [describeRecord(identity, value)];
+  });
+  return {revision, records};
+}
+
+/** Reads one record; undefined if there is none. */
+export async function getRecord(
+  source: RecordSource,
+  identity: RecordIdentity,
+): Promise<StoredRecord | undefined> {
+  const {found} = await findValue(source, identity);
+  return found === undefined ? undefined : describeRecord(identity, found);
+}
+
+/** Reads the versions of a record, newest first; empty if there is none. */
+export async function getHistory(
+  source: RecordSource,
+  identity: RecordIdentity,
+): Promise<readonly PastRecordVersion[]> {
+  const {found} = await findValue(source, identity);
+  return found === undefined ? [] : listVersions(found);
+}
+
+/** Reads whether a data centre is in service; without a record it is. */
+export async function getDataCentre(
+  source: RecordSource,
+  name: string,
+): Promise<StoredDataCentre> {
+  const identity = {kind: RecordKind.DATA_CENTRE, name};
+  const {found, revision} = await findValue(source, identity);
+  if (found === undefined) {
+    return {service: ServiceState.IN, by: '', revision};
+  }
+  const parsed = parseRecord(identity, found.value);
+  const record = parsed.isValid
+    ? parsed.record
+    : recoverRecord(identity, found.value);
+  return {
+    service: readService(record),
+    by: parseEnvelope(found.value)?.by ?? '',
+    revision: found.revision,
+  };
+}
+
+/** Reads the service state that a record in force gives its data centre. */
+export function readService(
+  record: ConfigurationRecord | undefined,
+): ServiceState {
+  return record?.kind === RecordKind.DATA_CENTRE
+    ? record.specification.service
+    : ServiceState.IN;
+}
+
+async function findValue(
+  {store, prefix}: RecordSource,
+  identity: RecordIdentity,
+): Promise<{found: StoredValue | undefined; revision: number}> {
+  const key = formatRecordKey(prefix, identity);
+  const {revision, values} = await store.list(key);
+  return {found: values.find(value => value.key === key), revision};
+}
+
+function describeRecord(
+  identity: RecordIdentity,
+  {value, revision}: StoredValue,
+): StoredRecord {
+  const parsed = parseRecord(identity, value);
+  const envelope = parseEnvelope(value);
+  const {fault, detail} = parsed.isValid
+    ? {fault: undefined, detail: ''}
+    : parsed;
+  return {
+    ...identity,
+    revision,
+    schemaVersion: envelope?.schemaVersion ?? 0,
+    by: envelope?.by ?? '',
+    writeId: envelope?.writeId ?? '',
+    spec: envelope?.spec ?? null,
+    ...(fault === undefined ? {} : {problem: {fault, detail}}),
+  };
+}
--- /dev/null
+++ b/src/lib/admin/record_writer.ts
@@ -0,0 +1,205 @@
+/** Carries out changes of records at the store, whatever becomes of replies. */
+import {computeBackoffMs} from '../core/backoff.js';
+import type {DrawRandom, StartTimer} from '../core/clock.js';
+import {ErrorCode, FoxtailbayError} from '../core/errors.js';
+import type {PlatformStore, StoredValue} from '../platform/platform_store.js';
+import {formatRecordKey} from '../records/record.js';
+import type {RecordIdentity} from '../records/record.js';
+import {
+  AdministrationProblem,
+  createRefusal,
+} from './administration_problem.js';
+import type {AdministrationRefusal} from './administration_problem.js';
+import {WriteTrace, judgeRemoval, judgeWrite} from './read_back.js';
+import type {FoundValue, ReadBack} from './read_back.js';
+import {WritePlanKind, planWrite} from './write_plan.js';
+import type {RecordChange, WritePlan} from './write_plan.js';
+
+/** What the writer needs. */
+export interface RecordWriterOptions {
+  readonly store: Pick<PlatformStore, 'list' | 'write' | 'remove'>;
+  readonly prefix: string;
+  readonly startTimer: StartTimer;
+  readonly drawRandom: DrawRandom;
+}
+
+/** A change that stands in the store, or why it does not. */
+export type WriteResult =
+  | {
+      readonly isStored: true;
+      /** Revision at which what was asked for stood in the store. */
+      readonly revision: number;
+      /** False if it stood before. */
+      readonly isChanged: boolean;
+    }
+  | {readonly isStored: false; readonly refusal: AdministrationRefusal};
+
+/** A plan that sends something to the store. */
+type SendingPlan = Extract<WritePlan, {expectedRevision: number}>;
+
+/** Sends of one change, the first included. */
+const ATTEMPTS_AT_MOST = 4;
+
+const BACKOFF_LIMITS = {firstMs: 50, longestMs: 500};
+
+/**
+ * Writes and deletes records by compare-and-swap.
+ *
+ * A lost reply is followed by reading back: the write's id, kept in the record
+ * and in its history, tells success from conflict. Sending again is safe, since
+ * only one of several sends with one expected revision can take effect.
+ */
+export class RecordWriter {
+  private constructor(private readonly options: RecordWriterOptions) {}
+
+  /** Creates a writer that uses the store passed in. */
+  static create(options: RecordWriterOptions): RecordWriter {
+    return new RecordWriter(options);
+  }
+
+  /** Reads one record as it stands in the store. */
+  async read(identity: RecordIdentity): Promise<FoundValue> {
+    const key = formatRecordKey(this.options.prefix, identity);
+    const snapshot = await this.options.store.list(key);
+    return {
+      found: snapshot.values.find(value => value.key === key),
+      snapshotRevision: snapshot.revision,
+    };
+  }
+
+  /** Makes a change, or says why it was not made. */
+  async change(change: RecordChange): Promise<WriteResult> {
+    let found: StoredValue | undefined;
+    try {
+      ({found} = await this.read(change.identity));
+    } catch (failure) {
+      return refuseUnavailable(failure);
+    }
+    const plan = planWrite(change, found);
+    switch (plan.kind) {
+      case WritePlanKind.REFUSE:
+        return {isStored: false, refusal: plan.refusal};
+      case WritePlanKind.KEEP:
+        return {isStored: true, revision: plan.revision, isChanged: false};
+      case WritePlanKind.WRITE:
+      case WritePlanKind.REMOVE:
+        return this.performPlan(change, plan);
+    }
+  }
+
+  private async performPlan(
+    change: RecordChange,
+    plan: SendingPlan,
+  ): Promise<WriteResult> {
+    let isUncertain = false;
+    for (let attempt = 1; attempt <= ATTEMPTS_AT_MOST; attempt += 1) {
+      try {
+        return confirmWrite(await this.sendPlan(change, plan));
+      } catch (failure) {
+        const code = readCode(failure);
+        if (!isUncertain && code === ErrorCode.STORE_CONFLICT) {
+          return refuseConflict();
+        }
+        if (!isUncertain && code === ErrorCode.STORE_UNAVAILABLE) {
+          return refuseUnavailable(failure);
+        }
+        isUncertain = true;
+      }
+      const result = await this.findResult(change, plan);
+      if (result !== undefined) return result;
+      await this.pause(attempt);
+    }
+    return refuseUnknown(change);
+  }
+
+  private sendPlan(change: RecordChange, plan: SendingPlan): Promise<number> {
+    const {store, prefix} = this.options;
+    const key = formatRecordKey(prefix, change.identity);
+    const {expectedRevision} = plan;
+    return plan.kind === WritePlanKind.WRITE
+      ? store.write({key, value: plan.value, expectedRevision})
+      : store.remove(key, expectedRevision);
+  }
+
+  /** Reads back; undefined if the change is to be sent again. */
+  private async findResult(
+    change: RecordChange,
+    plan: SendingPlan,
+  ): Promise<WriteResult | undefined> {
+    let readBack: ReadBack;
+    try {
+      readBack = judge(change, plan, await this.read(change.identity));
+    } catch {
+      return undefined;
+    }
+    switch (readBack.trace) {
+      case WriteTrace.TOOK_EFFECT:
+        return confirmWrite(readBack.revision);
+      case WriteTrace.NOT_YET:
+        return undefined;
+      case WriteTrace.OVERTAKEN:
+        return refuseConflict(readBack.revision);
+      case WriteTrace.UNTRACEABLE:
+        return refuseUnknown(change, readBack.revision);
+    }
+  }
+
+  private pause(attempt: number): Promise<void> {
+    const {drawRandom, startTimer} = this.options;
+    const delayMs = computeBackoffMs(attempt, BACKOFF_LIMITS, drawRandom);
+    return new Promise(resolve => void startTimer(delayMs, resolve));
+  }
+}
+
+function judge(
+  {version}: RecordChange,
+  {expectedRevision}: SendingPlan,
+  value: FoundValue,
+): ReadBack {
+  return version === undefined
+    ? judgeRemoval(value, expectedRevision)
+    : judgeWrite(value, version.writeId, expectedRevision);
+}
+
+function readCode(failure: unknown): ErrorCode {
+  return failure instanceof FoxtailbayError ? failure.code : ErrorCode.INTERNAL;
+}
+
+function confirmWrite(revision: number): WriteResult {
+  return {isStored: true, revision, isChanged: true};
+}
+
+function refuseConflict(standingRevision?: number): WriteResult {
+  const refusal = createRefusal(
+    AdministrationProblem.CONFLICT,
+    'Another change of the record came first; this one was not made.',
+    standingRevision,
+  );
+  return {isStored: false, refusal};
+}
+
+/** Turns a failed read, or a write that provably was not made, into a refusal. */
+export function refuseUnavailable(failure: unknown): {
+  readonly isStored: false;
+  readonly refusal: AdministrationRefusal;
+} {
+  const refusal = createRefusal(
+    AdministrationProblem.STORE_UNAVAILABLE,
+    `The platform's store cannot be reached (${readCode(failure)}); nothing was changed.`,
+  );
+  return {isStored: false, refusal};
+}
+
+function refuseUnknown(
+  {identity, version}: RecordChange,
+  standingRevision?: number,
+): WriteResult {
+  const trace =
+    version === undefined ? '' : ` Look for writeId ${version.writeId}.`;
+  const refusal = createRefusal(
+    AdministrationProblem.OUTCOME_UNKNOWN,
+    `It is not known whether ${identity.kind}/${identity.name} was changed.${trace}`,
+    standingRevision,
+  );
+  return {isStored: false, refusal};
+}
--- /dev/null
+++ b/test/records/configuration_mirror_test.ts
@@ -0,0 +1,114 @@
+import {expect} from 'chai';
+import fc from 'fast-check';
+import {StoreChangeKind} from '../../src/lib/platform/platform_store.js';
+import type {
+  StoreChange,
+  StoreSnapshot,
+} from '../../src/lib/platform/platform_store.js';
+import {
+  applySnapshot,
+  applyWatch,
+  createMirror,
+  learnConfiguration,
+} from '../../src/lib/records/configuration_mirror.js';
+import type {ConfigurationMirror} from '../../src/lib/records/configuration_mirror.js';
+import {RecordKind} from '../../src/lib/records/record.js';
+import {SEED} from '../decisions/seeded_random.js';
+import {formatTestRecord} from '../fakes/test_records.js';
+
+const PREFIX = '/f/';
+const RUNS = 500;
+const NAMES = ['a', 'b', 'c'];
+
+/** One write of the store's past; the revision is its place. */
+interface Write {
+  readonly name: string;
+  readonly service: 'in' | 'out' | 'deleted';
+}
+
+/** One thing that reaches an entry; numbers pick revisions of the past. */
+interface Arrival {
+  readonly kind: 'list' | 'watch' | 'peer';
+  readonly from: number;
+  readonly to: number;
+}
+
+function listOut(past: readonly Write[], revision: number): string[] {
+  const standing = new Map<string, string>();
+  for (const {name, service} of past.slice(0, revision)) {
+    standing.set(name, service);
+  }
+  return NAMES.filter(name => standing.get(name) === 'out');
+}
+
+function toChange({name, service}: Write, index: number): StoreChange {
+  const isDeleted = service === 'deleted';
+  return {
+    kind: isDeleted ? StoreChangeKind.DELETED : StoreChangeKind.WRITTEN,
+    key: `${PREFIX}records/data-centre/${name}`,
+    value: isDeleted
+      ? ''
+      : formatTestRecord({kind: RecordKind.DATA_CENTRE, name}, {service}),
+    revision: index + 1,
+  };
+}
+
+function takeSnapshot(past: readonly Write[], revision: number): StoreSnapshot {
+  const values = new Map<string, StoreChange>();
+  for (const change of past.slice(0, revision).map(toChange)) {
+    if (change.kind === StoreChangeKind.DELETED) values.delete(change.key);
+    else values.set(change.key, change);
+  }
+  return {revision, values: [...values.values()]};
+}
+
+function applyArrival(
+  mirror: ConfigurationMirror,
+  past: readonly Write[],
+  {kind, from, to}: Arrival,
+): ConfigurationMirror {
+  const revision = Math.min(to, past.length);
+  if (kind === 'list') {
+    return applySnapshot(mirror, takeSnapshot(past, revision)).mirror;
+  }
+  if (kind === 'peer') {
+    const dataCentresOut = listOut(past, revision);
+    return learnConfiguration(mirror, {revision, dataCentresOut});
+  }
+  // A watch answers from where the entry stands; it may repeat older changes.
+  const after = Math.min(from, mirror.revision);
+  const changes = past.map(toChange).slice(after, revision);
+  return applyWatch(mirror, {revision, changes, isCompacted: false}).mirror;
+}
+
+const WRITES = fc.array(
+  fc.record<Write>({
+    name: fc.constantFrom(...NAMES),
+    service: fc.constantFrom('in', 'out', 'deleted'),
+  }),
+  {maxLength: 20},
+);
+const ARRIVALS = fc.array(
+  fc.record<Arrival>({
+    kind: fc.constantFrom('list', 'watch', 'peer'),
+    from: fc.nat(20),
+    to: fc.nat(20),
+  }),
+  {maxLength: 30},
+);
+
+describe('The configuration mirror', () => {
+  it('never goes back and always shows one true moment of the store', () => {
+    const property = fc.property(WRITES, ARRIVALS, (past, arrivals) => {
+      let mirror = createMirror(PREFIX);
+      for (const arrival of arrivals) {
+        const before = mirror.view.revision;
+        mirror = applyArrival(mirror, past, arrival);
+        const {revision, dataCentresOut} = mirror.view;
+        expect(revision).to.be.at.least(before);
+        expect(dataCentresOut).to.deep.equal(listOut(past, revision));
+      }
+    });
+    fc.assert(property, {seed: SEED, numRuns: RUNS});
+  });
+});
