--- a/src/lib/admin/administration_task.ts
+++ b/src/lib/admin/administration_task.ts
@@ -1,6 +1,6 @@
 /** The task that owns the administration port. */
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import {trackConnections} from '../core/connection_tracker.js';
+import {followConnections} from '../core/connection_tracker.js';
 import type {CloseQuietConnections} from '../core/connection_tracker.js';
 import {BodyEnd, openHttpListener, readBody} from '../core/http_listener.js';
 import type {HttpListener} from '../core/http_listener.js';
@@ -99,7 +99,7 @@
       requestTimeoutMs: REQUEST_TIMEOUT_MS,
       handle: (request, response) => void task.receive(request, response),
     });
-    task.closeQuietConnections = trackConnections(task.listener.server);
+    task.closeQuietConnections = followConnections(task.listener.server);
     return task;
   }
 
--- a/src/lib/admin/record_writer.ts
+++ b/src/lib/admin/record_writer.ts
@@ -172,7 +172,7 @@
 function refuseConflict(standingRevision?: number): WriteResult {
   const refusal = createRefusal(
     AdministrationProblem.CONFLICT,
-    'Another change of the record came first; this one was not made.',
+    'The record has changed since it was read; this change was not made.',
     standingRevision,
   );
   return {isStored: false, refusal};
--- a/src/lib/core/connection_tracker.ts
+++ b/src/lib/core/connection_tracker.ts
@@ -11,7 +11,7 @@
  * A server that closes waits for every connection, also for one on which no
  * request was ever sent: Node counts only those as idle that have had one.
  */
-export function trackConnections(server: Server): CloseQuietConnections {
+export function followConnections(server: Server): CloseQuietConnections {
   const requests = new Map<Socket, number>();
   let isClosing = false;
   const change = (socket: Socket, difference: number) => {
--- a/test/admin/administration_fixture.ts
+++ b/test/admin/administration_fixture.ts
@@ -6,7 +6,7 @@
 import {ProcessRole} from '../../src/lib/admin/status_report.js';
 import type {StatusReport} from '../../src/lib/admin/status_report.js';
 import {StoreContact} from '../../src/lib/records/configuration_view.js';
-import type {MemoryStore} from '../fakes/memory_store.js';
+import type {PlatformStore} from '../../src/lib/platform/platform_store.js';
 
 export const KEY = 'a key of sixteen';
 export const PREFIX = '/f/';
@@ -37,7 +37,7 @@
 
 /** Starts a task on a free port. */
 export async function createAdministration(
-  store: MemoryStore,
+  store: PlatformStore,
 ): Promise<AdministrationFixture> {
   const actions: AdministrationAction[] = [];
   const failures: unknown[] = [];
@@ -47,7 +47,7 @@
   ]);
   const fixture = {isMajority: true};
   const task = await AdministrationTask.create({
-    store: store.createClient(),
+    store,
     prefix: PREFIX,
     host: '127.0.0.1',
     port: 0,
--- a/test/admin/administration_task_test.ts
+++ b/test/admin/administration_task_test.ts
@@ -22,8 +22,8 @@
 
   beforeEach(async () => {
     store = MemoryStore.create();
-    first = await createAdministration(store);
-    second = await createAdministration(store);
+    first = await createAdministration(store.createClient());
+    second = await createAdministration(store.createClient());
   });
 
   afterEach(async () => {
--- a/test/fakes/manual_clock.ts
+++ b/test/fakes/manual_clock.ts
@@ -1,6 +1,5 @@
 /** Time that a test moves by hand. */
 import type {StartTimer} from '../../src/lib/core/clock.js';
-import {RequestError} from '../../src/lib/core/errors.js';
 
 /** Fires timers in their order when the test advances it. */
 export class ManualClock {
@@ -50,15 +49,3 @@
     await new Promise(resolve => setImmediate(resolve));
   }
 }
-
-/** Waits until a condition holds, for a bounded number of turns. */
-export async function waitUntil(
-  what: string,
-  holds: () => boolean,
-): Promise<void> {
-  for (let turn = 0; turn < 10_000; turn += 1) {
-    if (holds()) return;
-    await new Promise(resolve => setImmediate(resolve));
-  }
-  throw new RequestError(`Test waited in vain until ${what}.`);
-}
