--- a/src/lib/admin/administration_task.ts
+++ b/src/lib/admin/administration_task.ts
@@ -200,7 +200,10 @@
   private write(response: ServerResponse, answer: HttpAnswer): void {
     if (response.destroyed) return;
     if (this.isStopping) response.setHeader('connection', 'close');
-    response.writeHead(answer.status, answer.headers).end(answer.body);
+    const length = Buffer.byteLength(answer.body);
+    response
+      .writeHead(answer.status, {...answer.headers, 'content-length': length})
+      .end(answer.body);
   }
 }
 
