Do not create a record twice after a lost reply

Cause: a property over random faults (lost, delayed and cut writes, stale reads, rivals) found: create, send delayed, it lands, a rival deletes the record, the writer reads 'absent', sends again and undoes the rival. 'Absent' is no unique revision. Ruled out: comparing the store's revision at both reads (a stale second read hides the change). A body that does not arrive in 10 s is answered 408.

--- a/src/lib/admin/administration_problem.ts
+++ b/src/lib/admin/administration_problem.ts
@@ -6,6 +6,7 @@
   NOT_FOUND = 'not-found',
   METHOD_NOT_ALLOWED = 'method-not-allowed',
   REQUEST_INVALID = 'request-invalid',
+  REQUEST_TIMEOUT = 'request-timeout',
   BODY_TOO_LARGE = 'body-too-large',
   RECORD_INVALID = 'record-invalid',
   PRECONDITION_FAILED = 'precondition-failed',
--- a/src/lib/admin/administration_task.ts
+++ b/src/lib/admin/administration_task.ts
@@ -132,7 +132,14 @@
       );
       return;
     }
+    // Node looks for requests that are late only now and then.
+    const stopTimer = this.options.startTimer(REQUEST_TIMEOUT_MS, () => {
+      response.setHeader('connection', 'close');
+      sendAnswer(refuse(AdministrationProblem.REQUEST_TIMEOUT, LATE_DETAIL));
+      response.once('close', () => request.destroy());
+    });
     const body = await readBody(request, BODY_BYTES_AT_MOST);
+    stopTimer();
     if (body.end === BodyEnd.BROKEN) return;
     if (body.end === BodyEnd.TOO_LARGE) {
       response.setHeader('connection', 'close');
@@ -210,6 +217,7 @@
 const UNAUTHORIZED_DETAIL =
   'Send the key of the settings as "Authorization: Bearer KEY".';
 const TOO_LARGE_DETAIL = `The body is over ${BODY_BYTES_AT_MOST} bytes.`;
+const LATE_DETAIL = `The body took longer than ${REQUEST_TIMEOUT_MS} ms.`;
 const INTERNAL_DETAIL =
   'The request failed within the entry; its log says why. Read what stands.';
 
--- a/src/lib/admin/answer_codec.ts
+++ b/src/lib/admin/answer_codec.ts
@@ -16,6 +16,7 @@
   [AdministrationProblem.NOT_FOUND]: 404,
   [AdministrationProblem.METHOD_NOT_ALLOWED]: 405,
   [AdministrationProblem.REQUEST_INVALID]: 400,
+  [AdministrationProblem.REQUEST_TIMEOUT]: 408,
   [AdministrationProblem.BODY_TOO_LARGE]: 413,
   [AdministrationProblem.RECORD_INVALID]: 422,
   [AdministrationProblem.PRECONDITION_FAILED]: 412,
--- a/src/lib/admin/read_back.ts
+++ b/src/lib/admin/read_back.ts
@@ -7,7 +7,7 @@
 export enum WriteTrace {
   /** The write took effect. */
   TOOK_EFFECT = 'took-effect',
-  /** There is no sign of it; being conditional, it may be sent again. */
+  /** There is no sign of it yet; it may still be on its way. */
   NOT_YET = 'not-yet',
   /** Another change took its place: it never took effect and never will. */
   OVERTAKEN = 'overtaken',
--- a/src/lib/admin/record_writer.ts
+++ b/src/lib/admin/record_writer.ts
@@ -2,6 +2,7 @@
 import {computeBackoffMs} from '../core/backoff.js';
 import type {DrawRandom, StartTimer} from '../core/clock.js';
 import {ErrorCode, FoxtailbayError} from '../core/errors.js';
+import {ABSENT_REVISION} from '../platform/platform_store.js';
 import type {PlatformStore, StoredValue} from '../platform/platform_store.js';
 import {formatRecordKey} from '../records/record.js';
 import type {RecordIdentity} from '../records/record.js';
@@ -37,7 +38,7 @@
 /** A plan that sends something to the store. */
 type SendingPlan = Extract<WritePlan, {expectedRevision: number}>;
 
-/** Sends of one change, the first included. */
+/** Looks at the record after a lost reply, and sends where that is safe. */
 const ATTEMPTS_AT_MOST = 4;
 
 const BACKOFF_LIMITS = {firstMs: 50, longestMs: 500};
@@ -46,8 +47,9 @@
  * Writes and deletes records by compare-and-swap.
  *
  * A lost reply is followed by reading back: the write's id, kept in the record
- * and in its history, tells success from conflict. Sending again is safe, since
- * only one of several sends with one expected revision can take effect.
+ * and in its history, tells success from conflict. Sending again is safe for a
+ * record that exists, since only one of several sends with one expected revision
+ * can take effect.
  */
 export class RecordWriter {
   private constructor(private readonly options: RecordWriterOptions) {}
@@ -91,25 +93,47 @@
     change: RecordChange,
     plan: SendingPlan,
   ): Promise<WriteResult> {
-    let isUncertain = false;
-    for (let attempt = 1; attempt <= ATTEMPTS_AT_MOST; attempt += 1) {
-      try {
-        return confirmWrite(await this.sendPlan(change, plan));
-      } catch (failure) {
-        const code = readCode(failure);
-        if (!isUncertain && code === ErrorCode.STORE_CONFLICT) {
-          return refuseConflict();
-        }
-        if (!isUncertain && code === ErrorCode.STORE_UNAVAILABLE) {
-          return refuseUnavailable(failure);
-        }
-        isUncertain = true;
+    try {
+      return confirmWrite(await this.sendPlan(change, plan));
+    } catch (failure) {
+      const code = readCode(failure);
+      if (code === ErrorCode.STORE_CONFLICT) return refuseConflict();
+      if (code === ErrorCode.STORE_UNAVAILABLE) {
+        return refuseUnavailable(failure);
       }
+    }
+    return this.followUp(change, plan);
+  }
+
+  /** Finds out what became of a send whose reply was lost. */
+  private async followUp(
+    change: RecordChange,
+    plan: SendingPlan,
+  ): Promise<WriteResult> {
+    for (let attempt = 1; attempt < ATTEMPTS_AT_MOST; attempt += 1) {
       const result = await this.findResult(change, plan);
       if (result !== undefined) return result;
       await this.pause(attempt);
+      const resent = await this.sendAgain(change, plan);
+      if (resent !== undefined) return resent;
+    }
+    return (await this.findResult(change, plan)) ?? refuseUnknown(change);
+  }
+
+  /** Sends once more where that is safe; undefined if nothing was learned. */
+  private async sendAgain(
+    change: RecordChange,
+    plan: SendingPlan,
+  ): Promise<WriteResult | undefined> {
+    // A record may be absent twice: the first send may have created it and a
+    // rival may have deleted it since. A second send would undo the rival.
+    if (plan.expectedRevision === ABSENT_REVISION) return undefined;
+    try {
+      return confirmWrite(await this.sendPlan(change, plan));
+    } catch {
+      // The next look at the record tells what happened.
+      return undefined;
     }
-    return refuseUnknown(change);
   }
 
   private sendPlan(change: RecordChange, plan: SendingPlan): Promise<number> {
--- a/test/fakes/memory_store.ts
+++ b/test/fakes/memory_store.ts
@@ -21,6 +21,8 @@
   lostReplies: number;
   /** Writes that are cut before they take effect. */
   lostWrites: number;
+  /** Writes that are cut now and take effect when `landLateWrites` is called. */
+  delayedWrites: number;
   /** Lists and watches answer as of this revision. */
   staleRevision: number | undefined;
   /** Watches from before this revision are told to list again. */
@@ -45,6 +47,7 @@
     isDown: false,
     lostReplies: 0,
     lostWrites: 0,
+    delayedWrites: 0,
     staleRevision: undefined,
     compactedRevision: 0,
   };
@@ -55,6 +58,7 @@
   private readonly log: Array<StoreChange & {lease?: string}> = [];
   private readonly leases = new Set<string>();
   private waiters: Waiter[] = [];
+  private late: Array<() => number> = [];
 
   private constructor() {}
 
@@ -96,6 +100,19 @@
     }
   }
 
+  /** Lets delayed writes take effect, if they still can. */
+  landLateWrites(): void {
+    const late = this.late;
+    this.late = [];
+    for (const call of late) {
+      try {
+        call();
+      } catch {
+        // What it expected does not stand any more; nobody waits for it.
+      }
+    }
+  }
+
   /** Ends the wait of all watches without a change. */
   releaseWatches(): void {
     const waiters = this.waiters;
@@ -113,6 +130,11 @@
     }
   }
 
+  /** Every change since the beginning, oldest first. */
+  get changes(): readonly StoreChange[] {
+    return this.log;
+  }
+
   /** Number of watches that wait. */
   get waiting(): number {
     return this.waiters.length;
@@ -129,6 +151,11 @@
       this.faults.lostWrites -= 1;
       throw createStoreError(ErrorCode.STORE_OUTCOME_UNKNOWN);
     }
+    if (this.faults.delayedWrites > 0) {
+      this.faults.delayedWrites -= 1;
+      this.late.push(call);
+      throw createStoreError(ErrorCode.STORE_OUTCOME_UNKNOWN);
+    }
     const revision = call();
     if (this.faults.lostReplies > 0) {
       this.faults.lostReplies -= 1;
