Write the pages for users and operators, and check that they are true

Cause: a newcomer has to read, run and trust the system; pages that are written by hand fall behind the code. Ruled out: a documentation generator (no library needed for three tables). Change: docs/CHARTS.md and docs/SETTINGS.md are made by npm run docs; npm run docs:check holds them current, follows links, and compares the tables of codes, events and metrics with the enums.

--- a/src/lib/cli/http_exchange.ts
+++ b/src/lib/cli/http_exchange.ts
@@ -51,13 +51,22 @@
 /** Sends one request once; never rejects for what the network does. */
 export type SendRequest = (request: HttpRequest) => Promise<HttpReply>;
 
+/** Statuses by which a request is told to have succeeded. */
+export enum SuccessStatus {
+  OK = 200,
+  CREATED = 201,
+  ACCEPTED = 202,
+  NO_CONTENT = 204,
+}
+
+/** A whole reply that tells of success. */
+export interface HttpSuccess extends HttpAnswer {
+  readonly status: SuccessStatus;
+}
+
 /** Tells whether a reply is an answer with a status of success. */
-export function isSuccess(reply: HttpReply): reply is HttpAnswer {
-  return (
-    reply.kind === ReplyKind.ANSWERED &&
-    reply.status >= 200 &&
-    reply.status < 300
-  );
+export function isSuccess(reply: HttpReply): reply is HttpSuccess {
+  return reply.kind === ReplyKind.ANSWERED && reply.status in SuccessStatus;
 }
 
 /** Joins a base URL and a path whose parts are encoded. */
--- /dev/null
+++ b/test/tools/docs_test.ts
@@ -0,0 +1,49 @@
+import {expect} from 'chai';
+import {composeChartsPage} from '../../tools/docs_charts.js';
+import {listAnchors, listLinks} from '../../tools/docs_links.js';
+import {formatMarkdownTable} from '../../tools/docs_markdown.js';
+import {readFirstColumn} from '../../tools/docs_names.js';
+import {composeSettingsPage} from '../../tools/docs_settings.js';
+
+describe('The pages made from sources', () => {
+  it('draw every chart with its states', () => {
+    const page = composeChartsPage();
+    expect(page).to.contain('\n## process\n');
+    expect(page).to.contain('draining --> stopped: idle');
+    expect(page).to.match(/\| `draining` \| Finishes what it has taken/);
+  });
+
+  it('list every setting with its default and what is allowed', () => {
+    const page = composeSettingsPage();
+    expect(page).to.contain(
+      '| `target.queueLimit` | `4` | an integer from 0 |',
+    );
+    expect(page).to.contain('| `sessions.secret` | required |');
+  });
+
+  it('escape what would break a table', () => {
+    expect(formatMarkdownTable(['a'], [['x|y\nz']])).to.equal(
+      '| a |\n| --- |\n| x\\|y z |',
+    );
+  });
+});
+
+describe('The check of pages', () => {
+  it('reads links that stay within the project, but none in code', () => {
+    const text =
+      '[a](b.md#c) [d](https://e) `[f](g)`\n```\n[h](i)\n```\n[j](#k)';
+    expect(listLinks(text)).to.deep.equal(['b.md#c', '#k']);
+  });
+
+  it('reads the anchors of headings', () => {
+    expect(
+      listAnchors("# Problems of the callers' API\n## `a` b"),
+    ).to.deep.equal(['problems-of-the-callers-api', 'a-b']);
+  });
+
+  it('reads the first column of one section only', () => {
+    const page = '# P\n\n## A\n| `x` | 1 |\n| y | 2 |\n\n## B\n| `z` | 3 |\n';
+    expect(readFirstColumn(page, 'A')).to.deep.equal(['x']);
+    expect(readFirstColumn(page, 'C')).to.deep.equal([]);
+  });
+});
