Gather counts between reports and thin out histograms of tasks

Change: MetricBuffer sums counts by name and tags for a second; one value in ten of task.wait and task.run is sent, their number is told by counters.

--- a/src/lib/observe/metrics.ts
+++ b/src/lib/observe/metrics.ts
@@ -1,5 +1,9 @@
 /** Metrics in the StatsD protocol, sent by `hot-shots`. */
+import type {StatsD} from 'hot-shots';
+import {repeatTimer, startTimer} from '../core/clock.js';
+import type {StartTimer} from '../core/clock.js';
 import type {ProcessIdentity} from '../core/identity.js';
+import {MetricBuffer} from './metric_buffer.js';
 import type {MetricsSettings} from '../settings/settings_schema.js';
 
 /** Names of counters. */
@@ -88,6 +92,8 @@
   /** Begins each name, for example `foxtailbay.entry.`. */
   readonly prefix: string;
   readonly identity: ProcessIdentity;
+  /** Starts the timer of the reports; that of the event loop if absent. */
+  readonly startTimer?: StartTimer;
   /** Is told when a packet could not be sent. */
   readonly reportFailure: (failure: Error) => void;
 }
@@ -96,6 +102,20 @@
 const PACKET_BYTES = 1432;
 const FLUSH_PERIOD_MS = 1000;
 
+/**
+ * One in how many values of a histogram is sent. Tasks are many, and their
+ * number is told by counters.
+ */
+const SAMPLE_PERIODS: Readonly<Record<Histogram, number>> = {
+  [Histogram.JOB_DURATION]: 1,
+  [Histogram.TASK_WAIT]: 10,
+  [Histogram.TASK_RUN]: 10,
+  [Histogram.STORE_CALL_DURATION]: 1,
+  [Histogram.CONFIGURATION_DELAY]: 1,
+};
+
+const NO_TAGS: MetricTags = {};
+
 /** Metrics that go nowhere. */
 export const SILENT_METRICS: Metrics = {
   countEvent: () => {},
@@ -119,13 +139,29 @@
     bufferFlushInterval: FLUSH_PERIOD_MS,
     errorHandler: options.reportFailure,
   });
-  return {
-    countEvent: (name, tags, count = 1) =>
+  return bufferMetrics(client, options.startTimer ?? startTimer);
+}
+
+function bufferMetrics(client: StatsD, start: StartTimer): Metrics {
+  const buffer = MetricBuffer.create();
+  const flush = () =>
+    buffer.flush(({name, tags, count}) =>
       client.increment(name, count, {...tags}),
-    recordDuration: (name, durationMs, tags) =>
-      client.histogram(name, durationMs, {...tags}),
+    );
+  const stopTimer = repeatTimer(start, FLUSH_PERIOD_MS, flush);
+  return {
+    countEvent: (name, tags = NO_TAGS, count = 1) =>
+      buffer.add(name, tags, count),
+    recordDuration: (name, durationMs, tags) => {
+      if (!buffer.admit(name, SAMPLE_PERIODS[name])) return;
+      client.histogram(name, durationMs, {...tags});
+    },
     reportGauge: (name, value, tags) => client.gauge(name, value, {...tags}),
-    close: () => closeClient(callback => client.close(callback)),
+    close: () => {
+      stopTimer();
+      flush();
+      return closeClient(callback => client.close(callback));
+    },
   };
 }
 
