Add the operators' commands: records, datacentre, status, targets

Cause: operators drive the system by records and data centres, and a reply that is lost must not look like a conflict. Ruled out: sending a change again after a lost reply (it may come second); sharing the server's types (an older command line speaks to a newer entry). Conclusion: proved against scripted replies; the run against a real administration port waits for it to land.

--- /dev/null
+++ b/src/lib/cli/administration_client.ts
@@ -0,0 +1,176 @@
+/** The calls of the administration API. */
+import {Option} from 'commander';
+import type {Command} from 'commander';
+import {UsageError} from '../core/errors.js';
+import type {RecordIdentity, ServiceState} from '../records/record.js';
+import type {CommandContext} from './command_context.js';
+import {createTimeoutOption, MS_PER_S} from './entry_options.js';
+import {composeUrl, Method} from './http_exchange.js';
+import type {HttpReply, HttpRequest} from './http_exchange.js';
+import type {RecordDraft} from './record_file.js';
+
+/** Options of every command for operators. */
+export interface AdministrationOptions {
+  /** Base URL of an entry's listener for operators. */
+  readonly administration: string;
+  /** File that holds the key; absent: the environment has it. */
+  readonly keyFile?: string;
+  /** Longest time to wait, in seconds. */
+  readonly timeout: number;
+}
+
+/** What the calls need. */
+export interface AdministrationClient {
+  readonly context: CommandContext;
+  readonly options: AdministrationOptions;
+  readonly key: string;
+}
+
+/** A change of one record that the caller can recognise later. */
+export interface RecordWrite {
+  readonly draft: RecordDraft;
+  /** Random; the record's history shows it once the write stands. */
+  readonly writeId: string;
+  /** Revision at which the record was seen; undefined if there was none. */
+  readonly seenRevision: number | undefined;
+}
+
+/** Environment variable that holds the administration key. */
+export const KEY_VARIABLE = 'FOXTAILBAY_ADMINISTRATION_KEY';
+
+const DEFAULT_ADMINISTRATION = 'http://127.0.0.1:7402';
+const DEFAULT_TIMEOUT_S = 30;
+
+/** Adds the options of commands for operators. */
+export function addAdministrationOptions(command: Command): Command {
+  return command
+    .addOption(
+      new Option('--administration <url>', 'administration API to speak to')
+        .env('FOXTAILBAY_ADMINISTRATION')
+        .default(DEFAULT_ADMINISTRATION),
+    )
+    .option(
+      '--key-file <file>',
+      `file with the administration key (or ${KEY_VARIABLE})`,
+    )
+    .addOption(createTimeoutOption(DEFAULT_TIMEOUT_S));
+}
+
+/**
+ * Creates a client from a command's options.
+ *
+ * @throws UsageError if there is no key.
+ */
+export function createAdministrationClient(
+  context: CommandContext,
+  options: AdministrationOptions,
+): AdministrationClient {
+  const key =
+    options.keyFile === undefined
+      ? context.environment[KEY_VARIABLE]
+      : context.readFile(options.keyFile).trim();
+  if (key === undefined || key === '') {
+    throw new UsageError(
+      `The administration key is missing: set ${KEY_VARIABLE} or --key-file.`,
+    );
+  }
+  return {context, options, key};
+}
+
+/** Lists records of one kind, or of all. */
+export function listRecords(
+  client: AdministrationClient,
+  kind?: string,
+): Promise<HttpReply> {
+  return ask(client, ['records', ...(kind === undefined ? [] : [kind])]);
+}
+
+/** Gets one record. */
+export function getRecord(
+  client: AdministrationClient,
+  {kind, name}: RecordIdentity,
+): Promise<HttpReply> {
+  return ask(client, ['records', kind, name]);
+}
+
+/** Gets the versions of one record. */
+export function getHistory(
+  client: AdministrationClient,
+  {kind, name}: RecordIdentity,
+): Promise<HttpReply> {
+  return ask(client, ['records', kind, name, 'history']);
+}
+
+/** Writes a record if it stands as it was seen. */
+export function putRecord(
+  client: AdministrationClient,
+  {draft, writeId, seenRevision}: RecordWrite,
+): Promise<HttpReply> {
+  const {kind, name, schemaVersion, spec} = draft;
+  const precondition: Record<string, string> =
+    seenRevision === undefined
+      ? {'if-none-match': '*'}
+      : {'if-match': `"${seenRevision}"`};
+  return send(client, ['records', kind, name], {
+    method: Method.PUT,
+    headers: {...precondition, 'idempotency-key': writeId},
+    body: {schemaVersion, kind, name, spec},
+  });
+}
+
+/** Takes a data centre out of service or puts it back in. */
+export function changeService(
+  client: AdministrationClient,
+  name: string,
+  service: ServiceState,
+): Promise<HttpReply> {
+  return send(client, ['data-centres', name, service], {
+    method: Method.POST,
+    headers: {'idempotency-key': client.context.drawName()},
+  });
+}
+
+/** Gets whether a data centre is in service, and who has that in force. */
+export function getDataCentre(
+  client: AdministrationClient,
+  name: string,
+): Promise<HttpReply> {
+  return ask(client, ['data-centres', name]);
+}
+
+/** Gets what the entry knows of the fleet. */
+export function getStatus(client: AdministrationClient): Promise<HttpReply> {
+  return ask(client, ['status']);
+}
+
+/** Gets which processes have a revision in force. */
+export function getRevision(
+  client: AdministrationClient,
+  revision: number,
+): Promise<HttpReply> {
+  return ask(client, ['revisions', String(revision)]);
+}
+
+function ask(
+  client: AdministrationClient,
+  path: readonly string[],
+): Promise<HttpReply> {
+  return send(client, path, {method: Method.GET});
+}
+
+function send(
+  {context, options, key}: AdministrationClient,
+  path: readonly string[],
+  request: Pick<HttpRequest, 'method' | 'headers' | 'body'>,
+): Promise<HttpReply> {
+  return context.send({
+    ...request,
+    url: composeUrl(options.administration, 'v1', ...path),
+    headers: {
+      authorization: `Bearer ${key}`,
+      'foxtailbay-operator': context.userName,
+      ...request.headers,
+    },
+    timeoutMs: options.timeout * MS_PER_S,
+  });
+}
--- a/src/lib/cli/command_line.ts
+++ b/src/lib/cli/command_line.ts
@@ -4,7 +4,9 @@
 import type {BindAction, CommandContext} from './command_context.js';
 import {addChartCommands} from './commands/chart_commands.js';
 import {addCompletionCommand} from './commands/completion_command.js';
+import {addFleetCommands} from './commands/fleet_commands.js';
 import {addJobCommands} from './commands/job_commands.js';
+import {addRecordCommands} from './commands/record_commands.js';
 import {addSettingsCommands} from './commands/settings_commands.js';
 import {ExitCode} from './exit_code.js';
 import {OutputFormat} from './terminal.js';
@@ -71,6 +73,8 @@
 ): void {
   const adders = [
     addJobCommands,
+    addRecordCommands,
+    addFleetCommands,
     addChartCommands,
     addSettingsCommands,
     addCompletionCommand,
--- /dev/null
+++ b/src/lib/cli/commands/record_commands.ts
@@ -0,0 +1,192 @@
+/** Commands of operators on configuration records. */
+import type {Command} from 'commander';
+import {
+  addAdministrationOptions,
+  createAdministrationClient,
+  getHistory,
+  getRecord,
+  listRecords,
+} from '../administration_client.js';
+import type {
+  AdministrationClient,
+  AdministrationOptions,
+} from '../administration_client.js';
+import type {
+  AddCommands,
+  BindAction,
+  CommandContext,
+} from '../command_context.js';
+import type {ChangeDocument} from '../administration_documents.js';
+import {ExitCode} from '../exit_code.js';
+import {applyRecord, isFoundOrAbsent} from '../record_changes.js';
+import {compareRecord} from '../record_difference.js';
+import {parseIdentity, parseRecordFile} from '../record_file.js';
+import type {RecordDraft} from '../record_file.js';
+import {readRevision, waitForRevision} from '../revision_wait.js';
+import type {Verdict} from '../verdict.js';
+import {
+  joinVerdicts,
+  judgeWait,
+  readRecord,
+} from '../verdicts/change_verdict.js';
+import {Effect, judgeFailure} from '../verdicts/problem.js';
+import {
+  judgeDifferences,
+  judgeDraft,
+  judgeHistory,
+  judgeRecord,
+  judgeRecordList,
+} from '../verdicts/record_verdict.js';
+
+interface ApplyOptions extends AdministrationOptions {
+  readonly wait?: boolean;
+}
+
+/** Adds `records` with its subcommands. */
+export const addRecordCommands: AddCommands = (
+  program,
+  context,
+  bindAction,
+) => {
+  const records = program
+    .command('records')
+    .description('read, check and change the configuration records');
+  addReadingCommands(records, context, bindAction);
+  addFileCommands(records, context, bindAction);
+};
+
+function addReadingCommands(
+  records: Command,
+  context: CommandContext,
+  bindAction: BindAction,
+): void {
+  const list = addAdministrationOptions(
+    records
+      .command('list')
+      .description('list the records')
+      .argument('[kind]', 'only this kind'),
+  );
+  bindAction(
+    list,
+    async (kind: string | undefined, options: AdministrationOptions) =>
+      judgeRecordList(
+        await listRecords(createAdministrationClient(context, options), kind),
+      ),
+  );
+  const get = addRecordArguments(
+    records.command('get').description('print one record'),
+  );
+  bindAction(
+    get,
+    async (kind: string, name: string, options: AdministrationOptions) => {
+      const client = createAdministrationClient(context, options);
+      return judgeRecord(await getRecord(client, parseIdentity(kind, name)));
+    },
+  );
+  const history = addRecordArguments(
+    records
+      .command('history')
+      .description('list the versions of one record, newest first'),
+  );
+  bindAction(
+    history,
+    async (kind: string, name: string, options: AdministrationOptions) => {
+      const client = createAdministrationClient(context, options);
+      return judgeHistory(await getHistory(client, parseIdentity(kind, name)));
+    },
+  );
+}
+
+function addFileCommands(
+  records: Command,
+  context: CommandContext,
+  bindAction: BindAction,
+): void {
+  const readDrafts = (file: string) =>
+    parseRecordFile(file, context.readFile(file));
+  const check = addFileArgument(
+    records
+      .command('check')
+      .description('check records against their schemas, without a server'),
+  );
+  bindAction(check, (file: string) =>
+    joinVerdicts(readDrafts(file).map(judgeDraft)),
+  );
+  const diff = addAdministrationOptions(
+    addFileArgument(
+      records
+        .command('diff')
+        .description('show what applying a file would change'),
+    ),
+  );
+  bindAction(diff, async (file: string, options: AdministrationOptions) => {
+    const client = createAdministrationClient(context, options);
+    return joinEach(readDrafts(file), draft => compareDraft(client, draft));
+  });
+  const apply = addAdministrationOptions(
+    addFileArgument(
+      records
+        .command('apply')
+        .description('write the records that differ, one after the other')
+        .option('--wait', 'wait until every process has them in force'),
+    ),
+  );
+  bindAction(apply, async (file: string, options: ApplyOptions) => {
+    const drafts = readDrafts(file);
+    const check = joinVerdicts(drafts.map(judgeDraft));
+    if (check.exitCode !== ExitCode.OK) return check;
+    const client = createAdministrationClient(context, options);
+    return joinEach(drafts, draft => applyDraft(client, draft, options));
+  });
+}
+
+async function applyDraft(
+  client: AdministrationClient,
+  draft: RecordDraft,
+  options: ApplyOptions,
+): Promise<Verdict> {
+  const verdict = await applyRecord(client, draft);
+  const {revision} = (verdict.document ?? {}) as Partial<ChangeDocument>;
+  const isWaited = options.wait === true && verdict.exitCode === ExitCode.OK;
+  if (!isWaited || revision === undefined) return verdict;
+  return judgeWait(
+    readRevision(await waitForRevision(client, revision)),
+    verdict,
+  );
+}
+
+async function compareDraft(
+  client: AdministrationClient,
+  draft: RecordDraft,
+): Promise<Verdict> {
+  const reply = await getRecord(client, draft);
+  return isFoundOrAbsent(reply)
+    ? judgeDifferences(draft, compareRecord(readRecord(reply), draft))
+    : judgeFailure(reply, Effect.READS);
+}
+
+/** Handles drafts one after the other and stops after the first that fails. */
+async function joinEach(
+  drafts: readonly RecordDraft[],
+  handle: (draft: RecordDraft) => Promise<Verdict>,
+): Promise<Verdict> {
+  const verdicts: Verdict[] = [];
+  for (const draft of drafts) {
+    const verdict = await handle(draft);
+    verdicts.push(verdict);
+    if (verdict.exitCode !== ExitCode.OK) break;
+  }
+  return joinVerdicts(verdicts);
+}
+
+function addRecordArguments(command: Command): Command {
+  return addAdministrationOptions(
+    command
+      .argument('<kind>', 'kind of the record')
+      .argument('<name>', 'name of the record'),
+  );
+}
+
+function addFileArgument(command: Command): Command {
+  return command.argument('<file>', 'records in YAML; - is standard input');
+}
--- /dev/null
+++ b/src/lib/cli/record_changes.ts
@@ -0,0 +1,82 @@
+/** Applying records: one conditional write each, its fate told truly. */
+import type {PastRecordVersion} from '../records/record_body.js';
+import {getHistory, getRecord, putRecord} from './administration_client.js';
+import type {
+  AdministrationClient,
+  RecordWrite,
+} from './administration_client.js';
+import {isSuccess, ReplyKind} from './http_exchange.js';
+import type {HttpReply} from './http_exchange.js';
+import {compareRecord} from './record_difference.js';
+import type {RecordDraft} from './record_file.js';
+import {createSuccess} from './verdict.js';
+import type {Verdict} from './verdict.js';
+import {
+  describeLostWrite,
+  judgeChange,
+  judgeLostWrite,
+  LostWrite,
+  readRecord,
+} from './verdicts/change_verdict.js';
+import {Effect, judgeFailure} from './verdicts/problem.js';
+
+const NOT_FOUND_STATUS = 404;
+
+/** Applies one record if it differs from the one that stands. */
+export async function applyRecord(
+  client: AdministrationClient,
+  draft: RecordDraft,
+): Promise<Verdict> {
+  const subject = `${draft.kind}/${draft.name}`;
+  const reply = await getRecord(client, draft);
+  if (!isFoundOrAbsent(reply)) {
+    const failure = judgeFailure(reply, Effect.READS);
+    return {...failure, text: `${subject}: ${failure.text}`};
+  }
+  const stored = readRecord(reply);
+  if (compareRecord(stored, draft).length === 0) {
+    return createSuccess(`${subject}: no difference`, stored);
+  }
+  return writeRecord(client, subject, {
+    draft,
+    writeId: client.context.drawName(),
+    seenRevision: stored?.revision,
+  });
+}
+
+/** Tells whether an answer holds a record or says that there is none. */
+export function isFoundOrAbsent(reply: HttpReply): boolean {
+  return (
+    isSuccess(reply) ||
+    (reply.kind === ReplyKind.ANSWERED && reply.status === NOT_FOUND_STATUS)
+  );
+}
+
+async function writeRecord(
+  client: AdministrationClient,
+  subject: string,
+  write: RecordWrite,
+): Promise<Verdict> {
+  const reply = await putRecord(client, write);
+  if (reply.kind !== ReplyKind.LOST) return judgeChange(reply, subject);
+  const history = await getHistory(client, write.draft);
+  const versions = readVersions(history);
+  const fate =
+    versions === undefined
+      ? LostWrite.OPEN
+      : judgeLostWrite(write.writeId, write.seenRevision, versions);
+  return describeLostWrite(fate, subject, {
+    ...write.draft,
+    fate,
+    writeId: write.writeId,
+  });
+}
+
+/** Reads the versions from an answer; undefined if it does not tell. */
+function readVersions(
+  reply: HttpReply,
+): readonly PastRecordVersion[] | undefined {
+  if (!isFoundOrAbsent(reply)) return undefined;
+  if (!isSuccess(reply)) return [];
+  return (reply.document as {versions: readonly PastRecordVersion[]}).versions;
+}
--- /dev/null
+++ b/src/lib/cli/revision_wait.ts
@@ -0,0 +1,42 @@
+/** Waiting until a change is in force at every process. */
+import type {RevisionStatus} from './administration_documents.js';
+import type {AdministrationClient} from './administration_client.js';
+import {getRevision} from './administration_client.js';
+import {MS_PER_S} from './entry_options.js';
+import {isSuccess} from './http_exchange.js';
+import type {HttpReply} from './http_exchange.js';
+import {formatProcesses} from './verdicts/change_verdict.js';
+
+const ASK_PERIOD_MS = 250;
+
+/**
+ * Waits until every process known has a revision in force, or the command's
+ * time is over; returns the last answer. A question that gets no answer is
+ * asked again: it changes nothing.
+ */
+export async function waitForRevision(
+  client: AdministrationClient,
+  revision: number,
+): Promise<HttpReply> {
+  const {context, options} = client;
+  const endMs = context.readMonotonicMs() + options.timeout * MS_PER_S;
+  for (;;) {
+    const reply = await getRevision(client, revision);
+    const isOver = context.readMonotonicMs() >= endMs;
+    if (isOver || readRevision(reply)?.isEverywhere === true) return reply;
+    showMissing(client, reply);
+    await new Promise<void>(resolve => {
+      context.startTimer(ASK_PERIOD_MS, resolve);
+    });
+  }
+}
+
+/** Reads who has a revision in force from an answer. */
+export function readRevision(reply: HttpReply): RevisionStatus | undefined {
+  return isSuccess(reply) ? (reply.document as RevisionStatus) : undefined;
+}
+
+function showMissing({context}: AdministrationClient, reply: HttpReply): void {
+  const missing = readRevision(reply)?.missing ?? [];
+  context.terminal.showProgress(`waiting for ${formatProcesses(missing)}`);
+}
--- /dev/null
+++ b/src/lib/cli/verdicts/change_verdict.ts
@@ -0,0 +1,132 @@
+/** Verdicts on changes of the configuration. */
+import type {PastRecordVersion} from '../../records/record_body.js';
+import type {
+  ChangeDocument,
+  RevisionStatus,
+  StoredRecord,
+} from '../administration_documents.js';
+import {chooseExitCode, ExitCode} from '../exit_code.js';
+import {isSuccess} from '../http_exchange.js';
+import type {HttpReply} from '../http_exchange.js';
+import type {Verdict} from '../verdict.js';
+import {Effect, judgeFailure} from './problem.js';
+
+/** What a record's history says of a write whose reply was lost. */
+export enum LostWrite {
+  /** The write stands, or stood until another one replaced it. */
+  STANDS = 'stands',
+  /** Another write came first; this one never stood and never will. */
+  OVERTAKEN = 'overtaken',
+  /** The record is as it was seen; the write may still arrive. */
+  OPEN = 'open',
+}
+
+const MOST_PROCESSES_NAMED = 8;
+
+/** Reads a change from an answer; undefined if it was not made. */
+export function readChange(reply: HttpReply): ChangeDocument | undefined {
+  return isSuccess(reply) ? (reply.document as ChangeDocument) : undefined;
+}
+
+/** Judges the answer to a change of one record. */
+export function judgeChange(reply: HttpReply, subject: string): Verdict {
+  const change = readChange(reply);
+  if (change === undefined) {
+    const failure = judgeFailure(reply, Effect.CHANGES);
+    return {...failure, text: `${subject}: ${failure.text}`};
+  }
+  const what = change.isChanged ? 'changed' : 'stood so already';
+  return {
+    exitCode: ExitCode.OK,
+    text: `${subject}: ${what}, ${formatRevision(change)}`,
+    document: change,
+  };
+}
+
+/** Judges whether a change that was waited for is in force everywhere. */
+export function judgeWait(
+  status: RevisionStatus | undefined,
+  change: Verdict,
+): Verdict {
+  if (status === undefined || change.exitCode !== ExitCode.OK) return change;
+  return {
+    exitCode: status.isEverywhere ? ExitCode.OK : ExitCode.FAILED,
+    text: `${change.text}\nNow ${formatRevision(status)}`,
+    document: {...(change.document as object), ...status},
+  };
+}
+
+/** Judges a write whose reply was lost by the record's versions, newest first. */
+export function judgeLostWrite(
+  writeId: string,
+  seenRevision: number | undefined,
+  versions: readonly PastRecordVersion[],
+): LostWrite {
+  if (versions.some(version => version.writeId === writeId)) {
+    return LostWrite.STANDS;
+  }
+  // The write names the revision seen, so it fails once that has passed.
+  return versions[0]?.revision === seenRevision
+    ? LostWrite.OPEN
+    : LostWrite.OVERTAKEN;
+}
+
+/** Words the fate of a write whose reply was lost. */
+export function describeLostWrite(
+  fate: LostWrite,
+  subject: string,
+  document: unknown,
+): Verdict {
+  switch (fate) {
+    case LostWrite.STANDS:
+      return {
+        exitCode: ExitCode.OK,
+        text: `${subject}: the reply was lost, but the history shows the change.`,
+        document,
+      };
+    case LostWrite.OVERTAKEN:
+      return {
+        exitCode: ExitCode.REFUSED,
+        text: `${subject}: another change came first; this one was not made.`,
+        document,
+      };
+    case LostWrite.OPEN:
+      return {
+        exitCode: ExitCode.UNKNOWN,
+        text: `${subject}: the reply was lost and the change may still arrive; look at its history.`,
+        document,
+      };
+  }
+}
+
+/** Puts the verdicts on several records together. */
+export function joinVerdicts(verdicts: readonly Verdict[]): Verdict {
+  return {
+    exitCode: chooseExitCode(verdicts.map(verdict => verdict.exitCode)),
+    text: verdicts.map(verdict => verdict.text).join('\n'),
+    document: verdicts.map(verdict => verdict.document),
+  };
+}
+
+/** Words how far a revision has come. */
+export function formatRevision(status: RevisionStatus): string {
+  const {revision, missing, isAccepted, isEverywhere} = status;
+  if (isEverywhere) return `revision ${revision} in force everywhere`;
+  const state = isAccepted
+    ? 'accepted'
+    : 'in the store, not yet held by a majority of the entries';
+  return `revision ${revision} ${state}; missing at ${formatProcesses(missing)}`;
+}
+
+/** Names processes, the first few of many. */
+export function formatProcesses(names: readonly string[]): string {
+  if (names.length === 0) return 'nobody';
+  const shown = names.slice(0, MOST_PROCESSES_NAMED).join(', ');
+  const rest = names.length - MOST_PROCESSES_NAMED;
+  return rest > 0 ? `${shown} and ${rest} more` : shown;
+}
+
+/** Reads a stored record from an answer; undefined if there is none. */
+export function readRecord(reply: HttpReply): StoredRecord | undefined {
+  return isSuccess(reply) ? (reply.document as StoredRecord) : undefined;
+}
--- /dev/null
+++ b/src/lib/cli/verdicts/record_verdict.ts
@@ -0,0 +1,94 @@
+/** Verdicts on questions about records. */
+import type {StoredRecord} from '../administration_documents.js';
+import type {PastRecordVersion} from '../../records/record_body.js';
+import {parseVersion} from '../../records/record_body.js';
+import {ExitCode} from '../exit_code.js';
+import {isSuccess} from '../http_exchange.js';
+import type {HttpReply} from '../http_exchange.js';
+import {formatDifference} from '../record_difference.js';
+import type {Difference} from '../record_difference.js';
+import type {RecordDraft} from '../record_file.js';
+import {formatTable} from '../table.js';
+import {createSuccess} from '../verdict.js';
+import type {Verdict} from '../verdict.js';
+import {Effect, judgeFailure} from './problem.js';
+
+/** Judges a list of records. */
+export function judgeRecordList(reply: HttpReply): Verdict {
+  if (!isSuccess(reply)) return judgeFailure(reply, Effect.READS);
+  const {records} = reply.document as {records: readonly StoredRecord[]};
+  const rows = records.map(record => [
+    record.kind,
+    record.name,
+    String(record.revision),
+    String(record.schemaVersion),
+    record.by,
+    record.problem === undefined ? 'in force' : `held: ${record.problem.fault}`,
+  ]);
+  const heading = ['KIND', 'NAME', 'REVISION', 'SCHEMA', 'BY', 'STATE'];
+  return createSuccess(formatTable(heading, rows), reply.document);
+}
+
+/** Judges one record. */
+export function judgeRecord(reply: HttpReply): Verdict {
+  if (!isSuccess(reply)) return judgeFailure(reply, Effect.READS);
+  const record = reply.document as StoredRecord;
+  const {kind, name, revision, by, schemaVersion, spec, problem} = record;
+  const text = [
+    `${kind}/${name}, revision ${revision}, by ${by}`,
+    JSON.stringify({schemaVersion, kind, name, spec}, undefined, 2),
+    ...(problem === undefined
+      ? []
+      : [`Not in force: ${problem.fault}: ${problem.detail}`]),
+  ];
+  return createSuccess(text.join('\n'), record);
+}
+
+/** Judges the versions of a record. */
+export function judgeHistory(reply: HttpReply): Verdict {
+  if (!isSuccess(reply)) return judgeFailure(reply, Effect.READS);
+  const {versions} = reply.document as {
+    versions: readonly PastRecordVersion[];
+  };
+  const rows = versions.map(version => [
+    String(version.revision),
+    String(version.schemaVersion),
+    version.by,
+    JSON.stringify(version.spec),
+  ]);
+  const heading = ['REVISION', 'SCHEMA', 'BY', 'SPEC'];
+  return createSuccess(formatTable(heading, rows), reply.document);
+}
+
+/** Judges a draft by the schema of its kind and version. */
+export function judgeDraft(draft: RecordDraft): Verdict {
+  const {kind, name, schemaVersion, spec} = draft;
+  const parsed = parseVersion(
+    {kind, name},
+    {schemaVersion, spec, writeId: '', by: ''},
+  );
+  const subject = `${kind}/${name}`;
+  if (parsed.isValid) {
+    return createSuccess(`${subject}: valid`, {kind, name, isValid: true});
+  }
+  const {fault, detail} = parsed;
+  return {
+    exitCode: ExitCode.FAILED,
+    text: `${subject}: ${fault}: ${detail}`,
+    document: {kind, name, isValid: false, fault, detail},
+  };
+}
+
+/** Judges what a draft would change. */
+export function judgeDifferences(
+  {kind, name}: RecordDraft,
+  differences: readonly Difference[],
+): Verdict {
+  const lines = differences.map(formatDifference);
+  const text = lines.length === 0 ? ['  no difference'] : lines;
+  return createSuccess([`${kind}/${name}`, ...text].join('\n'), {
+    kind,
+    name,
+    differences,
+  });
+}
--- /dev/null
+++ b/src/lib/cli/verdicts/status_verdict.ts
@@ -0,0 +1,73 @@
+/** Verdicts on questions about the fleet. */
+import type {
+  DataCentreDocument,
+  StatusReport,
+} from '../administration_documents.js';
+import {isSuccess} from '../http_exchange.js';
+import type {HttpReply} from '../http_exchange.js';
+import {formatTable} from '../table.js';
+import {createSuccess} from '../verdict.js';
+import type {Verdict} from '../verdict.js';
+import {formatRevision} from './change_verdict.js';
+import {Effect, judgeFailure} from './problem.js';
+
+/** Judges the state of a data centre. */
+export function judgeDataCentre(reply: HttpReply): Verdict {
+  if (!isSuccess(reply)) return judgeFailure(reply, Effect.READS);
+  const document = reply.document as DataCentreDocument;
+  const by = document.by === '' ? '' : ` by ${document.by}`;
+  const text = `${document.name}: ${document.service}${by}, ${formatRevision(document)}`;
+  return createSuccess(text, document);
+}
+
+/** Judges what an entry knows of the fleet. */
+export function judgeStatus(reply: HttpReply): Verdict {
+  if (!isSuccess(reply)) return judgeFailure(reply, Effect.READS);
+  const report = reply.document as StatusReport;
+  const counters = Object.entries(report.counters).map(
+    ([name, value]) => `  ${name}: ${value}`,
+  );
+  const text = [
+    `entry ${report.entry}: revision ${report.configurationRevision}, store ${report.contact}`,
+    '',
+    formatProcessTable(report),
+    '',
+    formatTargetTable(report),
+    ...(counters.length === 0 ? [] : ['', 'Counters', ...counters]),
+  ];
+  return createSuccess(text.join('\n'), report);
+}
+
+/** Judges the targets that an entry knows. */
+export function judgeTargets(reply: HttpReply): Verdict {
+  if (!isSuccess(reply)) return judgeFailure(reply, Effect.READS);
+  const report = reply.document as StatusReport;
+  return createSuccess(formatTargetTable(report), report.targets);
+}
+
+function formatProcessTable({processes}: StatusReport): string {
+  const rows = processes.map(process => [
+    process.role,
+    process.id,
+    process.dataCentre,
+    String(process.configurationRevision),
+    `${Math.round(process.heardAgeMs)} ms`,
+    process.contact ?? '-',
+  ]);
+  const heading = ['ROLE', 'PROCESS', 'DATA CENTRE', 'REVISION', 'HEARD'];
+  return formatTable([...heading, 'STORE'], rows);
+}
+
+function formatTargetTable({targets}: StatusReport): string {
+  const rows = targets.map(target => [
+    target.name,
+    target.agent,
+    target.dataCentre,
+    target.condition,
+    target.isPermitted ? 'yes' : 'no',
+    `${target.running}/${target.slots}`,
+    String(target.queued),
+  ]);
+  const heading = ['TARGET', 'AGENT', 'DATA CENTRE', 'CONDITION', 'PERMITTED'];
+  return formatTable([...heading, 'RUNNING', 'QUEUED'], rows);
+}
