--- a/src/lib/observe/metrics.ts
+++ b/src/lib/observe/metrics.ts
@@ -139,10 +139,10 @@
     bufferFlushInterval: FLUSH_PERIOD_MS,
     errorHandler: options.reportFailure,
   });
-  return bufferMetrics(client, options.startTimer ?? startTimer);
+  return createBufferedMetrics(client, options.startTimer ?? startTimer);
 }
 
-function bufferMetrics(client: StatsD, start: StartTimer): Metrics {
+function createBufferedMetrics(client: StatsD, start: StartTimer): Metrics {
   const buffer = MetricBuffer.create();
   const flush = () =>
     buffer.flush(({name, tags, count}) =>
