--- a/src/lib/cli/verdicts/change_verdict.ts
+++ b/src/lib/cli/verdicts/change_verdict.ts
@@ -49,9 +49,12 @@
   change: Verdict,
 ): Verdict {
   if (status === undefined || change.exitCode !== ExitCode.OK) return change;
+  const now = formatRevision(status);
   return {
     exitCode: status.isEverywhere ? ExitCode.OK : ExitCode.FAILED,
-    text: `${change.text}\nNow ${formatRevision(status)}`,
+    text: change.text.endsWith(now)
+      ? change.text
+      : `${change.text}\nNow ${now}`,
     document: {...(change.document as object), ...status},
   };
 }
--- a/src/lib/cli/verdicts/problem.ts
+++ b/src/lib/cli/verdicts/problem.ts
@@ -64,7 +64,8 @@
 
 function formatProblem(status: number, problem: ProblemDocument): string {
   const title = problem.title ?? `Status ${status}`;
-  const code = problem.code === undefined ? '' : ` [${problem.code}]`;
+  const isTold = problem.code === undefined || problem.code === title;
+  const code = isTold ? '' : ` [${problem.code}]`;
   const outcome =
     problem.outcome === undefined ? '' : `\nOutcome: ${problem.outcome}.`;
   const retry =
