--- /dev/null
+++ b/test/scenarios/caller_task_test.ts
@@ -0,0 +1,104 @@
+import {expect} from 'chai';
+import {CallerTask} from '../../tools/scenario/caller_task.js';
+import type {SubmissionOrder} from '../../tools/scenario/caller_task.js';
+import type {Submission} from '../../tools/scenario/evidence.js';
+import type {CallHttp, HttpCall} from '../../tools/scenario/http_call.js';
+import {isRetryAllowed} from '../../tools/scenario/load_runner.js';
+import {ScenarioError} from '../../tools/scenario/scenario_error.js';
+import {createSubmission} from './evidence_builder.js';
+
+const ORDER: SubmissionOrder = {
+  name: 'one',
+  group: 'one',
+  job: 'one',
+  keyName: 'one/1',
+  via: 'entry-1',
+  sessionFrom: 'entry-1',
+  body: {taskIds: ['one/0'], body: {}},
+  team: 'listings',
+};
+
+function createCaller(answerJob: CallHttp): [CallerTask, HttpCall[]] {
+  const calls: HttpCall[] = [];
+  const call: CallHttp = request => {
+    calls.push(request);
+    if (request.url.endsWith('/v1/jobs')) return answerJob(request);
+    const text = JSON.stringify({session: `s${calls.length}`});
+    return Promise.resolve({status: 201, headers: {}, text});
+  };
+  const caller = CallerTask.create({
+    call,
+    readMs: () => 0,
+    findAddress: name => `http://${name}`,
+    report: () => undefined,
+  });
+  return [caller, calls];
+}
+
+function createReply(status: number, body: object): CallHttp {
+  const text = JSON.stringify(body);
+  return () => Promise.resolve({status, headers: {}, text});
+}
+
+describe('CallerTask', () => {
+  it('opens a session once and makes its keys under it', async () => {
+    const [caller, calls] = createCaller(createReply(200, {}));
+    await caller.submit(ORDER);
+    await caller.submit({...ORDER, name: 'two', keyName: 'two'});
+    const keys = calls.flatMap(({headers}) => headers?.['idempotency-key']);
+    expect(keys.filter(key => key !== undefined)).to.deep.equal([
+      's1.one-1',
+      's1.two',
+    ]);
+  });
+
+  it('opens a new session after an answer says that the old one ended', async () => {
+    const [caller] = createCaller(createReply(409, {code: 'session-ended'}));
+    await caller.submit(ORDER);
+    await caller.submit({...ORDER, name: 'two'});
+    expect(caller.findKey('two')).to.equal('s3.one-1');
+  });
+
+  it('reports a request as cut only when it had been sent', async () => {
+    const fail = () => Promise.reject(new ScenarioError('reset'));
+    const [caller] = createCaller(fail);
+    expect((await caller.submit(ORDER)).isCut).to.equal(true);
+    const silent = CallerTask.create({
+      call: fail,
+      readMs: () => 0,
+      findAddress: () => '',
+      report: () => undefined,
+    });
+    expect((await silent.submit(ORDER)).isCut).to.equal(false);
+  });
+
+  it('takes a body that is not whole JSON for no answer', async () => {
+    const [caller] = createCaller(() =>
+      Promise.resolve({status: 200, headers: {}, text: '{"outcome":"comp'}),
+    );
+    expect((await caller.submit(ORDER)).answer?.body).to.equal(undefined);
+  });
+});
+
+describe('isRetryAllowed', () => {
+  const cases: Array<[string, Partial<Submission>, boolean]> = [
+    ['a whole answer', {}, false],
+    ['a cut request', {answer: undefined, isCut: true}, false],
+    ['a request that was not sent', {answer: undefined}, true],
+    [
+      'an unknown outcome',
+      {answer: {status: 502, body: {outcome: 'unknown'}}},
+      false,
+    ],
+    [
+      'a refusal that says "did not run"',
+      {answer: {status: 503, body: {outcome: 'did-not-run'}}},
+      true,
+    ],
+  ];
+  for (const [text, over, isAllowed] of cases) {
+    it(`is ${isAllowed} after ${text}`, () => {
+      expect(isRetryAllowed(createSubmission(over))).to.equal(isAllowed);
+    });
+  }
+});
--- a/tools/scenario/actions.ts
+++ b/tools/scenario/actions.ts
@@ -4,14 +4,20 @@
 import type {SubmissionOrder} from './caller_task.js';
 import {createConditionCheck} from './conditions.js';
 import {ConditionKind, Deed, StepKind, StoreMode, TargetMode} from './step.js';
-import type {AwaitStep, JobShape, ProcessStep} from './step.js';
-import {Listener, ProcessKind, STORE_NAME} from './fleet_plan.js';
+import type {AwaitStep, JobShape} from './step.js';
+import {Listener, STORE_NAME} from './fleet_plan.js';
 import {readReply} from './http_call.js';
 import type {HttpCall} from './http_call.js';
 import type {StepActions, StepOf} from './interpret_steps.js';
 import {createJobBody} from './job_body.js';
 import {LoadRunner} from './load_runner.js';
 import {changeDataCentre, writeRecord} from './operator_actions.js';
+import {
+  killProcesses,
+  replaceProcesses,
+  restartProcesses,
+  signalAll,
+} from './process_actions.js';
 import {ScenarioError} from './scenario_error.js';
 import type {Scene} from './scene.js';
 import {
@@ -21,7 +27,7 @@
   postControl,
 } from './stand_in_controls.js';
 
-const END_TIMEOUT_MS = 40_000;
+const KEY_TIMEOUT_MS = 5_000;
 
 /** Body that is sent under a key that already stands for another one. */
 const OTHER_BODY: JobShape = {
@@ -48,7 +54,7 @@
     [StepKind.THAW]: step => signalAll(scene, step, ProcessEvent.THAW),
     [StepKind.STOP]: step => signalAll(scene, step, ProcessEvent.STOP),
     [StepKind.RESTART]: step => restartProcesses(scene, step),
-    [StepKind.ROLL]: step => rollProcesses(scene, step),
+    [StepKind.ROLL]: step => replaceProcesses(scene, step),
     [StepKind.LINK]: step => changeLink(scene, step),
     [StepKind.STORE]: step => changeStore(scene, step),
     [StepKind.DATA_CENTRE]: step => changeDataCentre(scene, step),
@@ -74,7 +80,20 @@
     body: createJobBody(step.name, step.job),
     team: step.job.team,
   };
-  await startSubmission(scene, order, step.inBackground);
+  if (step.alsoVia.length === 0) {
+    return startSubmission(scene, order, step.inBackground);
+  }
+  const key = await scene.caller.createKey(order);
+  const copies = step.alsoVia.map(via => ({
+    ...order,
+    name: `${step.name}-${via}`,
+    via,
+  }));
+  await Promise.all(
+    [order, ...copies].map(copy =>
+      startSubmission(scene, {...copy, key}, step.inBackground),
+    ),
+  );
 }
 
 async function resubmitJob(
@@ -82,6 +101,12 @@
   step: StepOf<StepKind.RESUBMIT>,
 ): Promise<void> {
   const {order: first} = findSubmission(scene, step.of);
+  await awaitCondition(
+    `submission ${step.of} has a key`,
+    KEY_TIMEOUT_MS,
+    () => scene.caller.findKey(step.of) !== '',
+    scene.clock,
+  );
   const order: SubmissionOrder = {
     ...first,
     name: step.name,
@@ -140,70 +165,6 @@
   readReply(call, await scene.call(call));
 }
 
-async function killProcesses(scene: Scene, step: ProcessStep): Promise<void> {
-  for (const name of step.processes) {
-    // The record of a target ends with its process.
-    if (scene.fleet.findPlan(name).kind === ProcessKind.TARGET) {
-      await scene.readRecord(name);
-    }
-    scene.fleet.findProcess(name).send(ProcessEvent.KILL);
-    await awaitEnd(scene, name);
-  }
-}
-
-function signalAll(
-  scene: Scene,
-  step: ProcessStep,
-  event: ProcessEvent,
-): Promise<void> {
-  for (const name of step.processes) scene.fleet.findProcess(name).send(event);
-  return Promise.resolve();
-}
-
-async function restartProcesses(
-  scene: Scene,
-  step: ProcessStep,
-): Promise<void> {
-  for (const name of step.processes) {
-    await killProcesses(scene, {...step, processes: [name]});
-    await scene.fleet.start([name]);
-  }
-}
-
-/** Replaces each process by a graceful stop and a new start. */
-async function rollProcesses(
-  scene: Scene,
-  step: StepOf<StepKind.ROLL>,
-): Promise<void> {
-  const expected = scene.fleet.listServing(ProcessKind.TARGET).length;
-  for (const name of step.processes) {
-    scene.fleet.findProcess(name).send(ProcessEvent.STOP);
-    const end = await awaitEnd(scene, name);
-    if (end.code !== 0) {
-      throw new ScenarioError(
-        `${name} stopped with ${end.signal ?? `code ${end.code}`}, not code 0.`,
-      );
-    }
-    await scene.fleet.start([name]);
-    await awaitCondition(
-      `every entry sees ${expected} targets after ${name} was replaced`,
-      step.withinMs,
-      () => scene.seesTargets(expected),
-      scene.clock,
-    );
-    scene.writeLine(`${name} is replaced`);
-  }
-}
-
-function awaitEnd(scene: Scene, name: string) {
-  return awaitWithin(
-    `${name} has ended`,
-    END_TIMEOUT_MS,
-    scene.fleet.findProcess(name).awaitEnd(),
-    scene.clock.startTimer,
-  );
-}
-
 async function changeLink(
   scene: Scene,
   step: StepOf<StepKind.LINK>,
@@ -217,8 +178,10 @@
   step: StepOf<StepKind.STORE>,
 ): Promise<void> {
   const address = scene.fleet.findAddress(STORE_NAME, Listener.MAIN);
-  const revision =
-    step.mode === StoreMode.STALE ? await scene.readStoreRevision() : 0;
+  const revision = scene.observer.findChange(step.revisionOf)?.revision ?? 0;
+  if (step.mode === StoreMode.STALE && revision === 0) {
+    throw new ScenarioError(`No change is named "${step.revisionOf}".`);
+  }
   await postControl(scene.call, address, createStoreControl(step, revision));
 }
 
--- a/tools/scenario/administration_client.ts
+++ b/tools/scenario/administration_client.ts
@@ -1,4 +1,8 @@
 /** The operators' calls to the administration API. */
+import type {
+  RevisionStatus,
+  StatusReport,
+} from '../../src/lib/admin/status_report.js';
 import type {ReadMonotonicMs} from '../../src/lib/core/clock.js';
 import {ADMINISTRATION_KEY} from './fleet_plan.js';
 import type {CallHttp, HttpCall, HttpReply} from './http_call.js';
@@ -50,14 +54,14 @@
   }
 
   /** Reads who has a revision in force. */
-  async readRevision(entry: string, revision: number): Promise<unknown> {
+  async readRevision(entry: string, revision: number): Promise<RevisionStatus> {
     const reply = await this.call(entry, 'GET', `/v1/revisions/${revision}`);
-    return JSON.parse(reply.text);
+    return JSON.parse(reply.text) as RevisionStatus;
   }
 
   /** Reads what an entry reports of itself and its agents. */
-  async readStatus(entry: string): Promise<unknown> {
+  async readStatus(entry: string): Promise<StatusReport> {
     const reply = await this.call(entry, 'GET', '/v1/status');
-    return JSON.parse(reply.text);
+    return JSON.parse(reply.text) as StatusReport;
   }
 }
--- a/tools/scenario/await_condition.ts
+++ b/tools/scenario/await_condition.ts
@@ -28,7 +28,7 @@
   clock: WaitingClock,
 ): Promise<void> {
   const untilMs = clock.readMs() + withinMs;
-  while (!(await holdsNow(check))) {
+  while (!(await checkNow(check))) {
     if (clock.readMs() > untilMs) {
       throw new ScenarioError(`Not within ${withinMs} ms: ${text}.`);
     }
@@ -63,7 +63,7 @@
   });
 }
 
-async function holdsNow(check: CheckCondition): Promise<boolean> {
+async function checkNow(check: CheckCondition): Promise<boolean> {
   try {
     return await check();
   } catch {
--- a/tools/scenario/caller_task.ts
+++ b/tools/scenario/caller_task.ts
@@ -55,7 +55,7 @@
     this.task = Task.create<OrderMessage>({
       name: 'caller',
       capacity: MAILBOX_CAPACITY,
-      handle: message => void this.carryOut(message),
+      handle: message => void this.execute(message),
       reportFailure: () => undefined,
     });
   }
@@ -80,8 +80,8 @@
     return this.task.stop();
   }
 
-  private async carryOut(message: OrderMessage): Promise<void> {
-    const submission = await this.make(message.order);
+  private async execute(message: OrderMessage): Promise<void> {
+    const submission = await this.send(message.order);
     if (submission.answer?.body?.code === 'session-ended') {
       this.sessions.delete(message.order.sessionFrom);
     }
@@ -89,12 +89,12 @@
     message.finish(submission);
   }
 
-  private async make(order: SubmissionOrder): Promise<Submission> {
+  private async send(order: SubmissionOrder): Promise<Submission> {
     const {call, readMs, findAddress} = this.options;
     let sentAtMs = readMs();
     let hasSent = false;
     try {
-      const key = order.key ?? (await this.makeKey(order));
+      const key = order.key ?? (await this.createKey(order));
       this.keys.set(order.name, key);
       sentAtMs = readMs();
       hasSent = true;
@@ -135,7 +135,8 @@
     };
   }
 
-  private async makeKey(order: SubmissionOrder): Promise<string> {
+  /** Creates the key of an order, in a new session if there is none yet. */
+  async createKey(order: SubmissionOrder): Promise<string> {
     if (order.sessionFrom === '') return '';
     const known = this.sessions.get(order.sessionFrom);
     const session = known ?? this.openSession(order.sessionFrom, order.team);
--- a/tools/scenario/child_process_task.ts
+++ b/tools/scenario/child_process_task.ts
@@ -30,6 +30,12 @@
   READINESS_TIMEOUT = 'timer.readiness',
 }
 
+/** An event, and who waits to hear whether it was taken. */
+interface ProcessMessage {
+  readonly event: ProcessEvent;
+  readonly settle?: (isTaken: boolean, state: ProcessState) => void;
+}
+
 /** How a process ended. */
 export interface ProcessEnd {
   readonly code: number | null;
@@ -76,24 +82,23 @@
  * state is a mistake in the scenario and rejects the call that posted it.
  */
 export class ChildProcessTask {
-  private readonly task: Task<ProcessEvent>;
+  private readonly task: Task<ProcessMessage>;
   private readonly run: ChartRun<ProcessState, ProcessEvent>;
   private child: ChildProcess | undefined;
   private lastEnd: ProcessEnd = {code: null, signal: null};
   private waiters: Array<() => void> = [];
-  private lives = 0;
 
   private constructor(private readonly options: ProcessOptions) {
-    this.task = Task.create<ProcessEvent>({
+    this.task = Task.create<ProcessMessage>({
       name: options.name,
       capacity: MAILBOX_CAPACITY,
-      handle: event => this.handle(event),
+      handle: message => this.handle(message),
       reportFailure: () => this.wakeWaiters(),
     });
     this.run = ChartRun.create(CHART, {
       startNamedTimer: (_, fire) =>
         options.startTimer(READINESS_TIMEOUT_MS, fire),
-      fire: event => this.task.post(event as ProcessEvent),
+      fire: event => this.task.post({event: event as ProcessEvent}),
       perform: action => this.perform(action),
     });
     this.task.store.add(() => this.run.stopTimers());
@@ -116,12 +121,9 @@
 
   /** Starts the process and resolves when it serves. */
   async start(): Promise<void> {
-    this.task.post(ProcessEvent.START);
-    const life = this.lives + 1;
+    await this.send(ProcessEvent.START);
     await this.awaitState(
-      state =>
-        this.lives >= life &&
-        (state === ProcessState.SERVING || state === ProcessState.ENDED),
+      state => state === ProcessState.SERVING || state === ProcessState.ENDED,
     );
     if (this.state === ProcessState.ENDED) {
       throw new ScenarioError(
@@ -131,14 +133,21 @@
     }
   }
 
-  /** Sends a signal's event; the chart says whether it fits. */
-  send(event: ProcessEvent): void {
-    if (!CHART.step(this.state, event).isTaken) {
-      throw new ScenarioError(
-        `${this.options.name} takes no "${event}" while ${this.state}.`,
-      );
-    }
-    this.task.post(event);
+  /**
+   * Posts an event and resolves when it has been handled.
+   *
+   * @throws ScenarioError if the chart does not take it in the current state.
+   */
+  send(event: ProcessEvent): Promise<void> {
+    return new Promise((resolve, reject) => {
+      const settle = (isTaken: boolean, state: ProcessState) => {
+        if (isTaken) return resolve();
+        const {name} = this.options;
+        const text = `${name} takes no "${event}" while it is ${state}.`;
+        reject(new ScenarioError(text));
+      };
+      this.task.post({event, settle});
+    });
   }
 
   /** Resolves with how the current life ended. */
@@ -155,7 +164,7 @@
       this.state !== ProcessState.ABSENT &&
       this.state !== ProcessState.ENDED
     ) {
-      this.task.post(ProcessEvent.KILL);
+      await this.send(ProcessEvent.KILL);
       await this.awaitEnd();
     }
     await this.task.stop();
@@ -171,8 +180,10 @@
     });
   }
 
-  private handle(event: ProcessEvent): void {
-    this.run.send(event);
+  private handle({event, settle}: ProcessMessage): void {
+    const before = this.state;
+    const {isTaken} = this.run.send(event);
+    settle?.(isTaken, before);
     this.wakeWaiters();
   }
 
@@ -204,7 +215,6 @@
   }
 
   private spawnProcess(): void {
-    this.lives += 1;
     const {program, programArguments, outputFile} = this.options;
     const output = createWriteStream(outputFile, {flags: 'a'});
     const child = spawn(process.execPath, [program, ...programArguments], {
@@ -215,13 +225,13 @@
     child.stderr.pipe(output, {end: false});
     child.stdout.pipe(output, {end: false});
     createInterface({input: child.stdout}).on('line', line => {
-      if (isReadyLine(line)) this.task.post(ProcessEvent.READY);
+      if (isReadyLine(line)) this.task.post({event: ProcessEvent.READY});
     });
     child.once('close', (code, signal) => {
       RUNNING.delete(child);
       output.end();
       this.lastEnd = {code, signal};
-      this.task.post(ProcessEvent.EXITED);
+      this.task.post({event: ProcessEvent.EXITED});
     });
   }
 
--- a/tools/scenario/definition.ts
+++ b/tools/scenario/definition.ts
@@ -67,6 +67,7 @@
   STARTS_AT_LEFT_TARGET = 'startsAtLeftTarget',
   REVISION_IN_FORCE = 'revisionInForce',
   OUTCOME = 'outcome',
+  ANSWERS_WITH = 'answersWith',
   SAME_ANSWER = 'sameAnswer',
   STARTS = 'starts',
   RATE_KEPT = 'rateKept',
--- a/tools/scenario/fleet_plan.ts
+++ b/tools/scenario/fleet_plan.ts
@@ -230,8 +230,8 @@
     entry => `${HOST}:${findPort(entry, Listener.CALLERS)}`,
   );
   const options = {
-    listen: findPort(BALANCER_NAME, Listener.MAIN),
-    to: ends.join(','),
+    port: findPort(BALANCER_NAME, Listener.MAIN),
+    entries: ends.join(','),
   };
   return {
     name: BALANCER_NAME,
--- a/tools/scenario/free_ports.ts
+++ b/tools/scenario/free_ports.ts
@@ -11,10 +11,10 @@
 const ATTEMPTS_AT_MOST = 200;
 
 /** Tells whether a port can be listened on. */
-export type TestPort = (port: number) => Promise<boolean>;
+export type CheckPort = (port: number) => Promise<boolean>;
 
 /** Listens on a port for a moment. */
-export const testPort: TestPort = port =>
+export const checkPort: CheckPort = port =>
   new Promise(resolve => {
     const server = createServer();
     server.once('error', () => resolve(false));
@@ -25,7 +25,7 @@
 export async function findFreePorts(
   count: number,
   drawRandom: DrawRandom,
-  test: TestPort = testPort,
+  check: CheckPort = checkPort,
 ): Promise<number[]> {
   const found = new Set<number>();
   for (let attempt = 0; found.size < count; attempt += 1) {
@@ -34,7 +34,7 @@
     }
     const span = LAST_PORT - FIRST_PORT;
     const port = FIRST_PORT + Math.floor(drawRandom() * span);
-    if (!found.has(port) && (await test(port))) found.add(port);
+    if (!found.has(port) && (await check(port))) found.add(port);
   }
   return [...found];
 }
--- a/tools/scenario/job_body.ts
+++ b/tools/scenario/job_body.ts
@@ -33,7 +33,7 @@
     case Deed.SLEEP:
       return {do: deed, id, ms: shape.ms, echo: id};
     case Deed.ECHO:
-      return {do: deed, id, value: {echo: id}};
+      return {do: deed, id, value: {echo: id, filler: 'x'.repeat(shape.bytes)}};
     case Deed.LARGE:
       return {do: deed, id, bytes: shape.bytes};
     case Deed.FAIL:
--- a/tools/scenario/judge.ts
+++ b/tools/scenario/judge.ts
@@ -65,6 +65,7 @@
     judgeLateStarts(line, evidence, start => start.target),
   [ExpectationKind.REVISION_IN_FORCE]: judgeInForce,
   [ExpectationKind.OUTCOME]: judgeOutcome,
+  [ExpectationKind.ANSWERS_WITH]: judgeAnswersWith,
   [ExpectationKind.SAME_ANSWER]: judgeSameAnswer,
   [ExpectationKind.STARTS]: judgeStarts,
   [ExpectationKind.RATE_KEPT]: judgeRate,
@@ -144,10 +145,25 @@
   return judgeList(line, fallen);
 }
 
+function listSaid(submission: Submission): string[] {
+  const body = submission.answer?.body;
+  return [body?.outcome ?? 'no-answer', body?.code ?? ''];
+}
+
+function judgeAnswersWith(line: Expectation, evidence: Evidence): Verdict {
+  const count = selectGroup(line, evidence).filter(submission =>
+    listSaid(submission).some(word => line.oneOf.includes(word)),
+  ).length;
+  return {
+    expectation: line.kind,
+    isMet: count >= line.atLeast,
+    found: `${count} of ${line.oneOf.join(', ')}, at least ${line.atLeast}`,
+  };
+}
+
 function judgeOutcome(line: Expectation, evidence: Evidence): Verdict {
   const wrong = selectNamed(line, evidence).flatMap(submission => {
-    const body = submission.answer?.body;
-    const said = [body?.outcome ?? 'no-answer', body?.code ?? ''];
+    const said = listSaid(submission);
     return said.some(word => line.oneOf.includes(word))
       ? []
       : [`${submission.name} said ${said.join(' ')}`];
--- a/tools/scenario/load_runner.ts
+++ b/tools/scenario/load_runner.ts
@@ -70,7 +70,7 @@
     const {step, caller, startTimer} = this.options;
     for (let attempt = 0; attempt < ATTEMPTS_AT_MOST; attempt += 1) {
       const submission = await caller.submit(this.order(number, attempt));
-      if (!step.retries || !mayRetry(submission)) return;
+      if (!step.retries || !isRetryAllowed(submission)) return;
       await pause(findRetryDelay(submission), startTimer);
     }
   }
@@ -114,7 +114,7 @@
  * It may when nothing ran: the answer says so, the session had ended before
  * this first submission under its key, or nothing was sent at all.
  */
-export function mayRetry(submission: Submission): boolean {
+export function isRetryAllowed(submission: Submission): boolean {
   const body = submission.answer?.body;
   if (submission.answer === undefined) return !submission.isCut;
   return body?.outcome === 'did-not-run' || body?.code === 'session-ended';
--- a/tools/scenario/operator_actions.ts
+++ b/tools/scenario/operator_actions.ts
@@ -6,12 +6,6 @@
 import {ScenarioError} from './scenario_error.js';
 import type {Scene} from './scene.js';
 
-interface RevisionBody {
-  readonly revision: number;
-  readonly accepted: boolean;
-  readonly inForceEverywhere: boolean;
-}
-
 const ACCEPTANCE_TIMEOUT_MS = 10_000;
 const FORCE_TIMEOUT_MS = 30_000;
 
@@ -77,14 +71,13 @@
 ): Promise<void> {
   const {revision} = JSON.parse(reply.text) as {revision: number};
   const {via, name, subject, to} = followed;
-  const readState = async () =>
-    (await scene.administration.readRevision(via, revision)) as RevisionBody;
+  const readState = () => scene.administration.readRevision(via, revision);
   if (reply.status === 202) {
     if (!followed.mustBeAccepted) return;
     await awaitCondition(
       `revision ${revision} is accepted`,
       ACCEPTANCE_TIMEOUT_MS,
-      async () => (await readState()).accepted,
+      async () => (await readState()).isAccepted,
       scene.clock,
     );
   }
@@ -96,7 +89,7 @@
     awaitCondition(
       `revision ${revision} is in force everywhere`,
       FORCE_TIMEOUT_MS,
-      async () => (await readState()).inForceEverywhere,
+      async () => (await readState()).isEverywhere,
       scene.clock,
     ).then(() => {
       const inForceAtMs = scene.clock.readMs();
--- a/tools/scenario/read_status.ts
+++ b/tools/scenario/read_status.ts
@@ -1,35 +1,28 @@
 /** Reads what scenarios need from the entries' `/v1/status`. */
+import type {StatusReport} from '../../src/lib/admin/status_report.js';
 import type {RevisionSample} from './evidence.js';
 
-/** Members of the status that scenarios look at. */
-interface StatusBody {
-  readonly processes?: ReadonlyArray<{
-    id: string;
-    incarnation: string;
-    revision: number;
-  }>;
-  readonly targets?: ReadonlyArray<{name: string; isPresent?: boolean}>;
-}
+const PRESENT = 'present';
 
-/** Lists the targets that the entry could send tasks to. */
-export function listTargetsPresent(status: unknown): string[] {
-  const targets = (status as StatusBody).targets ?? [];
-  return targets
-    .filter(target => target.isPresent !== false)
+/** Lists the targets to which the entry could send tasks now. */
+export function listTargetsPresent(report: StatusReport): string[] {
+  return report.targets
+    .filter(target => target.condition === PRESENT && target.isPermitted)
     .map(target => target.name);
 }
 
 /** Reads the revision that each process has in force, as one entry tells it. */
 export function readRevisionSamples(
-  entry: string,
-  status: unknown,
+  report: StatusReport,
   atMs: number,
 ): RevisionSample[] {
-  const processes = (status as StatusBody).processes ?? [];
-  return processes.map(({id, incarnation, revision}) => ({
-    process: `${id} seen by ${entry}`,
-    incarnation,
-    revision,
-    atMs,
-  }));
+  const teller = report.processes.find(({id}) => id === report.entry);
+  return report.processes
+    .filter(({configurationRevision}) => configurationRevision > 0)
+    .map(({id, incarnation, configurationRevision}) => ({
+      process: `${id} seen by ${report.entry}/${teller?.incarnation}`,
+      incarnation,
+      revision: configurationRevision,
+      atMs,
+    }));
 }
--- a/tools/scenario/run_scenario.ts
+++ b/tools/scenario/run_scenario.ts
@@ -1,14 +1,16 @@
 /** Runs one scenario from its first process to its verdict. */
 import {randomInt} from 'node:crypto';
-import {startTimer} from '../../src/lib/core/clock.js';
+import {repeatTimer, startTimer} from '../../src/lib/core/clock.js';
 import {DisposableStore} from '../../src/lib/core/disposable_store.js';
 import {createActions} from './actions.js';
 import type {ScenarioDefinition} from './definition.js';
+import type {Evidence} from './evidence.js';
 import {Fleet} from './fleet.js';
 import {readHostMs} from './host_clock.js';
 import {interpretSteps} from './interpret_steps.js';
 import {judgeEvidence} from './judge.js';
 import type {Verdict} from './judge.js';
+import type {Observer} from './observer.js';
 import {createRandom} from './random.js';
 import {Scene} from './scene.js';
 import {Timeline} from './timeline.js';
@@ -21,6 +23,7 @@
   readonly failure: string;
   readonly timeline: Timeline;
   readonly folder: string;
+  readonly evidence: Evidence;
 }
 
 /** How to run a scenario. */
@@ -28,9 +31,12 @@
   /** Is called with each line of the timeline. */
   readonly show?: (line: string) => void;
   readonly seed?: number;
+  /** Is called each second with what has been observed. */
+  readonly showProgress?: (observer: Observer) => void;
 }
 
 const SEED_LIMIT = 2 ** 31;
+const PROGRESS_PERIOD_MS = 1_000;
 
 /** Runs a scenario; processes are ended whatever happens. */
 export async function runScenario(
@@ -54,13 +60,20 @@
     writeLine: timeline.write,
   });
   store.add(() => scene.dispose());
+  const {showProgress = () => undefined} = options;
+  store.add(
+    repeatTimer(startTimer, PROGRESS_PERIOD_MS, () =>
+      showProgress(scene.observer),
+    ),
+  );
   try {
     const failure = await playSteps(definition, scene, timeline);
-    const evidence = await scene.gatherEvidence();
+    const evidence = await scene.collectEvidence();
     const verdicts = judgeEvidence(definition.expect, evidence);
     for (const verdict of verdicts) timeline.write(formatVerdict(verdict));
+    const {folder} = fleet;
     const isMet = failure === '' && verdicts.every(verdict => verdict.isMet);
-    return {isMet, verdicts, failure, timeline, folder: fleet.folder};
+    return {isMet, verdicts, failure, timeline, folder, evidence};
   } finally {
     await store.dispose();
   }
--- a/tools/scenario/scene.ts
+++ b/tools/scenario/scene.ts
@@ -103,7 +103,7 @@
     await awaitCondition(
       'every entry sees every target',
       BEGIN_TIMEOUT_MS,
-      () => this.seesTargets(expected),
+      () => this.checkTargets(expected),
       this.clock,
     );
     this.writeLine('every entry sees every target');
@@ -123,7 +123,7 @@
   }
 
   /** Tells whether every entry sees so many targets. */
-  async seesTargets(expected: number): Promise<boolean> {
+  async checkTargets(expected: number): Promise<boolean> {
     const entries = this.fleet.listServing(ProcessKind.ENTRY);
     const counts = await Promise.all(
       entries.map(({name}) => this.countTargets(name)),
@@ -136,11 +136,6 @@
     void work.catch((failure: unknown) => this.writeLine(String(failure)));
   }
 
-  /** Returns the newest revision of the store. */
-  async readStoreRevision(): Promise<number> {
-    return (await this.listValues('')).revision;
-  }
-
   /** Returns the revision of a key in the store, 0 if it is absent. */
   async readKeyRevision(key: string): Promise<number> {
     const {values} = await this.listValues(key);
@@ -169,7 +164,7 @@
   }
 
   /** Ends the loads, waits for background answers and reads all records. */
-  async gatherEvidence(): Promise<Evidence> {
+  async collectEvidence(): Promise<Evidence> {
     const endedAtMs = this.clock.readMs();
     for (const load of this.loads.values()) load.stop();
     await this.readRecords();
@@ -209,7 +204,7 @@
         .readStatus(name)
         .catch(() => undefined);
       if (status === undefined) continue;
-      const samples = readRevisionSamples(name, status, atMs);
+      const samples = readRevisionSamples(status, atMs);
       for (const sample of samples) this.observer.addRevision(sample);
     }
   }
--- a/tools/scenario/schema.ts
+++ b/tools/scenario/schema.ts
@@ -48,7 +48,7 @@
   ...describe({
     dataCentres: {...NAMES, default: ['vn-south-a', 'vn-south-b']},
     entries: {...COUNT, default: 2},
-    agents: {...COUNT, default: 4},
+    agents: {...COUNT, default: 2},
     slots: {...COUNT, default: 4},
     speeds: {type: 'array', items: FRACTION, minItems: 1, default: [1]},
     hasBalancer: {type: 'boolean', default: false},
@@ -76,6 +76,7 @@
       name: TEXT,
       via: TEXT,
       sessionFrom: WORD,
+      alsoVia: {type: 'array', items: TEXT, default: []},
       isKeyed: {type: 'boolean', default: true},
       inBackground: {type: 'boolean', default: false},
       job: JOB,
@@ -112,7 +113,11 @@
     ['name', 'mode'],
   ),
   [StepKind.STORE]: describe(
-    {mode: listValues(StoreMode), slowMs: {...COUNT, default: 0}},
+    {
+      mode: listValues(StoreMode),
+      slowMs: {...COUNT, default: 0},
+      revisionOf: WORD,
+    },
     ['mode'],
   ),
   [StepKind.DATA_CENTRE]: describe(
--- a/tools/scenario/stand_in_controls.ts
+++ b/tools/scenario/stand_in_controls.ts
@@ -33,17 +33,19 @@
 export function createLinkControl(step: LinkStep): object {
   switch (step.mode) {
     case LinkMode.CUT:
-      return {mode: 'cut', direction: 'both'};
+      return {direction: 'both', action: 'hold'};
     case LinkMode.CUT_FORWARD:
-      return {mode: 'cut', direction: 'forward'};
+      return {direction: 'forward', action: 'hold'};
     case LinkMode.CUT_BACK:
-      return {mode: 'cut', direction: 'back'};
+      return {direction: 'backward', action: 'hold'};
+    case LinkMode.CLOSE:
+      return {direction: 'both', action: 'close'};
     case LinkMode.RESET:
-      return {mode: 'reset'};
+      return {reset: true};
     case LinkMode.SLOW:
-      return {mode: 'slow', delayMs: step.delayMs};
+      return {delayMs: step.delayMs};
     case LinkMode.RESTORE:
-      return {mode: 'restore'};
+      return {direction: 'both', action: 'restore', delayMs: 0};
   }
 }
 
--- a/tools/scenario/step.ts
+++ b/tools/scenario/step.ts
@@ -68,6 +68,8 @@
   readonly via: string;
   /** Entry that mints the session; the one submitted to unless stated. */
   readonly sessionFrom: string;
+  /** Entries that get the same submission, same key, at the same time. */
+  readonly alsoVia: readonly string[];
   readonly isKeyed: boolean;
   readonly inBackground: boolean;
   readonly job: JobShape;
@@ -120,9 +122,15 @@
 
 /** What a relay can be told. */
 export enum LinkMode {
+  /** Bytes are held until the link is restored. */
   CUT = 'cut',
+  /** As `CUT`, from the client to the server only. */
   CUT_FORWARD = 'cut-forward',
+  /** As `CUT`, from the server to the client only. */
   CUT_BACK = 'cut-back',
+  /** Connections are closed and new ones refused. */
+  CLOSE = 'close',
+  /** Connections are reset once; new ones are passed on. */
   RESET = 'reset',
   SLOW = 'slow',
   RESTORE = 'restore',
@@ -156,6 +164,8 @@
   readonly kind: StepKind.STORE;
   readonly mode: StoreMode;
   readonly slowMs: number;
+  /** Change as of which a stale store answers. */
+  readonly revisionOf: string;
 }
 
 /** Takes a data centre out of service or back in. */
--- a/tools/scenario/target_record.ts
+++ b/tools/scenario/target_record.ts
@@ -1,4 +1,5 @@
 /** Reads the record that a stand-in target keeps of what really started. */
+import type {RecordReport} from '../../stand_ins/target_record.js';
 import type {RecordedStart} from './evidence.js';
 import type {ProcessPlan} from './fleet_plan.js';
 import {readReply} from './http_call.js';
@@ -11,15 +12,6 @@
   readonly violations: number;
 }
 
-interface RecordBody {
-  readonly starts: ReadonlyArray<{
-    payloadId: string;
-    instance: string;
-    startedAtMs: number;
-  }>;
-  readonly violations: number;
-}
-
 /** Reads the whole record of a target. */
 export async function readTargetRecord(
   callHttp: CallHttp,
@@ -27,13 +19,14 @@
   plan: ProcessPlan,
 ): Promise<TargetRecord> {
   const call: HttpCall = {method: 'GET', url: `${address}/record?after=0`};
-  const body = readReply<RecordBody>(call, await callHttp(call));
+  const body = readReply<RecordReport>(call, await callHttp(call));
   const starts = body.starts.map(start => ({
-    taskId: start.payloadId,
+    taskId: String(start.id),
     target: plan.name,
     dataCentre: plan.dataCentre,
     instance: start.instance,
-    startedAtMs: start.startedAtMs,
+    startedAtMs: start.startMs,
   }));
-  return {starts, violations: body.violations};
+  const {slots, connections} = body.violations;
+  return {starts, violations: slots + connections};
 }
