--- a/tools/demo_summary.ts
+++ b/tools/demo_summary.ts
@@ -20,7 +20,10 @@
 export const DRAIN_ALLOWANCE_MS = 5_000;
 
 /** Sums up the evidence; `change` names the taking out of the data centre. */
-export function computeSummary(evidence: Evidence, change: string): DemoSummary {
+export function computeSummary(
+  evidence: Evidence,
+  change: string,
+): DemoSummary {
   const {submissions, starts, changes} = evidence;
   const jobs = new Set(submissions.map(({job}) => job));
   const complete = new Set(submissions.filter(isWhole).map(({job}) => job));
--- a/tools/scenario/administration_client.ts
+++ b/tools/scenario/administration_client.ts
@@ -1,8 +1,5 @@
 /** The operators' calls to the administration API. */
-import type {
-  RevisionStatus,
-  StatusReport,
-} from '../../src/lib/admin/status_report.js';
+import type {RevisionStatus, StatusReport} from './status_report.js';
 import type {ReadMonotonicMs} from '../../src/lib/core/clock.js';
 import {ADMINISTRATION_KEY} from './fleet_plan.js';
 import type {CallHttp, HttpCall, HttpReply} from './http_call.js';
--- a/tools/scenario/process_actions.ts
+++ b/tools/scenario/process_actions.ts
@@ -11,7 +11,10 @@
 const END_TIMEOUT_MS = 40_000;
 
 /** Kills processes and waits for their ends. */
-export async function killProcesses(scene: Scene, step: ProcessStep): Promise<void> {
+export async function killProcesses(
+  scene: Scene,
+  step: ProcessStep,
+): Promise<void> {
   for (const name of step.processes) {
     // The record of a target ends with its process.
     if (scene.fleet.findPlan(name).kind === ProcessKind.TARGET) {
--- a/tools/scenario/read_status.ts
+++ b/tools/scenario/read_status.ts
@@ -1,5 +1,5 @@
 /** Reads what scenarios need from the entries' `/v1/status`. */
-import type {StatusReport} from '../../src/lib/admin/status_report.js';
+import type {StatusReport} from './status_report.js';
 import type {RevisionSample} from './evidence.js';
 
 const PRESENT = 'present';
