Run the first scenarios against the binaries

Cause: jobs of a team without a record are refused; the scenarios' team needs one. Change: the scene writes its record into the stand-in store before the entries start.

--- a/tools/scenario/actions.ts
+++ b/tools/scenario/actions.ts
@@ -59,7 +59,7 @@
     [StepKind.STORE]: step => changeStore(scene, step),
     [StepKind.DATA_CENTRE]: step => changeDataCentre(scene, step),
     [StepKind.RECORD]: step => writeRecord(scene, step),
-    [StepKind.PUT_VALUE]: step => putValue(scene, step),
+    [StepKind.PUT_VALUE]: step => scene.putValue(step.key, step.value),
     [StepKind.TARGET]: step => changeTarget(scene, step),
     [StepKind.OBSERVE]: step => pause(step.ms, scene.clock.startTimer),
     [StepKind.AWAIT]: step => awaitStep(scene, step),
@@ -185,21 +185,6 @@
   await postControl(scene.call, address, createStoreControl(step, revision));
 }
 
-async function putValue(
-  scene: Scene,
-  step: StepOf<StepKind.PUT_VALUE>,
-): Promise<void> {
-  const address = scene.fleet.findAddress(STORE_NAME, Listener.MAIN);
-  const key = encodeURIComponent(step.key);
-  const expected = await scene.readKeyRevision(step.key);
-  const call: HttpCall = {
-    method: 'PUT',
-    url: `${address}/v1/values/${key}?expected=${expected}`,
-    text: step.value,
-  };
-  readReply(call, await scene.call(call));
-}
-
 async function changeTarget(
   scene: Scene,
   step: StepOf<StepKind.TARGET>,
--- a/tools/scenario/fleet.ts
+++ b/tools/scenario/fleet.ts
@@ -55,15 +55,14 @@
     return new Fleet(plans, folder, findPort, definition, startTimer);
   }
 
-  /** Starts everything that is not to be started later. */
-  async startAll(): Promise<void> {
-    const names = this.plans
-      .filter(plan => !this.definition.later.includes(plan.name))
-      .map(plan => plan.name);
-    const isFirst = (name: string) =>
-      KINDS_STARTED_FIRST.includes(this.findPlan(name).kind);
-    await this.start(names.filter(isFirst));
-    await this.start(names.filter(name => !isFirst(name)));
+  /** Starts the store and the relays, to which the others connect. */
+  startFirst(): Promise<void> {
+    return this.start(this.listInitial(true));
+  }
+
+  /** Starts everything else that is not to be started later. */
+  startRest(): Promise<void> {
+    return this.start(this.listInitial(false));
   }
 
   /** Starts processes and resolves when all of them serve. */
@@ -115,6 +114,13 @@
     return this.findAddress(name, isEntry ? Listener.CALLERS : Listener.MAIN);
   }
 
+  private listInitial(isFirst: boolean): string[] {
+    return this.plans
+      .filter(plan => !this.definition.later.includes(plan.name))
+      .filter(plan => KINDS_STARTED_FIRST.includes(plan.kind) === isFirst)
+      .map(plan => plan.name);
+  }
+
   /** Kills whatever still runs. */
   async dispose(): Promise<void> {
     const all = [...this.processes.values()];
--- a/tools/scenario/scene.ts
+++ b/tools/scenario/scene.ts
@@ -37,6 +37,17 @@
   readonly values: ReadonlyArray<{key: string; revision: number}>;
 }
 
+/** The team that submits every scenario's jobs, without limits. */
+const TEAM_KEY = '/foxtailbay/records/team/listings';
+const TEAM_RECORD = {
+  schemaVersion: 1,
+  kind: 'team',
+  name: 'listings',
+  writeId: 'scenario',
+  by: 'scenario',
+  spec: {weight: 1, slotsAtMost: 0, tasksPerSecondAtMost: 0},
+};
+
 const SAMPLE_PERIOD_MS = 250;
 const BEGIN_TIMEOUT_MS = 15_000;
 const FINISH_TIMEOUT_MS = 40_000;
@@ -97,7 +108,9 @@
 
   /** Starts the fleet and waits until every entry sees every target. */
   async begin(): Promise<void> {
-    await this.fleet.startAll();
+    await this.fleet.startFirst();
+    await this.putValue(TEAM_KEY, JSON.stringify(TEAM_RECORD));
+    await this.fleet.startRest();
     this.writeLine('all processes serve');
     const expected = this.fleet.listServing(ProcessKind.TARGET).length;
     await awaitCondition(
@@ -136,10 +149,18 @@
     void work.catch((failure: unknown) => this.writeLine(String(failure)));
   }
 
-  /** Returns the revision of a key in the store, 0 if it is absent. */
-  async readKeyRevision(key: string): Promise<number> {
+  /** Writes a value straight into the store, over whatever stands there. */
+  async putValue(key: string, value: string): Promise<void> {
     const {values} = await this.listValues(key);
-    return values.find(value => value.key === key)?.revision ?? 0;
+    const expected = values.find(item => item.key === key)?.revision ?? 0;
+    const address = this.fleet.findAddress(STORE_NAME, Listener.MAIN);
+    const path = `/v1/values/${encodeURIComponent(key)}?expected=${expected}`;
+    const call: HttpCall = {
+      method: 'PUT',
+      url: `${address}${path}`,
+      text: value,
+    };
+    readReply(call, await this.http.call(call));
   }
 
   /** Returns the number of targets that an entry could send tasks to. */
