Judge retries by attempt, name moments, start targets last

Cause: p5_retry_of_refused_jobs counted a job's second attempt against the refusal of its first (same task ids); p7_target_cut_from_agent closed its window never (two moments of the same kind) and now and then never began. Ruled out for the latter: relay (answers when tried by hand), agent. Found: undici 6.29.1 compiles its parser while the first connection of a process opens; if the peer closes that connection meanwhile, the client waits for ever and even an abort does not settle the request. The stand-in target (one Client) then never announces itself. HttpPlatformStore loses one call's timeout only, since its pool opens another client. To see it: a server that closes each connection at once, a first request right after import. Change: ids of tasks carry the attempt, duplicates are counted without it; a step "mark" names moments; targets start after their agents.

--- a/test/scenarios/judge_test.ts
+++ b/test/scenarios/judge_test.ts
@@ -45,6 +45,12 @@
     expect(isMet(ExpectationKind.DUPLICATE_STARTS, single)).to.equal(true);
   });
 
+  it('counts a task that ran again in another attempt as a duplicate', () => {
+    const starts = [createStart(), createStart({taskId: 'job-1~2/0'})];
+    const evidence = createEvidence({starts});
+    expect(isMet(ExpectationKind.DUPLICATE_STARTS, evidence)).to.equal(false);
+  });
+
   const partial: Array<[string, object | undefined]> = [
     ['is cut off', undefined],
     ['lacks a result', {outcome: 'complete', results: [{echo: 'job-1/0'}]}],
--- a/tools/scenario/actions.ts
+++ b/tools/scenario/actions.ts
@@ -4,10 +4,8 @@
 import type {SubmissionOrder} from './caller_task.js';
 import {createConditionCheck} from './conditions.js';
 import {ConditionKind, Deed, StepKind, StoreMode, TargetMode} from './step.js';
-import type {AwaitStep, JobShape} from './step.js';
+import type {AwaitStep, JobShape, MarkStep} from './step.js';
 import {Listener, STORE_NAME} from './fleet_plan.js';
-import {readReply} from './http_call.js';
-import type {HttpCall} from './http_call.js';
 import type {StepActions, StepOf} from './interpret_steps.js';
 import {createJobBody} from './job_body.js';
 import {LoadRunner} from './load_runner.js';
@@ -27,6 +25,7 @@
   postControl,
 } from './stand_in_controls.js';
 
+const STATUS_CANCELLED = 409;
 const KEY_TIMEOUT_MS = 5_000;
 
 /** Body that is sent under a key that already stands for another one. */
@@ -61,6 +60,7 @@
     [StepKind.RECORD]: step => writeRecord(scene, step),
     [StepKind.PUT_VALUE]: step => scene.putValue(step.key, step.value),
     [StepKind.TARGET]: step => changeTarget(scene, step),
+    [StepKind.MARK]: async step => markMoment(scene, step),
     [StepKind.OBSERVE]: step => pause(step.ms, scene.clock.startTimer),
     [StepKind.AWAIT]: step => awaitStep(scene, step),
   };
@@ -161,8 +161,12 @@
 ): Promise<void> {
   const key = encodeURIComponent(scene.caller.findKey(step.of));
   const address = scene.fleet.findCallersAddress(step.via);
-  const call: HttpCall = {method: 'DELETE', url: `${address}/v1/jobs/${key}`};
-  readReply(call, await scene.call(call));
+  const url = `${address}/v1/jobs/${key}`;
+  const {status, text} = await scene.call({method: 'DELETE', url});
+  // The job's answer, which says that it was cancelled, or its progress.
+  if (status !== STATUS_CANCELLED && status >= 300) {
+    throw new ScenarioError(`Cancelling was answered ${status}: ${text}`);
+  }
 }
 
 async function changeLink(
@@ -192,11 +196,19 @@
   const address = scene.fleet.findAddress(step.name, Listener.MAIN);
   await postControl(scene.call, address, createTargetControl(step));
   if (step.change === '') return;
+  const to = step.mode === TargetMode.NORMAL ? 'back' : 'left';
+  markMoment(scene, {change: step.change, subject: step.name, to});
+}
+
+function markMoment(
+  scene: Scene,
+  mark: Pick<MarkStep, 'change' | 'subject' | 'to'>,
+): void {
   const acceptedAtMs = scene.clock.readMs();
   scene.observer.setChange({
-    name: step.change,
-    subject: step.name,
-    to: step.mode === TargetMode.NORMAL ? 'back' : 'left',
+    name: mark.change,
+    subject: mark.subject,
+    to: mark.to,
     revision: 0,
     acceptedAtMs,
     inForceAtMs: acceptedAtMs,
--- a/tools/scenario/findings.ts
+++ b/tools/scenario/findings.ts
@@ -1,9 +1,10 @@
 /** Finds in the evidence what breaks a promise. */
 import type {Change, Evidence, RecordedStart, Submission} from './evidence.js';
+import {dropAttempt} from './job_body.js';
 
-/** Lists the ids of tasks that started more than once. */
+/** Lists the tasks that started more than once, under whatever attempt. */
 export function findDuplicates(starts: readonly RecordedStart[]): string[] {
-  const counts = countBy(starts, start => start.taskId);
+  const counts = countBy(starts, start => dropAttempt(start.taskId));
   return [...counts].flatMap(([id, count]) => (count > 1 ? [id] : []));
 }
 
--- a/tools/scenario/fleet.ts
+++ b/tools/scenario/fleet.ts
@@ -25,6 +25,11 @@
   ProcessKind.STORE,
   ProcessKind.RELAY,
 ];
+const KINDS_STARTED_SECOND: readonly ProcessKind[] = [
+  ProcessKind.ENTRY,
+  ProcessKind.AGENT,
+  ProcessKind.BALANCER,
+];
 
 /** Owns the processes of a scenario. */
 export class Fleet {
@@ -57,12 +62,13 @@
 
   /** Starts the store and the relays, to which the others connect. */
   startFirst(): Promise<void> {
-    return this.start(this.listInitial(true));
+    return this.start(this.listInitial(KINDS_STARTED_FIRST));
   }
 
-  /** Starts everything else that is not to be started later. */
-  startRest(): Promise<void> {
-    return this.start(this.listInitial(false));
+  /** Starts everything else that is not to be started later; targets last. */
+  async startRest(): Promise<void> {
+    await this.start(this.listInitial(KINDS_STARTED_SECOND));
+    await this.start(this.listInitial([ProcessKind.TARGET]));
   }
 
   /** Starts processes and resolves when all of them serve. */
@@ -114,10 +120,10 @@
     return this.findAddress(name, isEntry ? Listener.CALLERS : Listener.MAIN);
   }
 
-  private listInitial(isFirst: boolean): string[] {
+  private listInitial(kinds: readonly ProcessKind[]): string[] {
     return this.plans
       .filter(plan => !this.definition.later.includes(plan.name))
-      .filter(plan => KINDS_STARTED_FIRST.includes(plan.kind) === isFirst)
+      .filter(plan => kinds.includes(plan.kind))
       .map(plan => plan.name);
   }
 
--- a/tools/scenario/job_body.ts
+++ b/tools/scenario/job_body.ts
@@ -8,6 +8,16 @@
   readonly body: object;
 }
 
+/** Names the n-th attempt at a job, so that its starts can be told apart. */
+export function nameAttempt(job: string, attempt: number): string {
+  return attempt === 0 ? job : `${job}~${attempt}`;
+}
+
+/** Returns the name of a task without the attempt under which it started. */
+export function dropAttempt(taskId: string): string {
+  return taskId.replace(/~\d+\//, '/');
+}
+
 /** Creates the body of a job; task ids are its name and the task's index. */
 export function createJobBody(name: string, shape: JobShape): JobBody {
   const taskIds = Array.from(
--- a/tools/scenario/load_runner.ts
+++ b/tools/scenario/load_runner.ts
@@ -5,7 +5,7 @@
 import type {CallerTask, SubmissionOrder} from './caller_task.js';
 import type {LoadStep} from './step.js';
 import type {Submission} from './evidence.js';
-import {createJobBody} from './job_body.js';
+import {createJobBody, nameAttempt} from './job_body.js';
 
 /** What a load needs. */
 export interface LoadOptions {
@@ -97,7 +97,7 @@
       keyName: `${job}-${attempt}`,
       via,
       sessionFrom: via,
-      body: createJobBody(job, step.job),
+      body: createJobBody(nameAttempt(job, attempt), step.job),
       team: step.job.team,
     };
   }
--- a/tools/scenario/schema.ts
+++ b/tools/scenario/schema.ts
@@ -157,6 +157,11 @@
     },
     ['name', 'mode'],
   ),
+  [StepKind.MARK]: describe({change: TEXT, subject: TEXT, to: TEXT}, [
+    'change',
+    'subject',
+    'to',
+  ]),
   [StepKind.OBSERVE]: describe({ms: COUNT}, ['ms']),
   [StepKind.AWAIT]: describe(
     {
--- a/tools/scenario/step.ts
+++ b/tools/scenario/step.ts
@@ -41,6 +41,7 @@
   RECORD = 'record',
   PUT_VALUE = 'putValue',
   TARGET = 'target',
+  MARK = 'mark',
   OBSERVE = 'observe',
   AWAIT = 'await',
   PARALLEL = 'parallel',
@@ -217,6 +218,15 @@
   readonly change: string;
 }
 
+/** Names a moment, as if something had been accepted then. */
+export interface MarkStep {
+  readonly kind: StepKind.MARK;
+  readonly change: string;
+  readonly subject: string;
+  /** `left` or `back` for a target; free for other subjects. */
+  readonly to: string;
+}
+
 /** Keeps everything as it is for a stretch of time, under whatever load runs. */
 export interface ObserveStep {
   readonly kind: StepKind.OBSERVE;
@@ -267,6 +277,7 @@
   | RecordStep
   | PutValueStep
   | TargetStep
+  | MarkStep
   | ObserveStep
   | AwaitStep
   | ParallelStep;
