--- a/tools/scenario/fleet.ts
+++ b/tools/scenario/fleet.ts
@@ -25,6 +25,11 @@
   ProcessKind.STORE,
   ProcessKind.RELAY,
 ];
+const KINDS_STARTED_SECOND: readonly ProcessKind[] = [
+  ProcessKind.ENTRY,
+  ProcessKind.AGENT,
+  ProcessKind.BALANCER,
+];
 
 /** Owns the processes of a scenario. */
 export class Fleet {
@@ -55,15 +60,15 @@
     return new Fleet(plans, folder, findPort, definition, startTimer);
   }
 
-  /** Starts everything that is not to be started later. */
-  async startAll(): Promise<void> {
-    const names = this.plans
-      .filter(plan => !this.definition.later.includes(plan.name))
-      .map(plan => plan.name);
-    const isFirst = (name: string) =>
-      KINDS_STARTED_FIRST.includes(this.findPlan(name).kind);
-    await this.start(names.filter(isFirst));
-    await this.start(names.filter(name => !isFirst(name)));
+  /** Starts the store and the relays, to which the others connect. */
+  startFirst(): Promise<void> {
+    return this.start(this.listInitial(KINDS_STARTED_FIRST));
+  }
+
+  /** Starts everything else that is not to be started later; targets last. */
+  async startRest(): Promise<void> {
+    await this.start(this.listInitial(KINDS_STARTED_SECOND));
+    await this.start(this.listInitial([ProcessKind.TARGET]));
   }
 
   /** Starts processes and resolves when all of them serve. */
@@ -115,6 +120,13 @@
     return this.findAddress(name, isEntry ? Listener.CALLERS : Listener.MAIN);
   }
 
+  private listInitial(kinds: readonly ProcessKind[]): string[] {
+    return this.plans
+      .filter(plan => !this.definition.later.includes(plan.name))
+      .filter(plan => kinds.includes(plan.kind))
+      .map(plan => plan.name);
+  }
+
   /** Kills whatever still runs. */
   async dispose(): Promise<void> {
     const all = [...this.processes.values()];
