Serve operators at the entry: records, data centres, status

Cause: data centres could be taken out only by writing to the store by hand. Change: the administration task runs in the entry; a change is accepted when a majority of the registered entries hold it; peers are told again after a call that got no answer; status joins entries, agents, targets and counters.

--- a/src/lib/entry/agent_desk.ts
+++ b/src/lib/entry/agent_desk.ts
@@ -63,6 +63,8 @@
   readonly load: LoadReport;
   /** Tasks sent whose end is not known. */
   readonly outstanding: number;
+  /** Monotonic time in milliseconds at which the agent was last heard. */
+  readonly heardAtMs: number;
 }
 
 /** Keeps an account of each agent's life for the dispatcher, which owns it. */
@@ -85,6 +87,7 @@
       state: account.state,
       load: account.load,
       outstanding: account.sent.size,
+      heardAtMs: account.heardAtMs,
     }));
   }
 
--- a/src/lib/entry/entry_process.ts
+++ b/src/lib/entry/entry_process.ts
@@ -1,9 +1,10 @@
 /** The entry: its tasks, tied together. */
+import {AdministrationTask} from '../admin/administration_task.js';
+import type {StatusReport} from '../admin/status_report.js';
 import {defer, readMonotonicMs, startTimer} from '../core/clock.js';
 import {DisposableStore} from '../core/disposable_store.js';
 import {drawIncarnation} from '../core/identity.js';
 import type {ProcessIdentity} from '../core/identity.js';
-import {Outcome} from '../core/job.js';
 import {
   ProcessAction,
   ProcessEvent,
@@ -11,10 +12,10 @@
   ProcessState,
 } from '../core/process_life.js';
 import {createPlacementPolicy} from '../decisions/choose_agent.js';
-import {JobOrder, selectRankJob} from '../decisions/rank_job.js';
-import {createLog, extendWithJob, LogEvent} from '../observe/log.js';
+import {selectRankJob} from '../decisions/rank_job.js';
+import {createLog, LogEvent} from '../observe/log.js';
 import type {Log} from '../observe/log.js';
-import {Counter, createMetrics, Gauge, Histogram} from '../observe/metrics.js';
+import {createMetrics} from '../observe/metrics.js';
 import type {Metrics} from '../observe/metrics.js';
 import {HttpPlatformStore} from '../platform/http_platform_store.js';
 import {StoreContact} from '../records/configuration_view.js';
@@ -26,14 +27,14 @@
 import {LogLevel} from '../settings/settings_schema.js';
 import {openLinkServer} from '../wire/link_server.js';
 import {connectPeer} from '../wire/peer_client.js';
-import {PresenceState} from './agent_account.js';
 import {openCallerFront} from './caller_front.js';
 import type {CallerFront} from './caller_front.js';
 import {ConfigurationMessageKind} from './configuration_message.js';
 import {ConfigurationTask} from './configuration_task.js';
 import {Dispatcher} from './dispatcher.js';
-import type {EndedJob, EndedTask} from './job_desk.js';
 import {DispatcherMessageKind} from './dispatcher_messages.js';
+import {EntryReports} from './entry_reports.js';
+import {describeEntryStatus} from './entry_status.js';
 import {PeerKeeper, PeerMessageKind} from './peer_keeper.js';
 import {RequestDesk, RequestOrigin} from './request_desk.js';
 import {RevisionWaiters} from './revision_waiters.js';
@@ -41,23 +42,19 @@
 /** Longest time in milliseconds for the owner of a key to answer another entry. */
 const FORWARD_WITHIN_MS = 900_000;
 
-const AGENT_EVENTS: Readonly<Record<PresenceState, LogEvent>> = {
-  [PresenceState.CONNECTED]: LogEvent.AGENT_CONNECTED,
-  [PresenceState.MISSING]: LogEvent.AGENT_MISSING,
-  [PresenceState.GONE]: LogEvent.AGENT_GONE,
-};
-
 /** One running entry. */
 export class EntryProcess {
   private readonly store = DisposableStore.create();
   private readonly life: ProcessLife;
+  private readonly reports: EntryReports;
   private readonly dispatcher: Dispatcher;
   private readonly peers: PeerKeeper;
   private readonly desk: RequestDesk;
   private readonly revisions = RevisionWaiters.create();
   private configuration: ConfigurationTask | undefined;
   private front: CallerFront | undefined;
-  private contact: StoreContact | undefined;
+  private contact = StoreContact.LOST;
+  private view: ConfigurationView | undefined;
   private resolveStopped: () => void = () => undefined;
   /** Resolves when the entry has stopped and released everything. */
   readonly stopped: Promise<void>;
@@ -66,8 +63,9 @@
     private readonly settings: EntrySettings,
     private readonly identity: ProcessIdentity,
     private readonly log: Log,
-    private readonly metrics: Metrics,
+    metrics: Metrics,
   ) {
+    this.reports = EntryReports.create(log, metrics);
     this.stopped = new Promise(resolve => (this.resolveStopped = resolve));
     this.life = ProcessLife.create({
       noticeMs: settings.stop.noticeMs,
@@ -81,7 +79,9 @@
       identity,
       connect: connectPeer,
       forwardWithinMs: FORWARD_WITHIN_MS,
-      reportFailure: this.reportFailure,
+      readMonotonicMs,
+      startTimer,
+      reportFailure: this.reports.reportFailure,
     });
     this.desk = this.createDesk();
     this.store.add(() => metrics.close());
@@ -125,6 +125,7 @@
       throw failure;
     }
     this.followConfiguration();
+    await this.openAdministration();
     this.life.send(ProcessEvent.READY);
   }
 
@@ -145,22 +146,16 @@
       limits,
       returnLimitMs: agents.returnLimitMs,
       policy: createPlacementPolicy(placement.policy),
-      rankJob: selectRankJob(JobOrder.STRETCH),
+      rankJob: selectRankJob(placement.order),
       readMonotonicMs,
       startTimer,
       defer,
       drawRandom: Math.random,
-      reportAgent: (state, agent) =>
-        this.log.write(
-          LogLevel.INFO,
-          AGENT_EVENTS[state],
-          `Agent ${agent.id} is ${state}.`,
-          {agent: agent.id, agentDataCentre: agent.dataCentre},
-        ),
-      reportJob: job => this.reportJob(job),
-      reportTask: task => this.reportTask(task),
+      reportAgent: this.reports.reportAgent,
+      reportJob: this.reports.reportJob,
+      reportTask: this.reports.reportTask,
       reportIdle: () => this.reportIfIdle(),
-      reportFailure: this.reportFailure,
+      reportFailure: this.reports.reportFailure,
     });
   }
 
@@ -212,7 +207,7 @@
           answer({
             entry: this.identity,
             revision: this.revisions.current,
-            contact: this.contact ?? StoreContact.LOST,
+            contact: this.contact,
           }),
         );
       },
@@ -234,6 +229,36 @@
     this.store.add(() => front.close());
   }
 
+  private async openAdministration(): Promise<void> {
+    const {store, listen, administration} = this.settings;
+    const task = await AdministrationTask.create({
+      host: listen.administration.host,
+      port: listen.administration.port,
+      key: administration.key,
+      store: HttpPlatformStore.create(store),
+      prefix: store.prefix,
+      readStatus: () => this.describeStatus(),
+      awaitMajority: (revision, timeoutMs) =>
+        this.peers.awaitMajority(revision, timeoutMs),
+      reportAction: this.reports.reportAction,
+      reportFailure: this.reports.reportFailure,
+      startTimer,
+      drawRandom: Math.random,
+    });
+    this.store.add(() => task.stop());
+  }
+
+  private describeStatus(): StatusReport {
+    return describeEntryStatus({
+      identity: this.identity,
+      view: this.view,
+      contact: this.contact,
+      dispatcher: this.dispatcher,
+      peers: this.peers,
+      nowMs: readMonotonicMs(),
+    });
+  }
+
   private followConfiguration(): void {
     const {store, advertise} = this.settings;
     const configuration = ConfigurationTask.create({
@@ -246,26 +271,9 @@
       leaseMs: store.leaseMs,
       publishView: view => this.publishView(view),
       publishEvidence: evidence => this.publishEvidence(evidence),
-      reportRecord: report =>
-        this.log.write(
-          LogLevel.WARN,
-          LogEvent.RECORD_REJECTED,
-          'A version of a record is not in force.',
-          {report},
-        ),
-      reportRegistration: state =>
-        this.log.write(
-          LogLevel.DEBUG,
-          LogEvent.CONFIGURATION_APPLIED,
-          `The registration of this entry is ${state}.`,
-        ),
-      reportFailure: failure =>
-        this.log.write(
-          LogLevel.DEBUG,
-          LogEvent.STORE_LOST,
-          'A call to the store failed.',
-          {err: failure},
-        ),
+      reportRecord: this.reports.reportRecord,
+      reportRegistration: () => undefined,
+      reportFailure: this.reports.reportStoreFailure,
       readMonotonicMs,
       startTimer,
       drawRandom: Math.random,
@@ -278,25 +286,14 @@
     this.dispatcher.post({kind: DispatcherMessageKind.VIEW, view});
     this.peers.post({kind: PeerMessageKind.VIEW, view});
     this.revisions.raise(view.revision);
-    this.metrics.reportGauge(Gauge.CONFIGURATION_REVISION, view.revision);
-    this.log.write(
-      LogLevel.INFO,
-      LogEvent.CONFIGURATION_APPLIED,
-      `Revision ${view.revision} is in force.`,
-      {revision: view.revision, dataCentresOut: view.dataCentresOut},
-    );
+    this.view = view;
+    this.reports.reportView(view);
   }
 
   private publishEvidence(evidence: ConfigurationEvidence): void {
     this.dispatcher.post({kind: DispatcherMessageKind.EVIDENCE, evidence});
-    if (evidence.contact === this.contact) return;
     this.contact = evidence.contact;
-    const isConfirmed = evidence.contact === StoreContact.CONFIRMED;
-    this.log.write(
-      isConfirmed ? LogLevel.INFO : LogLevel.WARN,
-      isConfirmed ? LogEvent.STORE_CONFIRMED : LogEvent.STORE_LOST,
-      `Contact with the store is ${evidence.contact}.`,
-    );
+    this.reports.reportContact(evidence.contact);
   }
 
   private perform(action: ProcessAction): void {
@@ -350,40 +347,9 @@
     try {
       await this.store.dispose();
     } catch (failure) {
-      this.reportFailure(failure);
+      this.reports.reportFailure(failure);
     }
     this.log.write(LogLevel.INFO, LogEvent.STOPPED, 'The entry has stopped.');
     this.resolveStopped();
   }
-
-  private reportJob(job: EndedJob): void {
-    const tags = {
-      team: job.team,
-      class: job.taskClass,
-      outcome: job.outcome,
-      problem: job.problem,
-    };
-    this.metrics.countEvent(Counter.JOB_ENDED, tags);
-    this.metrics.recordDuration(Histogram.JOB_DURATION, job.durationMs, tags);
-    if (job.outcome === Outcome.COMPLETE) return;
-    extendWithJob(this.log, job.job, job.trace).write(
-      LogLevel.INFO,
-      LogEvent.JOB_ENDED,
-      `The job ended: ${job.outcome}.`,
-      {...tags, tasks: job.tasks, durationMs: Math.round(job.durationMs)},
-    );
-  }
-
-  private reportTask(task: EndedTask): void {
-    const tags = {team: task.team, class: task.taskClass, outcome: task.end};
-    this.metrics.countEvent(Counter.TASK_ENDED, tags);
-    this.metrics.recordDuration(Histogram.TASK_RUN, task.runMs, tags);
-    this.metrics.recordDuration(Histogram.TASK_WAIT, task.queuedMs, tags);
-  }
-
-  private readonly reportFailure = (failure: unknown): void => {
-    this.log.write(LogLevel.ERROR, LogEvent.FAILURE, 'A task failed.', {
-      err: failure,
-    });
-  };
 }
--- /dev/null
+++ b/src/lib/entry/entry_reports.ts
@@ -0,0 +1,137 @@
+/** Writes what happens at an entry to its log and metrics. */
+import type {AdministrationAction} from '../admin/request_executor.js';
+import type {ProcessIdentity} from '../core/identity.js';
+import {Outcome} from '../core/job.js';
+import {extendWithJob, LogEvent} from '../observe/log.js';
+import type {Log} from '../observe/log.js';
+import {Counter, Gauge, Histogram} from '../observe/metrics.js';
+import type {Metrics} from '../observe/metrics.js';
+import {StoreContact} from '../records/configuration_view.js';
+import type {ConfigurationView} from '../records/configuration_view.js';
+import type {RecordReport} from '../records/apply_records.js';
+import {LogLevel} from '../settings/settings_schema.js';
+import {PresenceState} from './agent_account.js';
+import type {EndedJob, EndedTask} from './job_desk.js';
+
+const AGENT_EVENTS: Readonly<Record<PresenceState, LogEvent>> = {
+  [PresenceState.CONNECTED]: LogEvent.AGENT_CONNECTED,
+  [PresenceState.MISSING]: LogEvent.AGENT_MISSING,
+  [PresenceState.GONE]: LogEvent.AGENT_GONE,
+};
+
+/** Reports to the log and the metrics of an entry. */
+export class EntryReports {
+  private contact: StoreContact | undefined;
+
+  private constructor(
+    private readonly log: Log,
+    private readonly metrics: Metrics,
+  ) {}
+
+  /** Creates the reports. */
+  static create(log: Log, metrics: Metrics): EntryReports {
+    return new EntryReports(log, metrics);
+  }
+
+  /** Reports that an agent came, is missed, or is gone. */
+  readonly reportAgent = (
+    state: PresenceState,
+    agent: ProcessIdentity,
+  ): void => {
+    this.log.write(
+      LogLevel.INFO,
+      AGENT_EVENTS[state],
+      `Agent ${agent.id} is ${state}.`,
+      {agent: agent.id, agentDataCentre: agent.dataCentre},
+    );
+  };
+
+  /** Reports the end of a job. */
+  readonly reportJob = (job: EndedJob): void => {
+    const tags = {
+      team: job.team,
+      class: job.taskClass,
+      outcome: job.outcome,
+      problem: job.problem,
+    };
+    this.metrics.countEvent(Counter.JOB_ENDED, tags);
+    this.metrics.recordDuration(Histogram.JOB_DURATION, job.durationMs, tags);
+    if (job.outcome === Outcome.COMPLETE) return;
+    extendWithJob(this.log, job.job, job.trace).write(
+      LogLevel.INFO,
+      LogEvent.JOB_ENDED,
+      `The job ended: ${job.outcome}.`,
+      {...tags, tasks: job.tasks, durationMs: Math.round(job.durationMs)},
+    );
+  };
+
+  /** Reports the end of a task. */
+  readonly reportTask = (task: EndedTask): void => {
+    const tags = {team: task.team, class: task.taskClass, outcome: task.end};
+    this.metrics.countEvent(Counter.TASK_ENDED, tags);
+    this.metrics.recordDuration(Histogram.TASK_RUN, task.runMs, tags);
+    this.metrics.recordDuration(Histogram.TASK_WAIT, task.queuedMs, tags);
+  };
+
+  /** Reports a configuration that is now in force. */
+  reportView(view: ConfigurationView): void {
+    this.metrics.reportGauge(Gauge.CONFIGURATION_REVISION, view.revision);
+    this.log.write(
+      LogLevel.INFO,
+      LogEvent.CONFIGURATION_APPLIED,
+      `Revision ${view.revision} is in force.`,
+      {revision: view.revision, dataCentresOut: view.dataCentresOut},
+    );
+  }
+
+  /** Reports a change of the contact with the store. */
+  reportContact(contact: StoreContact): void {
+    if (contact === this.contact) return;
+    this.contact = contact;
+    const isConfirmed = contact === StoreContact.CONFIRMED;
+    this.log.write(
+      isConfirmed ? LogLevel.INFO : LogLevel.WARN,
+      isConfirmed ? LogEvent.STORE_CONFIRMED : LogEvent.STORE_LOST,
+      `Contact with the store is ${contact}.`,
+    );
+  }
+
+  /** Reports a version of a record that is not in force. */
+  readonly reportRecord = (report: RecordReport): void => {
+    this.metrics.countEvent(Counter.RECORD_REJECTED);
+    this.log.write(
+      LogLevel.WARN,
+      LogEvent.RECORD_REJECTED,
+      'A version of a record is not in force.',
+      {report},
+    );
+  };
+
+  /** Reports a failed call to the store. */
+  readonly reportStoreFailure = (failure: unknown): void => {
+    this.metrics.countEvent(Counter.STORE_CALL_FAILED);
+    this.log.write(
+      LogLevel.DEBUG,
+      LogEvent.STORE_LOST,
+      'A call to the store failed.',
+      {err: failure},
+    );
+  };
+
+  /** Reports what an operator did. */
+  readonly reportAction = (action: AdministrationAction): void => {
+    this.log.write(
+      LogLevel.INFO,
+      LogEvent.RECORD_WRITTEN,
+      `${action.by}: ${action.request}.`,
+      {action},
+    );
+  };
+
+  /** Reports a failure inside a task. */
+  readonly reportFailure = (failure: unknown): void => {
+    this.log.write(LogLevel.ERROR, LogEvent.FAILURE, 'A task failed.', {
+      err: failure,
+    });
+  };
+}
--- a/src/lib/entry/peer_keeper.ts
+++ b/src/lib/entry/peer_keeper.ts
@@ -1,6 +1,7 @@
 /** The task of an entry that owns the connections to the other entries. */
 import {Outcome, Problem} from '../core/job.js';
 import type {ProcessIdentity} from '../core/identity.js';
+import type {ReadMonotonicMs, StartTimer} from '../core/clock.js';
 import {Task} from '../core/task.js';
 import type {Post} from '../core/task.js';
 import type {ConfigurationView} from '../records/configuration_view.js';
@@ -18,6 +19,7 @@
   ANNOUNCED = 'announced',
   AWAIT_MAJORITY = 'await-majority',
   MAJORITY_TIMEOUT = 'majority-timeout',
+  ANNOUNCE_AGAIN = 'announce-again',
 }
 
 /** Messages that the keeper takes. */
@@ -33,6 +35,11 @@
       readonly kind: PeerMessageKind.ANNOUNCED;
       readonly state: PeerConfigurationState;
     }
+  | {
+      readonly kind: PeerMessageKind.ANNOUNCE_AGAIN;
+      readonly address: string;
+      readonly revision: number;
+    }
   | {
       readonly kind: PeerMessageKind.AWAIT_MAJORITY;
       readonly waiter: MajorityWaiter;
@@ -54,11 +61,21 @@
   readonly connect: ConnectPeer;
   /** Time in milliseconds that a forwarded request may take. */
   readonly forwardWithinMs: number;
+  readonly readMonotonicMs: ReadMonotonicMs;
+  readonly startTimer: StartTimer;
   readonly reportFailure: (failure: unknown, message: unknown) => void;
 }
 
+/** What is known of the configuration that a peer has in force. */
+export interface PeerKnowledge {
+  readonly state: PeerConfigurationState;
+  /** Monotonic time in milliseconds at which the peer answered. */
+  readonly heardAtMs: number;
+}
+
 const MAILBOX_CAPACITY = 100_000;
 const ANNOUNCE_WITHIN_MS = 2000;
+const ANNOUNCE_AGAIN_AFTER_MS = 1000;
 const RETRY_AFTER_MS = 1000;
 
 /**
@@ -68,8 +85,8 @@
 export class PeerKeeper {
   private readonly task: Task<PeerMessage>;
   private readonly connections = new Map<string, PeerConnection>();
-  /** Revision that each entry of the view is known to hold, by incarnation. */
-  private readonly held = new Map<string, number>();
+  /** What each other entry is known to hold, by incarnation. */
+  private readonly held = new Map<string, PeerKnowledge>();
   private view: ConfigurationView | undefined;
   private waiters: MajorityWaiter[] = [];
 
@@ -94,9 +111,26 @@
     return this.task.post;
   }
 
-  /** Returns the revision that an entry's life is known to hold, or 0. */
-  getRevision(incarnation: string): number {
-    return this.held.get(incarnation) ?? 0;
+  /** Returns what an entry's life is known to hold. */
+  getKnowledge(incarnation: string): PeerKnowledge | undefined {
+    return this.held.get(incarnation);
+  }
+
+  /** Waits until a majority of the registered entries hold a revision. */
+  awaitMajority(revision: number, timeoutMs: number): Promise<boolean> {
+    return new Promise(resolve => {
+      const stop = this.options.startTimer(timeoutMs, () =>
+        this.post({kind: PeerMessageKind.MAJORITY_TIMEOUT, waiter}),
+      );
+      const waiter: MajorityWaiter = {
+        revision,
+        settle: isHeld => {
+          stop();
+          resolve(isHeld);
+        },
+      };
+      this.post({kind: PeerMessageKind.AWAIT_MAJORITY, waiter});
+    });
   }
 
   /** Closes the connections. */
@@ -113,10 +147,10 @@
         this.takeView(message.view);
         break;
       case PeerMessageKind.ANNOUNCED:
-        this.recordRevision(
-          message.state.entry.incarnation,
-          message.state.revision,
-        );
+        this.recordState(message.state);
+        break;
+      case PeerMessageKind.ANNOUNCE_AGAIN:
+        this.announceAgain(message.address, message.revision);
         break;
       case PeerMessageKind.AWAIT_MAJORITY:
         this.waiters.push(message.waiter);
@@ -148,7 +182,7 @@
     for (const incarnation of this.held.keys()) {
       if (!live.has(incarnation)) this.held.delete(incarnation);
     }
-    this.recordRevision(this.options.identity.incarnation, view.revision);
+    this.settleWaiters();
     for (const entry of view.entries) {
       if (entry.incarnation === this.options.identity.incarnation) continue;
       void this.sendView(entry.address, view);
@@ -160,13 +194,31 @@
     view: ConfigurationView,
   ): Promise<void> {
     const result = await this.open(address).announce(view, ANNOUNCE_WITHIN_MS);
-    if (result.end !== PeerCallEnd.ANSWERED) return;
-    this.post({kind: PeerMessageKind.ANNOUNCED, state: result.value!});
+    if (result.end === PeerCallEnd.ANSWERED) {
+      this.post({kind: PeerMessageKind.ANNOUNCED, state: result.value!});
+      return;
+    }
+    const {revision} = view;
+    const stop = this.options.startTimer(ANNOUNCE_AGAIN_AFTER_MS, () =>
+      this.post({kind: PeerMessageKind.ANNOUNCE_AGAIN, address, revision}),
+    );
+    this.task.store.add(stop);
+  }
+
+  // A newer view has been announced by itself; an entry that left is not asked.
+  private announceAgain(address: string, revision: number): void {
+    const {view} = this;
+    if (view === undefined || view.revision !== revision) return;
+    if (!view.entries.some(entry => entry.address === address)) return;
+    void this.sendView(address, view);
   }
 
-  private recordRevision(incarnation: string, revision: number): void {
-    if (revision <= this.getRevision(incarnation)) return;
-    this.held.set(incarnation, revision);
+  private recordState(state: PeerConfigurationState): void {
+    const {incarnation} = state.entry;
+    const known = this.held.get(incarnation)?.state.revision ?? 0;
+    if (state.revision < known) return;
+    const heardAtMs = this.options.readMonotonicMs();
+    this.held.set(incarnation, {state, heardAtMs});
     this.settleWaiters();
   }
 
@@ -183,11 +235,18 @@
   private isHeldByMajority(revision: number): boolean {
     const entries = this.view?.entries ?? [];
     const holders = entries.filter(
-      entry => this.getRevision(entry.incarnation) >= revision,
+      entry => this.findRevision(entry.incarnation) >= revision,
     );
     return holders.length > entries.length / 2;
   }
 
+  private findRevision(incarnation: string): number {
+    if (incarnation === this.options.identity.incarnation) {
+      return this.view?.revision ?? 0;
+    }
+    return this.held.get(incarnation)?.state.revision ?? 0;
+  }
+
   private expire(waiter: MajorityWaiter): void {
     if (!this.waiters.includes(waiter)) return;
     this.waiters = this.waiters.filter(other => other !== waiter);
--- a/test/interleavings/once_test.ts
+++ b/test/interleavings/once_test.ts
@@ -71,8 +71,9 @@
     disturb(trial, step, time);
     await time.advanceTo(time.nowMs + step.afterMs);
   }
-  for (const outage of trial.outages)
+  for (const outage of trial.outages) {
     outage.toMs = Math.min(outage.toMs, time.nowMs);
+  }
   await time.advanceTo(time.nowMs + 90_000);
   return trial;
 }
--- a/tools/load/caller.ts
+++ b/tools/load/caller.ts
@@ -211,7 +211,8 @@
       body: JSON.stringify({team}),
     });
     const {session} = (await answer.body.json()) as {session?: string};
-    if (session === undefined) throw new RequestError('An entry opened no session.');
+    if (session === undefined)
+      throw new RequestError('An entry opened no session.');
     return session;
   }
 
