--- a/src/lib/agent/entry_link.ts
+++ b/src/lib/agent/entry_link.ts
@@ -1,5 +1,7 @@
 /** The task of an agent that owns the stream to one entry. */
-import {Chart, ChartRun, readChart} from '../core/chart.js';
+import {Chart} from '../core/chart.js';
+import {readChart} from '../core/chart_file.js';
+import {ChartRun} from '../core/chart_run.js';
 import type {
   DrawRandom,
   ReadMonotonicMs,
--- a/src/lib/cli/chart_drawing.ts
+++ b/src/lib/cli/chart_drawing.ts
@@ -1,10 +1,10 @@
 /** Drawings of state charts, made from the files that the programs interpret. */
-import {listWays, TIMER_EVENT_PREFIX} from '../core/chart.js';
+import {listWays, TIMER_EVENT_PREFIX} from '../core/chart_file.js';
 import type {
   ChartDefinition,
   ChartState,
   ChartTransition,
-} from '../core/chart.js';
+} from '../core/chart_file.js';
 
 /** Forms in which a chart is drawn. */
 export enum ChartFormat {
--- a/src/lib/cli/chart_files.ts
+++ b/src/lib/cli/chart_files.ts
@@ -1,7 +1,7 @@
 /** The chart files that come with the program. */
 import {readdirSync} from 'node:fs';
-import {readChart} from '../core/chart.js';
-import type {ChartDefinition} from '../core/chart.js';
+import {readChart} from '../core/chart_file.js';
+import type {ChartDefinition} from '../core/chart_file.js';
 import {UsageError} from '../core/errors.js';
 import {findNearestName} from '../settings/nearest_name.js';
 
--- a/src/lib/core/chart.ts
+++ b/src/lib/core/chart.ts
@@ -1,45 +1,11 @@
-/** State charts that are read from files, checked and interpreted. */
-import {readFileSync} from 'node:fs';
+/** State charts, interpreted from their definitions. */
 import {createMachine, transition} from 'xstate';
 import type {AnyMachineSnapshot, AnyStateMachine} from 'xstate';
-import {parse} from 'yaml';
-import {ChartError, ErrorCode} from './errors.js';
-
-/** One way out of a state. */
-export interface ChartTransition {
-  readonly target?: string;
-  readonly guard?: string;
-  readonly actions?: readonly string[];
-}
-
-/** One state of a chart file. */
-export interface ChartState {
-  readonly type?: 'final';
-  readonly description?: string;
-  readonly on?: Readonly<Record<string, ChartTransition | ChartTransition[]>>;
-  /** Timers that run while the state lasts: name of the timer, way out. */
-  readonly after?: Readonly<Record<string, ChartTransition>>;
-}
-
-/** What a chart file holds. */
-export interface ChartDefinition {
-  readonly id: string;
-  readonly description: string;
-  readonly initial: string;
-  readonly states: Readonly<Record<string, ChartState>>;
-}
-
-/** The names that the code uses; a chart must have exactly these. */
-export interface ChartVocabulary<S extends string, E extends string> {
-  /** Enum of states. */
-  readonly states: Readonly<Record<string, S>>;
-  /** Enum of events, those of timers included (`timer.NAME`). */
-  readonly events: Readonly<Record<string, E>>;
-  /** Names of the guards that the code supplies. */
-  readonly guards?: readonly string[];
-  /** Names of the actions that the code supplies. */
-  readonly actions?: readonly string[];
-}
+import {findChartProblems} from './chart_check.js';
+import type {ChartVocabulary} from './chart_check.js';
+import {listWays, TIMER_EVENT_PREFIX, toList} from './chart_file.js';
+import type {ChartDefinition, ChartTransition} from './chart_file.js';
+import {ChartError} from './errors.js';
 
 /** The result of one event. */
 export interface ChartStep<S extends string> {
@@ -52,9 +18,6 @@
 /** Evaluates a guard named in a chart. */
 export type EvaluateGuard = (name: string) => boolean;
 
-/** Prefix of the event that a timer sends when it fires. */
-export const TIMER_EVENT_PREFIX = 'timer.';
-
 const NO_GUARDS: EvaluateGuard = () => false;
 
 /**
@@ -172,50 +135,6 @@
   }
 }
 
-/**
- * Reads a chart file (YAML).
- *
- * @throws ChartError if the file cannot be read or is not a chart.
- */
-export function readChartFile(path: URL | string): ChartDefinition {
-  let document: unknown;
-  try {
-    document = parse(readFileSync(path, 'utf8'));
-  } catch (cause) {
-    throw new ChartError(`State chart file ${path} cannot be read.`, {cause});
-  }
-  if (!isChartDefinition(document)) {
-    throw new ChartError(
-      `State chart file ${path} needs "id", "description", "initial" and "states".`,
-    );
-  }
-  return document;
-}
-
-/** Reads the chart file of that name from the project's `charts` folder. */
-export function readChart(name: string): ChartDefinition {
-  return readChartFile(
-    new URL(`../../../../charts/${name}.yaml`, import.meta.url),
-  );
-}
-
-function isChartDefinition(document: unknown): document is ChartDefinition {
-  if (typeof document !== 'object' || document === null) return false;
-  const chart = document as Partial<ChartDefinition>;
-  return (
-    typeof chart.id === 'string' &&
-    typeof chart.description === 'string' &&
-    typeof chart.initial === 'string' &&
-    typeof chart.states === 'object' &&
-    chart.states !== null
-  );
-}
-
-function toList<T>(value: T | T[] | undefined): T[] {
-  if (value === undefined) return [];
-  return Array.isArray(value) ? value : [value];
-}
-
 function findTimer(
   definition: ChartDefinition,
   state: string,
@@ -227,22 +146,6 @@
   ];
 }
 
-/** Lists the ways out of a state by event, those of its timers included. */
-export function listWays(
-  state: ChartState,
-): Array<[event: string, ways: ChartTransition[]]> {
-  const byEvent = Object.entries(state.on ?? {}).map(
-    ([event, ways]): [string, ChartTransition[]] => [event, toList(ways)],
-  );
-  const byTimer = Object.entries(state.after ?? {}).map(
-    ([timer, way]): [string, ChartTransition[]] => [
-      TIMER_EVENT_PREFIX + timer,
-      [way],
-    ],
-  );
-  return [...byEvent, ...byTimer];
-}
-
 function listGuards(definition: ChartDefinition): string[] {
   const ways = Object.values(definition.states).flatMap(state =>
     listWays(state).flatMap(([, list]) => list),
@@ -257,144 +160,3 @@
   }
   return {id: definition.id, initial: definition.initial, states} as never;
 }
-
-function findChartProblems<S extends string, E extends string>(
-  definition: ChartDefinition,
-  vocabulary: ChartVocabulary<S, E>,
-): string[] {
-  const states = Object.keys(definition.states);
-  const ways = states.flatMap(name => listWays(definition.states[name]));
-  const transitions = ways.flatMap(([, list]) => list);
-  const targets = transitions.flatMap(way => (way.target ? [way.target] : []));
-  const events = [...new Set(ways.map(([event]) => event))];
-  const guards = transitions.flatMap(way => (way.guard ? [way.guard] : []));
-  const actions = transitions.flatMap(way => [...(way.actions ?? [])]);
-  return [
-    ...compareNames('state', states, Object.values(vocabulary.states)),
-    ...compareNames('event', events, Object.values(vocabulary.events)),
-    ...compareNames('guard', guards, vocabulary.guards ?? []),
-    ...compareNames('action', actions, vocabulary.actions ?? []),
-    ...findMissing('target state', targets, states, 'the chart'),
-    ...findMissing('initial state', [definition.initial], states, 'the chart'),
-    ...findUnreachable(definition),
-  ];
-}
-
-function compareNames(
-  kind: string,
-  inChart: readonly string[],
-  inCode: readonly string[],
-): string[] {
-  return [
-    ...findMissing(kind, inChart, inCode, 'the code'),
-    ...findMissing(kind, inCode, inChart, 'the chart'),
-  ];
-}
-
-function findMissing(
-  kind: string,
-  wanted: readonly string[],
-  present: readonly string[],
-  where: string,
-): string[] {
-  return [...new Set(wanted)]
-    .filter(name => !present.includes(name))
-    .map(name => `${kind} "${name}" is unknown to ${where}`);
-}
-
-function findUnreachable(definition: ChartDefinition): string[] {
-  const reached = new Set<string>();
-  const open = [definition.initial];
-  while (open.length > 0) {
-    const name = open.pop()!;
-    const state = definition.states[name];
-    if (state === undefined || reached.has(name)) continue;
-    reached.add(name);
-    for (const [, ways] of listWays(state)) {
-      open.push(...ways.flatMap(way => (way.target ? [way.target] : [])));
-    }
-  }
-  return Object.keys(definition.states)
-    .filter(name => !reached.has(name))
-    .map(name => `state "${name}" cannot be reached`);
-}
-
-/**
- * Runs one life cycle through its chart, timers included.
- *
- * Entering a state starts the timers that the chart names for it; leaving it
- * stops them. `send` returns the step, so that the owner sees whether the
- * event was taken.
- */
-export class ChartRun<S extends string, E extends string> {
-  private current: S;
-  private stops: Array<() => void> = [];
-
-  private constructor(
-    private readonly chart: Chart<S, E>,
-    private readonly options: ChartRunOptions,
-  ) {
-    this.current = chart.initial;
-    this.startTimers();
-  }
-
-  /** Creates a run in the chart's initial state and starts its timers. */
-  static create<S extends string, E extends string>(
-    chart: Chart<S, E>,
-    options: ChartRunOptions,
-  ): ChartRun<S, E> {
-    return new ChartRun(chart, options);
-  }
-
-  /** The state the run is in. */
-  get state(): S {
-    return this.current;
-  }
-
-  /** Takes an event, moves to the state that follows and runs its actions. */
-  send(event: E): ChartStep<S> {
-    const step = this.chart.step(this.current, event, this.options.evaluate);
-    if (step.state !== this.current) {
-      this.stopTimers();
-      this.current = step.state;
-      this.startTimers();
-    }
-    for (const action of step.actions) this.options.perform?.(action);
-    return step;
-  }
-
-  /** Stops the timers. The run takes no further events after this. */
-  stopTimers(): void {
-    for (const stop of this.stops) stop();
-    this.stops = [];
-  }
-
-  private startTimers(): void {
-    for (const name of this.chart.getTimers(this.current)) {
-      const event = (TIMER_EVENT_PREFIX + name) as E;
-      this.stops.push(
-        this.options.startNamedTimer(name, () => this.options.fire(event)),
-      );
-    }
-  }
-}
-
-/** The functions that a chart's run calls. */
-export interface ChartRunOptions {
-  /** Starts the timer that the chart names; returns what stops it. */
-  readonly startNamedTimer: (name: string, fire: () => void) => () => void;
-  /** Is called when a timer fires; the owner posts the event to its mailbox. */
-  readonly fire: (event: string) => void;
-  /** Evaluates a guard by name. */
-  readonly evaluate?: EvaluateGuard;
-  /** Carries out an action by name. */
-  readonly perform?: (action: string) => void;
-}
-
-/** Reports an event that the chart does not take in the current state. */
-export function reportUnhandled(chart: string, state: string, event: string) {
-  return new ChartError(
-    `State chart "${chart}" takes no event "${event}" in state "${state}".`,
-    {props: {code: ErrorCode.CHART_EVENT_UNHANDLED}},
-  );
-}
--- a/src/lib/core/process_life.ts
+++ b/src/lib/core/process_life.ts
@@ -1,5 +1,7 @@
 /** The start and graceful stop of a process. */
-import {Chart, ChartRun, readChart} from './chart.js';
+import {Chart} from './chart.js';
+import {readChart} from './chart_file.js';
+import {ChartRun} from './chart_run.js';
 import type {StartTimer} from './clock.js';
 
 /** States of `charts/process.yaml`. */
--- a/src/lib/decisions/job_run.ts
+++ b/src/lib/decisions/job_run.ts
@@ -1,68 +1,16 @@
 /** Decides how a job goes on as its tasks are sent and end. */
-import {Chart, ChartRun, readChart} from '../core/chart.js';
-import type {ChartRunOptions} from '../core/chart.js';
+import {ChartRun} from '../core/chart_run.js';
+import type {ChartRunOptions} from '../core/chart_run.js';
 import {Outcome, Problem, TaskEnd} from '../core/job.js';
 import type {JobSpecification, TaskFault} from '../core/job.js';
-
-/** States of `charts/job.yaml`. */
-export enum JobState {
-  WAITING = 'waiting',
-  RUNNING = 'running',
-  FAILING = 'failing',
-  COMPLETE = 'complete',
-  FAILED = 'failed',
-}
-
-/** Events of `charts/job.yaml`. */
-export enum JobEvent {
-  TASK_SENT = 'taskSent',
-  TASK_FAULTED = 'taskFaulted',
-  ALL_SUCCEEDED = 'allSucceeded',
-  ALL_ENDED = 'allEnded',
-  CANCEL = 'cancel',
-  DEADLINE = 'timer.deadline',
-  SETTLE = 'timer.settle',
-}
-
-/** Actions of `charts/job.yaml`. */
-export enum JobAction {
-  WITHDRAW_TASKS = 'withdrawTasks',
-  ABANDON_TASKS = 'abandonTasks',
-  ANSWER = 'answer',
-}
-
-/** States of `charts/entry_task.yaml`. */
-export enum EntryTaskState {
-  WAITING = 'waiting',
-  SENT = 'sent',
-  WITHDRAWING = 'withdrawing',
-  SUCCEEDED = 'succeeded',
-  FAILED = 'failed',
-  NOT_STARTED = 'notStarted',
-  UNKNOWN = 'unknown',
-}
-
-/** Events of `charts/entry_task.yaml`. */
-export enum EntryTaskEvent {
-  SEND = 'send',
-  DROP = 'drop',
-  SUCCEEDED = 'succeeded',
-  FAILED = 'failed',
-  NOT_STARTED = 'notStarted',
-  LOST = 'lost',
-  WITHDRAW = 'withdraw',
-}
-
-const JOB_CHART = Chart.create(readChart('job'), {
-  states: JobState,
-  events: JobEvent,
-  actions: Object.values(JobAction),
-});
-
-const TASK_CHART = Chart.create(readChart('entry_task'), {
-  states: EntryTaskState,
-  events: EntryTaskEvent,
-});
+import {
+  EntryTaskEvent,
+  EntryTaskState,
+  JOB_CHART,
+  JobEvent,
+  JobState,
+  TASK_CHART,
+} from './job_charts.js';
 
 /** How one task ended at an agent. */
 export interface TaskEnding {
@@ -92,6 +40,7 @@
 const FAULTS_AT_MOST = 20;
 const DETAIL_CHARACTERS_AT_MOST = 200;
 const NO_BYTES = new Uint8Array(0);
+const DECODER = new TextDecoder();
 
 const TASK_EVENTS: Readonly<Record<TaskEnd, EntryTaskEvent>> = {
   [TaskEnd.SUCCEEDED]: EntryTaskEvent.SUCCEEDED,
@@ -293,7 +242,7 @@
       const end = ENDS[task.state];
       if (end === undefined || end === TaskEnd.SUCCEEDED) continue;
       if (faults.length >= FAULTS_AT_MOST) break;
-      const detail = Buffer.from(task.result).toString('utf8');
+      const detail = DECODER.decode(task.result);
       faults.push({
         index,
         end,
--- a/src/lib/decisions/quarantine.ts
+++ b/src/lib/decisions/quarantine.ts
@@ -1,5 +1,6 @@
 /** Keeps work from targets that fail what they start, and probes them. */
-import {Chart, readChart} from '../core/chart.js';
+import {Chart} from '../core/chart.js';
+import {readChart} from '../core/chart_file.js';
 import {NO_BACKOFF, recordOutcome, scaleSlots} from './outcome_limit.js';
 import type {OutcomeLimit} from './outcome_limit.js';
 
--- a/src/lib/decisions/start_book.ts
+++ b/src/lib/decisions/start_book.ts
@@ -1,5 +1,6 @@
 /** Decides at an agent which start orders run, wait or are refused. */
-import {Chart, readChart} from '../core/chart.js';
+import {Chart} from '../core/chart.js';
+import {readChart} from '../core/chart_file.js';
 import {TaskEnd} from '../core/job.js';
 import {NotStartedReason} from '../core/link_messages.js';
 import type {StartOrder, TaskReport} from '../core/link_messages.js';
--- a/src/lib/decisions/start_permission.ts
+++ b/src/lib/decisions/start_permission.ts
@@ -1,5 +1,6 @@
 /** Decides whether an agent may start tasks, from evidence that ages. */
-import {Chart, readChart} from '../core/chart.js';
+import {Chart} from '../core/chart.js';
+import {readChart} from '../core/chart_file.js';
 import {StoreContact} from '../records/configuration_view.js';
 import type {AgentConfiguration, EntryPong} from '../core/link_messages.js';
 
--- a/src/lib/entry/agent_account.ts
+++ b/src/lib/entry/agent_account.ts
@@ -1,5 +1,7 @@
 /** One life of an agent, as the dispatcher of an entry accounts for it. */
-import {Chart, ChartRun, readChart} from '../core/chart.js';
+import {Chart} from '../core/chart.js';
+import {readChart} from '../core/chart_file.js';
+import {ChartRun} from '../core/chart_run.js';
 import type {QueuedTask} from '../decisions/fair_queue.js';
 import type {ProcessIdentity} from '../core/identity.js';
 import type {
--- a/src/lib/entry/configuration_watch.ts
+++ b/src/lib/entry/configuration_watch.ts
@@ -1,5 +1,5 @@
 /** Follows the configuration in the store on behalf of the configuration task. */
-import {ChartRun} from '../core/chart.js';
+import {ChartRun} from '../core/chart_run.js';
 import {computeBackoffMs} from '../core/backoff.js';
 import type {DrawRandom, ReadMonotonicMs, StartTimer} from '../core/clock.js';
 import type {PlatformStore} from '../platform/platform_store.js';
--- a/src/lib/entry/configuration_watch_chart.ts
+++ b/src/lib/entry/configuration_watch_chart.ts
@@ -1,5 +1,6 @@
 /** The names of charts/configuration_watch.yaml. */
-import {Chart, readChart} from '../core/chart.js';
+import {Chart} from '../core/chart.js';
+import {readChart} from '../core/chart_file.js';
 
 /** States of an entry's watch of the store. */
 export enum ConfigurationWatchState {
--- a/src/lib/entry/dispatcher.ts
+++ b/src/lib/entry/dispatcher.ts
@@ -14,7 +14,7 @@
 import {AgentBoard} from '../decisions/agent_board.js';
 import type {PlacementPolicy} from '../decisions/choose_agent.js';
 import type {QueuedTask} from '../decisions/fair_queue.js';
-import type {JobEvent} from '../decisions/job_run.js';
+import type {JobEvent} from '../decisions/job_charts.js';
 import type {LedgerLimits} from '../decisions/key_ledger.js';
 import type {RankJob} from '../decisions/rank_job.js';
 import {PlanStepKind, WorkPlanner} from '../decisions/work_planner.js';
--- a/src/lib/entry/dispatcher_messages.ts
+++ b/src/lib/entry/dispatcher_messages.ts
@@ -5,7 +5,8 @@
   AgentHello,
   EntryFrame,
 } from '../core/link_messages.js';
-import type {JobAnswer, JobState} from '../decisions/job_run.js';
+import type {JobState} from '../decisions/job_charts.js';
+import type {JobAnswer} from '../decisions/job_run.js';
 import type {
   ConfigurationEvidence,
   ConfigurationView,
--- a/src/lib/entry/entry_registration.ts
+++ b/src/lib/entry/entry_registration.ts
@@ -1,5 +1,5 @@
 /** Keeps an entry registered in the store on behalf of the configuration task. */
-import {ChartRun} from '../core/chart.js';
+import {ChartRun} from '../core/chart_run.js';
 import {computeBackoffMs} from '../core/backoff.js';
 import type {DrawRandom, StartTimer} from '../core/clock.js';
 import {ErrorCode, FoxtailbayError} from '../core/errors.js';
--- a/src/lib/entry/entry_registration_chart.ts
+++ b/src/lib/entry/entry_registration_chart.ts
@@ -1,5 +1,6 @@
 /** The names of charts/entry_registration.yaml. */
-import {Chart, readChart} from '../core/chart.js';
+import {Chart} from '../core/chart.js';
+import {readChart} from '../core/chart_file.js';
 
 /** States of an entry's registration in the store. */
 export enum EntryRegistrationState {
--- a/src/lib/entry/job_desk.ts
+++ b/src/lib/entry/job_desk.ts
@@ -6,13 +6,10 @@
 import type {TaskReport} from '../core/link_messages.js';
 import {AdmissionKind} from '../decisions/admission.js';
 import type {QueuedTask} from '../decisions/fair_queue.js';
-import {
-  Aftermath,
-  EntryTaskState,
-  JobAction,
-  JobRun,
-} from '../decisions/job_run.js';
-import type {JobAnswer, JobEvent} from '../decisions/job_run.js';
+import {EntryTaskState, JobAction} from '../decisions/job_charts.js';
+import {Aftermath, JobRun} from '../decisions/job_run.js';
+import type {JobEvent} from '../decisions/job_charts.js';
+import type {JobAnswer} from '../decisions/job_run.js';
 import {KeyLedger, LedgerVerdict} from '../decisions/key_ledger.js';
 import type {LedgerFinding, LedgerLimits} from '../decisions/key_ledger.js';
 import type {WorkPlanner} from '../decisions/work_planner.js';
--- a/src/lib/entry/request_desk.ts
+++ b/src/lib/entry/request_desk.ts
@@ -5,12 +5,8 @@
 import {Outcome, Problem} from '../core/job.js';
 import {PostOutcome} from '../core/task.js';
 import type {Post} from '../core/task.js';
-import {
-  composeKey,
-  mintSession,
-  readSessionKey,
-} from '../decisions/session_key.js';
-import type {SessionKey} from '../decisions/session_key.js';
+import {composeKey, mintSession, readSessionKey} from '../wire/session_key.js';
+import type {SessionKey} from '../wire/session_key.js';
 import {encodeJson, encodeProblem, encodeReply} from './answer_encoding.js';
 import type {EncodedAnswer} from './answer_encoding.js';
 import {DispatcherMessageKind, ReplyKind} from './dispatcher_messages.js';
--- a/src/lib/records/record_chart.ts
+++ b/src/lib/records/record_chart.ts
@@ -1,5 +1,6 @@
 /** The life cycle of a configuration record, as charts/record.yaml states it. */
-import {Chart, readChart} from '../core/chart.js';
+import {Chart} from '../core/chart.js';
+import {readChart} from '../core/chart_file.js';
 
 /** States of a record as one process holds it. */
 export enum RecordState {
--- a/stand_ins/balancer_server.ts
+++ b/stand_ins/balancer_server.ts
@@ -2,7 +2,9 @@
 import {createConnection} from 'node:net';
 import type {Socket} from 'node:net';
 import {Client} from 'undici';
-import {Chart, ChartRun, readChart} from '../src/lib/core/chart.js';
+import {Chart} from '../src/lib/core/chart.js';
+import {readChart} from '../src/lib/core/chart_file.js';
+import {ChartRun} from '../src/lib/core/chart_run.js';
 import {repeatTimer, startTimer} from '../src/lib/core/clock.js';
 import {PostOutcome, Task} from '../src/lib/core/task.js';
 import {SendOutcome, sendOnce} from '../src/lib/platform/send_once.js';
--- a/stand_ins/platform_store_server.ts
+++ b/stand_ins/platform_store_server.ts
@@ -1,6 +1,8 @@
 /** The store stand-in as a task that owns its listener, values and switches. */
 import type {ServerResponse} from 'node:http';
-import {Chart, ChartRun, readChart} from '../src/lib/core/chart.js';
+import {Chart} from '../src/lib/core/chart.js';
+import {readChart} from '../src/lib/core/chart_file.js';
+import {ChartRun} from '../src/lib/core/chart_run.js';
 import {startTimer} from '../src/lib/core/clock.js';
 import type {ReadMonotonicMs, StopTimer} from '../src/lib/core/clock.js';
 import {PostOutcome, Task} from '../src/lib/core/task.js';
--- a/stand_ins/relay_server.ts
+++ b/stand_ins/relay_server.ts
@@ -1,7 +1,9 @@
 /** The relay stand-in: delays and cuts TCP connections between two processes. */
 import type {ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
-import {Chart, ChartRun, readChart} from '../src/lib/core/chart.js';
+import {Chart} from '../src/lib/core/chart.js';
+import {readChart} from '../src/lib/core/chart_file.js';
+import {ChartRun} from '../src/lib/core/chart_run.js';
 import {PostOutcome, Task} from '../src/lib/core/task.js';
 import {HttpListener, sendJson} from './http_listener.js';
 import type {HttpExchange} from './http_listener.js';
--- a/stand_ins/target_server.ts
+++ b/stand_ins/target_server.ts
@@ -1,7 +1,9 @@
 /** The target stand-in as a task that owns its listener, runs and record. */
 import type {ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
-import {Chart, ChartRun, readChart} from '../src/lib/core/chart.js';
+import {Chart} from '../src/lib/core/chart.js';
+import {readChart} from '../src/lib/core/chart_file.js';
+import {ChartRun} from '../src/lib/core/chart_run.js';
 import {repeatTimer, startTimer} from '../src/lib/core/clock.js';
 import type {ReadMonotonicMs, StopTimer} from '../src/lib/core/clock.js';
 import {PostOutcome, Task} from '../src/lib/core/task.js';
--- a/test/core/chart_test.ts
+++ b/test/core/chart_test.ts
@@ -1,6 +1,8 @@
 import {expect} from 'chai';
-import {Chart, ChartRun, readChartFile} from '../../src/lib/core/chart.js';
-import type {ChartDefinition} from '../../src/lib/core/chart.js';
+import {Chart} from '../../src/lib/core/chart.js';
+import {readChartFile} from '../../src/lib/core/chart_file.js';
+import {ChartRun} from '../../src/lib/core/chart_run.js';
+import type {ChartDefinition} from '../../src/lib/core/chart_file.js';
 import {ChartError} from '../../src/lib/core/errors.js';
 
 enum LampState {
