--- a/test/admin/record_writer_test.ts
+++ b/test/admin/record_writer_test.ts
@@ -63,7 +63,7 @@
   const client = store.createClient();
   const rival = createWriter(client);
   let next = 0;
-  const meet = async () => {
+  const perform = async () => {
     store.faults.staleRevision = undefined;
     const fault = faults[next] ?? Fault.NONE;
     next += 1;
@@ -82,7 +82,7 @@
         store.faults.delayedWrites = 1;
         break;
       case Fault.LATE_WRITES_LAND:
-        store.landLateWrites();
+        store.executeLateWrites();
         break;
       case Fault.STALE:
         store.faults.staleRevision = Math.max(0, store.revision - 1);
@@ -97,15 +97,15 @@
   };
   return {
     list: async prefix => {
-      await meet();
+      await perform();
       return client.list(prefix);
     },
     write: async write => {
-      await meet();
+      await perform();
       return client.write(write);
     },
     remove: async (key, expected) => {
-      await meet();
+      await perform();
       return client.remove(key, expected);
     },
   };
@@ -137,7 +137,7 @@
       const store = MemoryStore.create();
       const writer = createWriter(createFaultyStore(store, drawn));
       const result = await writer.change(createChange(OWN_ID));
-      store.landLateWrites();
+      store.executeLateWrites();
       checkTruth(result, listOwnRevisions(store));
     });
     await fc.assert(property, {seed: SEED, numRuns: RUNS});
--- a/test/fakes/memory_store.ts
+++ b/test/fakes/memory_store.ts
@@ -21,7 +21,7 @@
   lostReplies: number;
   /** Writes that are cut before they take effect. */
   lostWrites: number;
-  /** Writes that are cut now and take effect when `landLateWrites` is called. */
+  /** Writes that are cut now and take effect when `executeLateWrites` is called. */
   delayedWrites: number;
   /** Lists and watches answer as of this revision. */
   staleRevision: number | undefined;
@@ -101,7 +101,7 @@
   }
 
   /** Lets delayed writes take effect, if they still can. */
-  landLateWrites(): void {
+  executeLateWrites(): void {
     const late = this.late;
     this.late = [];
     for (const call of late) {
