--- a/tools/scenario/step.ts
+++ b/tools/scenario/step.ts
@@ -41,6 +41,7 @@
   RECORD = 'record',
   PUT_VALUE = 'putValue',
   TARGET = 'target',
+  MARK = 'mark',
   OBSERVE = 'observe',
   AWAIT = 'await',
   PARALLEL = 'parallel',
@@ -68,6 +69,8 @@
   readonly via: string;
   /** Entry that mints the session; the one submitted to unless stated. */
   readonly sessionFrom: string;
+  /** Entries that get the same submission, same key, at the same time. */
+  readonly alsoVia: readonly string[];
   readonly isKeyed: boolean;
   readonly inBackground: boolean;
   readonly job: JobShape;
@@ -120,9 +123,15 @@
 
 /** What a relay can be told. */
 export enum LinkMode {
+  /** Bytes are held until the link is restored. */
   CUT = 'cut',
+  /** As `CUT`, from the client to the server only. */
   CUT_FORWARD = 'cut-forward',
+  /** As `CUT`, from the server to the client only. */
   CUT_BACK = 'cut-back',
+  /** Connections are closed and new ones refused. */
+  CLOSE = 'close',
+  /** Connections are reset once; new ones are passed on. */
   RESET = 'reset',
   SLOW = 'slow',
   RESTORE = 'restore',
@@ -156,6 +165,8 @@
   readonly kind: StepKind.STORE;
   readonly mode: StoreMode;
   readonly slowMs: number;
+  /** Change as of which a stale store answers. */
+  readonly revisionOf: string;
 }
 
 /** Takes a data centre out of service or back in. */
@@ -207,6 +218,15 @@
   readonly change: string;
 }
 
+/** Names a moment, as if something had been accepted then. */
+export interface MarkStep {
+  readonly kind: StepKind.MARK;
+  readonly change: string;
+  readonly subject: string;
+  /** `left` or `back` for a target; free for other subjects. */
+  readonly to: string;
+}
+
 /** Keeps everything as it is for a stretch of time, under whatever load runs. */
 export interface ObserveStep {
   readonly kind: StepKind.OBSERVE;
@@ -257,6 +277,7 @@
   | RecordStep
   | PutValueStep
   | TargetStep
+  | MarkStep
   | ObserveStep
   | AwaitStep
   | ParallelStep;
