Leave the registration's states to its chart; read records in one place

Cause: observe() repeated three states of entry_registration.yaml in an if, and two modules read a record's value. Ruled out: none. Change: the event is always sent and the chart decides; findValue is shared. Figures: 66 tests of test/admin, test/records and test/entry/conf* pass before and after. Conclusion: no change of behaviour.

--- a/src/lib/admin/record_reader.ts
+++ b/src/lib/admin/record_reader.ts
@@ -15,6 +15,7 @@
 } from '../records/record_body.js';
 import type {PastRecordVersion} from '../records/record_body.js';
 import type {StoredRecord} from './administration_answer.js';
+import type {FoundValue} from './read_back.js';
 import {listVersions} from './write_plan.js';
 
 /** Records read from the store at one revision. */
@@ -37,6 +38,17 @@
   readonly prefix: string;
 }
 
+/** Reads the value under a record's key as it stands in the store. */
+export async function findValue(
+  {store, prefix}: RecordSource,
+  identity: RecordIdentity,
+): Promise<FoundValue> {
+  const key = formatRecordKey(prefix, identity);
+  const {revision, values} = await store.list(key);
+  const found = values.find(value => value.key === key);
+  return {found, snapshotRevision: revision};
+}
+
 /** Lists the records of one kind, or of all. */
 export async function listRecords(
   {store, prefix}: RecordSource,
@@ -76,9 +88,9 @@
   name: string,
 ): Promise<StoredDataCentre> {
   const identity = {kind: RecordKind.DATA_CENTRE, name};
-  const {found, revision} = await findValue(source, identity);
+  const {found, snapshotRevision} = await findValue(source, identity);
   if (found === undefined) {
-    return {service: ServiceState.IN, by: '', revision};
+    return {service: ServiceState.IN, by: '', revision: snapshotRevision};
   }
   const parsed = parseRecord(identity, found.value);
   const record = parsed.isValid
@@ -100,15 +112,6 @@
     : ServiceState.IN;
 }
 
-async function findValue(
-  {store, prefix}: RecordSource,
-  identity: RecordIdentity,
-): Promise<{found: StoredValue | undefined; revision: number}> {
-  const key = formatRecordKey(prefix, identity);
-  const {revision, values} = await store.list(key);
-  return {found: values.find(value => value.key === key), revision};
-}
-
 function describeRecord(
   identity: RecordIdentity,
   {value, revision}: StoredValue,
--- a/src/lib/admin/record_writer.ts
+++ b/src/lib/admin/record_writer.ts
@@ -5,12 +5,12 @@
 import {ABSENT_REVISION} from '../platform/platform_store.js';
 import type {PlatformStore, StoredValue} from '../platform/platform_store.js';
 import {formatRecordKey} from '../records/record.js';
-import type {RecordIdentity} from '../records/record.js';
 import {
   AdministrationProblem,
   createRefusal,
 } from './administration_problem.js';
 import type {AdministrationRefusal} from './administration_problem.js';
+import {findValue} from './record_reader.js';
 import {WriteTrace, judgeRemoval, judgeWrite} from './read_back.js';
 import type {FoundValue, ReadBack} from './read_back.js';
 import {WritePlanKind, planWrite} from './write_plan.js';
@@ -59,21 +59,11 @@
     return new RecordWriter(options);
   }
 
-  /** Reads one record as it stands in the store. */
-  async read(identity: RecordIdentity): Promise<FoundValue> {
-    const key = formatRecordKey(this.options.prefix, identity);
-    const snapshot = await this.options.store.list(key);
-    return {
-      found: snapshot.values.find(value => value.key === key),
-      snapshotRevision: snapshot.revision,
-    };
-  }
-
   /** Makes a change, or says why it was not made. */
   async change(change: RecordChange): Promise<WriteResult> {
     let found: StoredValue | undefined;
     try {
-      ({found} = await this.read(change.identity));
+      ({found} = await findValue(this.options, change.identity));
     } catch (failure) {
       return refuseUnavailable(failure);
     }
@@ -152,7 +142,11 @@
   ): Promise<WriteResult | undefined> {
     let readBack: ReadBack;
     try {
-      readBack = judge(change, plan, await this.read(change.identity));
+      readBack = judge(
+        change,
+        plan,
+        await findValue(this.options, change.identity),
+      );
     } catch {
       return undefined;
     }
--- a/src/lib/entry/entry_registration.ts
+++ b/src/lib/entry/entry_registration.ts
@@ -1,5 +1,6 @@
 /** Keeps an entry registered in the store on behalf of the configuration task. */
 import {ChartRun} from '../core/chart.js';
+import type {ChartStep} from '../core/chart.js';
 import {computeBackoffMs} from '../core/backoff.js';
 import type {DrawRandom, StartTimer} from '../core/clock.js';
 import {ErrorCode, FoxtailbayError} from '../core/errors.js';
@@ -102,15 +103,12 @@
 
   /** Compares the registration with what the store shows. */
   observe({entries, revision}: ConfigurationMirror): void {
-    const isSettled =
-      this.run.state === EntryRegistrationState.REGISTERED ||
-      this.run.state === EntryRegistrationState.RENEWING ||
-      this.run.state === EntryRegistrationState.BACKING_OFF_TO_RENEW;
-    if (!isSettled || revision <= this.revision) return;
+    if (revision <= this.revision) return;
     const {id, incarnation} = this.options.entry;
     if (entries.get(id)?.incarnation === incarnation) return;
-    this.call += 1;
-    this.send(EntryRegistrationEvent.DISPLACED);
+    const step = this.send(EntryRegistrationEvent.DISPLACED);
+    // The end of a renewal that is out must not be taken for that of a read.
+    if (step.isTaken) this.call += 1;
   }
 
   /** Withdraws the registration; the process serves on but is not found. */
@@ -126,16 +124,19 @@
     await this.endLease();
   }
 
-  private send(event: EntryRegistrationEvent): void {
+  private send(
+    event: EntryRegistrationEvent,
+  ): ChartStep<EntryRegistrationState> {
     if (event === EntryRegistrationEvent.FAILED) this.failures += 1;
     if (event === EntryRegistrationEvent.CONFLICT) this.failures += 1;
     const before = this.run.state;
-    this.run.send(event);
+    const step = this.run.send(event);
     if (this.run.state === EntryRegistrationState.REGISTERED) {
       this.failures = 0;
       this.hasRegistered = true;
     }
     if (this.run.state !== before) this.options.reportState(this.run.state);
+    return step;
   }
 
   private perform(action: EntryRegistrationAction): void {
