--- a/src/lib/entry/dispatcher_counters.ts
+++ b/src/lib/entry/dispatcher_counters.ts
@@ -1,4 +1,6 @@
 /** What a dispatcher counts. */
+import {Outcome} from '../core/job.js';
+import type {JobAnswer} from '../decisions/job_run.js';
 
 /** Counts since the start of the process. */
 export interface DispatcherCounters {
@@ -33,3 +35,12 @@
     pings: 0,
   };
 }
+
+/** Counts an answer. */
+export function countAnswer(
+  counters: DispatcherCounters,
+  answer: JobAnswer,
+): void {
+  if (answer.outcome === Outcome.COMPLETE) counters.jobsComplete += 1;
+  else counters.jobsFailed += 1;
+}
--- /dev/null
+++ b/src/lib/entry/submission_desk.ts
@@ -0,0 +1,158 @@
+/** The submissions to an entry: sessions, keys, refusals. */
+import type {ReadMonotonicMs} from '../core/clock.js';
+import {Outcome, Problem} from '../core/job.js';
+import type {JobAnswer} from '../decisions/job_run.js';
+import {KeyLedger, LedgerVerdict} from '../decisions/key_ledger.js';
+import type {LedgerFinding, LedgerLimits} from '../decisions/key_ledger.js';
+import type {ConfigurationView} from '../records/configuration_view.js';
+import type {DispatcherCounters} from './dispatcher_counters.js';
+import {ReplyKind} from './dispatcher_messages.js';
+import type {
+  OwnKey,
+  Refusal,
+  Reply,
+  SubmitMessage,
+} from './dispatcher_messages.js';
+import {
+  describeUnknownTeam,
+  describeVerdict,
+  NOT_FOUND,
+  NOT_READY,
+  SESSION_ENDED,
+  STOPPING,
+} from './job_refusal.js';
+import type {JobTable} from './job_table.js';
+
+/** What a desk of submissions needs to be created. */
+export interface SubmissionDeskOptions {
+  readonly ledger: LedgerLimits;
+  /** Returns the jobs that the desk hands submissions to. */
+  readonly getJobs: () => JobTable;
+  readonly counters: DispatcherCounters;
+  readonly readMonotonicMs: ReadMonotonicMs;
+  /** Returns the configuration in force, if there is one. */
+  readonly getView: () => ConfigurationView | undefined;
+}
+
+/** Keeps the sessions' memory for the dispatcher, which owns it. */
+export class SubmissionDesk {
+  private readonly ledger: KeyLedger<JobAnswer>;
+  private isRefusing = false;
+
+  private constructor(private readonly options: SubmissionDeskOptions) {
+    this.ledger = KeyLedger.create<JobAnswer>(options.ledger);
+  }
+
+  /** Creates a desk without sessions. */
+  static create(options: SubmissionDeskOptions): SubmissionDesk {
+    return new SubmissionDesk(options);
+  }
+
+  /** Number of keys remembered. */
+  get keys(): number {
+    return this.ledger.keys;
+  }
+
+  /** From now on refuses new jobs. */
+  refuseWork(): void {
+    this.isRefusing = true;
+  }
+
+  /** Opens a session for a team. */
+  openSession(team: string, reply: Reply): void {
+    const refusal = this.findRefusal(team);
+    if (refusal !== undefined) return this.refuse(reply, refusal);
+    const serial = this.ledger.openSession(this.options.readMonotonicMs());
+    reply({kind: ReplyKind.SESSION, serial, team});
+  }
+
+  /** Takes a submission, unless its key is known or it is refused. */
+  submit(message: SubmitMessage): void {
+    const {key, draft, digest, isDetached, reply} = message;
+    const nowMs = this.options.readMonotonicMs();
+    if (key !== undefined) {
+      const finding = this.ledger.submit(key.serial, key.name, digest, nowMs);
+      if (finding.verdict !== LedgerVerdict.NEW) {
+        return this.answerKnown(key, finding, isDetached, reply);
+      }
+    }
+    const refusal = this.findRefusal(draft.team);
+    if (refusal !== undefined) {
+      if (key !== undefined) this.releaseKey(key);
+      return this.refuse(reply, refusal);
+    }
+    this.options.getJobs().submit(key, draft, isDetached, reply);
+  }
+
+  /** Tells how a job stands, or its answer. */
+  lookUp(key: OwnKey, reply: Reply): void {
+    const nowMs = this.options.readMonotonicMs();
+    const finding = this.ledger.lookUp(key.serial, key.name, nowMs);
+    if (finding.verdict === LedgerVerdict.NEW) {
+      return this.refuse(reply, NOT_FOUND);
+    }
+    this.answerKnown(key, finding, true, reply);
+  }
+
+  /** Cancels a job; the reply is its answer. */
+  cancel(key: OwnKey, reply: Reply): void {
+    const job = this.options.getJobs().findJob(key);
+    if (job === undefined) return this.lookUp(key, reply);
+    job.replies.push(reply);
+    job.run.cancel(Problem.CANCELLED);
+  }
+
+  /** Forgets sessions that have been unused for their lifetime. */
+  expire(nowMs: number): void {
+    this.ledger.expire(nowMs);
+  }
+
+  /** Keeps an answer, unless the job provably did not run. */
+  recordAnswer(key: OwnKey, answer: JobAnswer): void {
+    if (answer.outcome === Outcome.DID_NOT_RUN) {
+      this.releaseKey(key);
+      return;
+    }
+    let bytes = 0;
+    for (const result of answer.results) bytes += result.length;
+    this.ledger.settle(key.serial, key.name, answer, bytes);
+  }
+
+  /** Forgets a key whose job provably did not run, so that it may come again. */
+  releaseKey(key: OwnKey): void {
+    this.ledger.release(key.serial, key.name);
+  }
+
+  private answerKnown(
+    key: OwnKey,
+    finding: LedgerFinding<JobAnswer>,
+    isDetached: boolean,
+    reply: Reply,
+  ): void {
+    if (finding.verdict === LedgerVerdict.RUNNING) {
+      const job = this.options.getJobs().findJob(key);
+      if (job === undefined) return this.refuse(reply, SESSION_ENDED);
+      if (isDetached) return this.options.getJobs().reportProgress(job, reply);
+      job.replies.push(reply);
+      return;
+    }
+    if (finding.answer !== undefined) {
+      reply({kind: ReplyKind.ANSWER, answer: finding.answer});
+      return;
+    }
+    this.refuse(reply, describeVerdict(finding.verdict));
+  }
+
+  private findRefusal(team: string): Refusal | undefined {
+    const view = this.options.getView();
+    if (view === undefined) return NOT_READY;
+    if (this.isRefusing) return STOPPING;
+    if (!view.teams.has(team)) return describeUnknownTeam(team);
+    return undefined;
+  }
+
+  private refuse(reply: Reply, refusal: Refusal): void {
+    this.options.counters.jobsRefused += 1;
+    reply({kind: ReplyKind.REFUSAL, refusal});
+  }
+}
--- a/tools/load/caller.ts
+++ b/tools/load/caller.ts
@@ -212,7 +212,7 @@
     });
     const {session} = (await answer.body.json()) as {session?: string};
     if (session === undefined)
-      throw new RequestError('An entry opened no session.');
+      {throw new RequestError('An entry opened no session.');}
     return session;
   }
 
