--- a/stand_ins/delay_line.ts
+++ b/stand_ins/delay_line.ts
@@ -35,16 +35,16 @@
   readonly dueMs: number;
 }
 
-/** Largest error of rounding a delay to whole milliseconds. */
-const ROUNDING_MS = 0.5;
+/** Share of each delivery's error that is corrected in the next. */
+const ERROR_WEIGHT = 0.2;
 
 /** Delays parcels without changing their order. */
 export class DelayLine {
   private readonly waiting: Waiting[] = [];
   private stopTimer: StopTimer | undefined;
   private waitingBytes = 0;
-  /** What rounding to whole milliseconds has left over. */
-  private remainderMs = 0;
+  /** How late deliveries tend to be; aimed at zero by starting earlier. */
+  private errorMs = 0;
 
   private constructor(
     private readonly options: DelayLineOptions,
@@ -84,32 +84,46 @@
   }
 
   private schedule(): void {
-    const next = this.waiting[0];
-    const isIdle = next === undefined || this.rule.isHeld;
-    if (isIdle || this.stopTimer !== undefined) return;
-    this.stopTimer = this.options.startTimer(this.roundDelay(next.dueMs), () =>
-      this.release(),
-    );
+    while (this.canSchedule()) {
+      const wholeMs = this.roundDelay(this.waiting[0].dueMs);
+      if (wholeMs > 0) {
+        this.stopTimer = this.options.startTimer(wholeMs, () => this.expire());
+        return;
+      }
+      this.deliverNext();
+    }
+  }
+
+  private canSchedule(): boolean {
+    const isIdle = this.waiting.length === 0 || this.rule.isHeld;
+    return !isIdle && this.stopTimer === undefined;
   }
 
   /** Rounds so that delays are right on average: timers count whole milliseconds. */
   private roundDelay(dueMs: number): number {
-    const exactMs = dueMs - this.options.readMonotonicMs() + this.remainderMs;
-    const wholeMs = Math.max(0, Math.round(exactMs));
-    this.remainderMs = Math.min(1, Math.max(-1, exactMs - wholeMs));
-    return wholeMs;
+    const exactMs = dueMs - this.options.readMonotonicMs() - this.errorMs;
+    return Math.max(0, Math.round(exactMs));
   }
 
-  private release(): void {
+  private expire(): void {
     this.stopTimer = undefined;
-    const nowMs = this.options.readMonotonicMs() + ROUNDING_MS;
-    while (this.waiting.length > 0 && this.waiting[0].dueMs <= nowMs) {
-      const {parcel} = this.waiting.shift()!;
-      this.waitingBytes -= countBytes(parcel);
-      this.options.deliver(parcel);
-    }
+    this.deliverNext();
     this.schedule();
   }
+
+  private deliverNext(): void {
+    const {parcel, dueMs} = this.waiting.shift()!;
+    this.waitingBytes -= countBytes(parcel);
+    this.learnError(this.options.readMonotonicMs() - dueMs);
+    this.options.deliver(parcel);
+  }
+
+  private learnError(lateMs: number): void {
+    // A pause of the process is no error of the timers.
+    const boundedMs = Math.min(1, Math.max(-1, lateMs));
+    this.errorMs += ERROR_WEIGHT * boundedMs;
+    this.errorMs = Math.min(1, Math.max(-1, this.errorMs));
+  }
 }
 
 function countBytes(parcel: Parcel): number {
--- a/stand_ins/relay_connection.ts
+++ b/stand_ins/relay_connection.ts
@@ -130,8 +130,8 @@
         }
         return;
       case MessageKind.RESET:
-        this.client.resetAndDestroy();
-        this.server.resetAndDestroy();
+        resetSocket(this.client);
+        resetSocket(this.server);
         return this.end();
       case MessageKind.CLOSED:
         // One closed socket is no news to the other side of a held link.
@@ -180,6 +180,14 @@
   }
 }
 
+function resetSocket(socket: Socket): void {
+  // A reset during connect or shutdown leaves Node a handle that never closes,
+  // and the process would spin at its exit.
+  const isOpen = !socket.connecting && !socket.writableEnded;
+  if (isOpen) socket.resetAndDestroy();
+  else socket.destroy();
+}
+
 function getOpposite(direction: Direction): Direction {
   return direction === Direction.FORWARD
     ? Direction.BACKWARD
