--- a/src/lib/decisions/agent_board.ts
+++ b/src/lib/decisions/agent_board.ts
@@ -3,6 +3,7 @@
 import {createAgentRecord} from './agent_record.js';
 import type {AgentRecord} from './agent_record.js';
 import {
+  computeOptimisticSlowness,
   computeSlowness,
   recordRunTime,
   UNKNOWN_SLOWNESS,
@@ -94,6 +95,11 @@
     return this.slotSpeed / this.meanRunMs;
   }
 
+  /** Expected work in milliseconds that the usable agents do each millisecond. */
+  get workPerMs(): number {
+    return this.slotSpeed;
+  }
+
   /** Returns what the board knows of an agent. */
   getAgent(id: string): AgentLoad | undefined {
     return this.agents.get(id);
@@ -278,7 +284,7 @@
     );
     agent.reportAgeMs = nowMs - agent.reportedAtMs;
     const usual = this.slotSpeed / Math.max(1, this.usableSlots);
-    agent.slowness = computeSlowness(agent.estimate) * (usual || 1);
+    agent.slowness = computeOptimisticSlowness(agent.estimate) * (usual || 1);
     this.refresh(agent);
   }
 
--- /dev/null
+++ b/src/lib/entry/dispatcher.ts
@@ -0,0 +1,322 @@
+/** The task of an entry that owns its jobs and places their tasks. */
+import {repeatTimer} from '../core/clock.js';
+import type {
+  Defer,
+  DrawRandom,
+  ReadMonotonicMs,
+  StartTimer,
+} from '../core/clock.js';
+import type {ProcessIdentity} from '../core/identity.js';
+import {Problem} from '../core/job.js';
+import type {AgentConfiguration, EntryPong} from '../core/link_messages.js';
+import {Task} from '../core/task.js';
+import type {Post} from '../core/task.js';
+import {AgentBoard} from '../decisions/agent_board.js';
+import type {PlacementPolicy} from '../decisions/choose_agent.js';
+import type {QueuedTask} from '../decisions/fair_queue.js';
+import type {JobEvent} from '../decisions/job_run.js';
+import type {LedgerLimits} from '../decisions/key_ledger.js';
+import type {RankJob} from '../decisions/rank_job.js';
+import {PlanStepKind, WorkPlanner} from '../decisions/work_planner.js';
+import type {PlannerLimits} from '../decisions/work_planner.js';
+import {StoreContact} from '../records/configuration_view.js';
+import type {
+  ConfigurationEvidence,
+  ConfigurationView,
+} from '../records/configuration_view.js';
+import type {PresenceEvent, PresenceState} from './agent_account.js';
+import {AgentDesk} from './agent_desk.js';
+import type {AgentStatus} from './agent_desk.js';
+import {createDispatcherCounters} from './dispatcher_counters.js';
+import {DispatcherMessageKind} from './dispatcher_messages.js';
+import type {DispatcherMessage} from './dispatcher_messages.js';
+import {JobDesk} from './job_desk.js';
+import type {EndedJob, EndedTask} from './job_desk.js';
+
+const MAILBOX_CAPACITY = 1_000_000;
+const TICK_PERIOD_MS = 100;
+
+/** Time in milliseconds without any target before jobs are refused for it. */
+const NO_TARGET_PATIENCE_MS = 3000;
+
+/** What the dispatcher needs to be created. */
+export interface DispatcherOptions {
+  readonly identity: ProcessIdentity;
+  readonly ledger: LedgerLimits;
+  readonly limits: PlannerLimits;
+  /** How long a broken stream may take to return, in milliseconds. */
+  readonly returnLimitMs: number;
+  readonly policy: PlacementPolicy;
+  readonly rankJob: RankJob;
+  readonly readMonotonicMs: ReadMonotonicMs;
+  readonly startTimer: StartTimer;
+  /** Gathers what one turn of the event loop produced before it is sent. */
+  readonly defer: Defer;
+  readonly drawRandom: DrawRandom;
+  readonly reportAgent: (state: PresenceState, agent: ProcessIdentity) => void;
+  readonly reportJob: (ended: EndedJob) => void;
+  readonly reportTask: (ended: EndedTask) => void;
+  /** Is told, as long as it lasts, that no job runs after `REFUSE_WORK`. */
+  readonly reportIdle: () => void;
+  readonly reportFailure: (failure: unknown, message: unknown) => void;
+}
+
+/**
+ * Owns the sessions' memory, the running jobs and the accounts of the agents.
+ *
+ * A task is sent to one agent at a time and moves only when it is proven not
+ * started: refused by the agent, or never received by it.
+ */
+export class Dispatcher {
+  private readonly task: Task<DispatcherMessage>;
+  private readonly board: AgentBoard;
+  private readonly planner: WorkPlanner;
+  private readonly jobs: JobDesk;
+  private readonly agents: AgentDesk;
+  private view: ConfigurationView | undefined;
+  private evidence: ConfigurationEvidence = {
+    contact: StoreContact.LOST,
+    confirmedSentAtMs: 0,
+  };
+  private isLeaving = false;
+  private isRefusing = false;
+  private lastTargetAtMs: number;
+  /** Counts since the start. */
+  readonly counters = createDispatcherCounters();
+
+  private constructor(private readonly options: DispatcherOptions) {
+    this.board = AgentBoard.create({
+      policy: options.policy,
+      drawRandom: options.drawRandom,
+      dataCentre: options.identity.dataCentre,
+    });
+    this.planner = WorkPlanner.create({
+      board: this.board,
+      rankJob: options.rankJob,
+      limits: options.limits,
+    });
+    this.jobs = this.createJobDesk();
+    this.agents = this.createAgentDesk();
+    this.lastTargetAtMs = options.readMonotonicMs();
+    this.task = Task.create<DispatcherMessage>({
+      name: 'dispatcher',
+      capacity: MAILBOX_CAPACITY,
+      handle: message => this.handle(message),
+      reportFailure: options.reportFailure,
+    });
+  }
+
+  /** Creates the dispatcher and starts its periodic checks. */
+  static create(options: DispatcherOptions): Dispatcher {
+    const dispatcher = new Dispatcher(options);
+    const stop = repeatTimer(options.startTimer, TICK_PERIOD_MS, () =>
+      dispatcher.post({kind: DispatcherMessageKind.TICK}),
+    );
+    dispatcher.task.store.add(() => dispatcher.agents.stopTimers());
+    dispatcher.task.store.add(() => dispatcher.jobs.stopTimers());
+    dispatcher.task.store.add(stop);
+    return dispatcher;
+  }
+
+  /** Hands a message to the dispatcher. */
+  get post(): Post<DispatcherMessage> {
+    return this.task.post;
+  }
+
+  /** Tells whether a configuration is known, without which nothing is taken. */
+  get isReady(): boolean {
+    return this.view !== undefined && !this.isLeaving;
+  }
+
+  /** Number of tasks that wait for an agent. */
+  get waiting(): number {
+    return this.planner.waiting;
+  }
+
+  /** Number of jobs that are not answered. */
+  get running(): number {
+    return this.jobs.size;
+  }
+
+  /** Number of keys remembered. */
+  get keys(): number {
+    return this.jobs.keys;
+  }
+
+  /** Lists the agents known. */
+  listAgents(): AgentStatus[] {
+    return this.agents.listAgents();
+  }
+
+  /** Stops the timers. */
+  stop(): Promise<void> {
+    return this.task.stop();
+  }
+
+  private createJobDesk(): JobDesk {
+    const {options} = this;
+    return JobDesk.create({
+      identity: options.identity,
+      ledger: options.ledger,
+      planner: this.planner,
+      counters: this.counters,
+      readMonotonicMs: options.readMonotonicMs,
+      startTimer: options.startTimer,
+      postTimer: (job, event) =>
+        void this.post({kind: DispatcherMessageKind.JOB_TIMER, job, event}),
+      withdraw: (agent, sequence) => this.agents.withdraw(agent, sequence),
+      getView: () => this.view,
+      isPlannable: nowMs => this.isPlannable(nowMs),
+      reportJob: options.reportJob,
+      reportTask: options.reportTask,
+    });
+  }
+
+  private createAgentDesk(): AgentDesk {
+    const {options} = this;
+    return AgentDesk.create({
+      identity: options.identity,
+      board: this.board,
+      counters: this.counters,
+      returnLimitMs: options.returnLimitMs,
+      readMonotonicMs: options.readMonotonicMs,
+      startTimer: options.startTimer,
+      defer: options.defer,
+      postTimer: (agent, event) =>
+        void this.post({kind: DispatcherMessageKind.AGENT_TIMER, agent, event}),
+      endTask: (task, agent, report) => this.jobs.endTask(task, agent, report),
+      describeConfiguration: () => this.describeConfiguration(),
+      describePong: pingSentAtMs => this.describePong(pingSentAtMs),
+      reportAgent: options.reportAgent,
+    });
+  }
+
+  private handle(message: DispatcherMessage): void {
+    this.takeMessage(message);
+    this.placeTasks();
+    if (this.isRefusing && this.jobs.size === 0) this.options.reportIdle();
+  }
+
+  private takeMessage(message: DispatcherMessage): void {
+    switch (message.kind) {
+      case DispatcherMessageKind.OPEN_SESSION:
+        this.jobs.openSession(message.team, message.reply);
+        break;
+      case DispatcherMessageKind.SUBMIT:
+        this.jobs.submit(message);
+        break;
+      case DispatcherMessageKind.LOOK_UP:
+        this.jobs.lookUp(message.key, message.reply);
+        break;
+      case DispatcherMessageKind.CANCEL:
+        this.jobs.cancel(message.key, message.reply);
+        break;
+      case DispatcherMessageKind.JOB_TIMER:
+        this.jobs.handleTimer(message.job, message.event as JobEvent);
+        break;
+      case DispatcherMessageKind.AGENT_HELLO:
+        this.agents.greet(message.stream, message.hello);
+        break;
+      case DispatcherMessageKind.AGENT_FRAME:
+        this.agents.takeFrame(message.stream, message.frame);
+        break;
+      case DispatcherMessageKind.AGENT_CLOSED:
+        this.agents.closeStream(message.stream);
+        break;
+      case DispatcherMessageKind.AGENT_TIMER:
+        this.agents.handleTimer(message.agent, message.event as PresenceEvent);
+        break;
+      case DispatcherMessageKind.VIEW:
+        this.takeView(message.view);
+        break;
+      case DispatcherMessageKind.EVIDENCE:
+        this.evidence = message.evidence;
+        break;
+      case DispatcherMessageKind.TICK:
+        this.check();
+        break;
+      case DispatcherMessageKind.LEAVE:
+        this.isLeaving = true;
+        break;
+      case DispatcherMessageKind.REFUSE_WORK:
+        this.isRefusing = true;
+        this.jobs.refuseWork();
+        break;
+    }
+  }
+
+  private takeView(view: ConfigurationView): void {
+    this.view = view;
+    this.planner.applyTeams(view.teams.values(), view.entries.length);
+    this.agents.publishConfiguration();
+  }
+
+  private check(): void {
+    const nowMs = this.options.readMonotonicMs();
+    this.agents.checkSilence(nowMs);
+    this.board.refreshAll(nowMs);
+    if (this.board.slots > 0) this.lastTargetAtMs = nowMs;
+    this.jobs.check(nowMs);
+  }
+
+  // Agents reconnect within moments; a job is not refused for a gap that short.
+  private isPlannable(nowMs: number): boolean {
+    if (this.board.slots > 0) return true;
+    return nowMs - this.lastTargetAtMs >= NO_TARGET_PATIENCE_MS;
+  }
+
+  private placeTasks(): void {
+    const nowMs = this.options.readMonotonicMs();
+    for (;;) {
+      const step = this.planner.takeStep(nowMs);
+      if (step === undefined) return;
+      switch (step.kind) {
+        case PlanStepKind.SEND:
+          this.sendTask(step.task, step.agent, nowMs);
+          break;
+        case PlanStepKind.GIVE_UP:
+          this.jobs.giveUp(step.job, Problem.DEADLINE_UNREACHABLE);
+          break;
+      }
+    }
+  }
+
+  private sendTask(task: QueuedTask, agent: string, nowMs: number): void {
+    const job = this.jobs.getJob(task.job);
+    if (job === undefined) return;
+    const {team, taskClass, trace} = job.run.specification;
+    const sequence = this.agents.sendStart(
+      agent,
+      {
+        job: task.job,
+        index: task.index,
+        team,
+        taskClass,
+        payload: job.payloads[task.index],
+        startWithinMs: Math.max(1, Math.ceil(job.deadlineAtMs - nowMs)),
+        runWithinMs: job.runWithinMs,
+        trace,
+      },
+      task,
+    );
+    if (sequence === undefined) return;
+    this.jobs.recordSent(job, task.index, {agent, sequence});
+  }
+
+  private describeConfiguration(): AgentConfiguration | undefined {
+    if (this.view === undefined) return undefined;
+    const {revision, dataCentresOut, entries} = this.view;
+    return {revision, dataCentresOut, entries};
+  }
+
+  private describePong(pingSentAtMs: number): EntryPong {
+    const {contact, confirmedSentAtMs} = this.evidence;
+    return {
+      pingSentAtMs,
+      contact,
+      confirmedAgeMs: this.options.readMonotonicMs() - confirmedSentAtMs,
+      configurationRevision: this.view?.revision ?? 0,
+      isLeaving: this.isLeaving,
+    };
+  }
+}
