--- a/test/cli/fake_context.ts
+++ b/test/cli/fake_context.ts
@@ -3,7 +3,11 @@
 import {runCommandLine} from '../../src/lib/cli/command_line.js';
 import type {ExitCode} from '../../src/lib/cli/exit_code.js';
 import {ReplyKind} from '../../src/lib/cli/http_exchange.js';
-import type {HttpReply, HttpRequest} from '../../src/lib/cli/http_exchange.js';
+import type {
+  HttpReply,
+  HttpRequest,
+  SendRequest,
+} from '../../src/lib/cli/http_exchange.js';
 import {createTerminal} from '../../src/lib/cli/terminal.js';
 
 /** What a command did. */
@@ -22,6 +26,10 @@
   readonly replies?: Replies;
   readonly files?: Readonly<Record<string, string>>;
   readonly environment?: Readonly<Record<string, string>>;
+  /** What each drawn name is. */
+  readonly drawnName?: string;
+  /** Takes the place of the scripted replies. */
+  readonly send?: SendRequest;
 }
 
 /** Creates a whole answer. */
@@ -43,14 +51,17 @@
 /** Runs the command line against scripted replies; timers fire at once. */
 export async function runFoxtailbay(
   words: readonly string[],
-  {replies = {}, files = {}, environment = {}}: RunOptions = {},
+  options: RunOptions = {},
 ): Promise<CommandRun> {
+  const {replies = {}, files = {}, environment = {}, send} = options;
   const requests: HttpRequest[] = [];
   const texts = {output: '', messages: ''};
   const context: CommandContext = {
     send: async request => {
       requests.push(request);
-      return takeReply(replies, request, requests);
+      return send === undefined
+        ? takeReply(replies, request, requests)
+        : send(request);
     },
     terminal: createTerminal({
       output: {write: text => (texts.output += text)},
@@ -63,7 +74,7 @@
       return () => clearImmediate(handle);
     },
     readMonotonicMs: () => requests.length * 1000,
-    drawName: () => 'drawn',
+    drawName: () => options.drawnName ?? 'drawn',
     environment,
     userName: 'ngoc',
   };
