--- a/src/lib/cli/terminal.ts
+++ b/src/lib/cli/terminal.ts
@@ -52,12 +52,24 @@
     !environment.NO_COLOR &&
     environment.TERM !== 'dumb';
   const isLive = messages.isTTY === true && environment.TERM !== 'dumb';
-  const clear = isLive ? CLEAR_LINE : '';
+  let hasProgress = false;
+  const clearProgress = () => {
+    if (hasProgress) messages.write(CLEAR_LINE);
+    hasProgress = false;
+  };
   return {
-    write: text => output.write(endLine(text)),
-    writeMessage: text => messages.write(clear + endLine(text)),
+    write: text => {
+      clearProgress();
+      output.write(endLine(text));
+    },
+    writeMessage: text => {
+      clearProgress();
+      messages.write(endLine(text));
+    },
     showProgress: text => {
-      if (isLive) messages.write(CLEAR_LINE + text);
+      if (!isLive) return;
+      hasProgress = true;
+      messages.write(CLEAR_LINE + text);
     },
     paint: isColoured
       ? (colour, text) => `${ESCAPE}${colour}m${text}${ESCAPE}0m`
--- a/test/cli/command_line_test.ts
+++ b/test/cli/command_line_test.ts
@@ -79,7 +79,9 @@
   }
 
   it('colours and shows progress on a terminal only', () => {
-    expect(write(true, {})).to.equal('\r\u001b[Khalf\u001b[31mred\u001b[0m\n');
+    expect(write(true, {})).to.equal(
+      '\r\u001b[Khalf\r\u001b[K\u001b[31mred\u001b[0m\n',
+    );
     expect(write(false, {})).to.equal('red\n');
     expect(write(true, {NO_COLOR: '1'})).not.to.contain('[31m');
   });
