Check settings by their schema directly, without ajv

Cause: an agent is over 64 MB, and ajv stays in its memory for one file. Ruled out: ajv's standalone code (70 kB of generated code for one kind).

--- a/src/lib/settings/read_settings.ts
+++ b/src/lib/settings/read_settings.ts
@@ -1,7 +1,7 @@
 /** Reading and checking of settings files. */
-import {Ajv} from 'ajv';
 import {SettingsError} from '../core/errors.js';
-import {describeViolation, formatMistake} from './settings_mistake.js';
+import {fillDefaults, findMistakes} from './settings_check.js';
+import {formatMistake} from './settings_mistake.js';
 import type {SettingsMistake} from './settings_mistake.js';
 import type {SettingsConflict, SettingsSchema} from './settings_schema.js';
 import {SettingsSource} from './settings_source.js';
@@ -22,27 +22,14 @@
   schema: SettingsSchema<T>,
 ): T {
   rejectFaults(source);
-  const settings = source.toValue() as T;
-  rejectMistakes(source, findViolations(source, schema, settings));
-  const completed = schema.complete(settings);
+  const filled = fillDefaults(source.toValue(), schema.root);
+  rejectMistakes(source, findMistakes(filled, schema.root));
+  const completed = schema.complete(filled as T);
   const conflicts = schema.findConflicts(completed).map(toMistake);
   rejectMistakes(source, conflicts);
   return completed;
 }
 
-function findViolations<T>(
-  source: SettingsSource,
-  schema: SettingsSchema<T>,
-  settings: T,
-): SettingsMistake[] {
-  const ajv = new Ajv({allErrors: true, useDefaults: true, verbose: true});
-  const validate = ajv.compile(schema.root);
-  if (validate(settings)) return [];
-  return (validate.errors ?? []).map(violation =>
-    describeViolation(violation, violation.data ?? source.toValue()),
-  );
-}
-
 function toMistake(conflict: SettingsConflict): SettingsMistake {
   return {...conflict, isKey: false};
 }
--- a/src/lib/settings/settings_mistake.ts
+++ b/src/lib/settings/settings_mistake.ts
@@ -1,5 +1,4 @@
 /** Mistakes in settings files, worded for the person who mends them. */
-import type {ErrorObject} from 'ajv';
 import {findNearestName} from './nearest_name.js';
 import type {SettingsNode} from './settings_schema.js';
 
@@ -32,27 +31,12 @@
   return `${place}: ${path}: found ${mistake.found}; allowed: ${mistake.allowed}`;
 }
 
-/** Turns a violation that the schema check reports into a mistake. */
-export function describeViolation(
-  violation: ErrorObject,
+/** Describes a value that its setting does not take. */
+export function describeInvalidValue(
+  path: readonly string[],
   value: unknown,
+  node: SettingsNode,
 ): SettingsMistake {
-  const path = parsePointer(violation.instancePath);
-  const node = violation.parentSchema as unknown as SettingsNode;
-  if (violation.keyword === 'additionalProperties') {
-    return describeUnknownKey(
-      path,
-      violation.params.additionalProperty as string,
-      node,
-    );
-  }
-  if (violation.keyword === 'required') {
-    return describeMissingKey(
-      path,
-      violation.params.missingProperty as string,
-      node,
-    );
-  }
   return {
     path,
     found: node.writeOnly ? 'a value that is not shown' : showValue(value),
@@ -61,6 +45,36 @@
   };
 }
 
+/** Describes a key that its section does not have, with the one that is nearest. */
+export function describeUnknownKey(
+  path: readonly string[],
+  key: string,
+  known: readonly string[],
+): SettingsMistake {
+  const nearest = findNearestName(key, known);
+  const hint = nearest === undefined ? '' : `; did you mean "${nearest}"?`;
+  return {
+    path: [...path, key],
+    found: `unknown key "${key}"`,
+    allowed: known.join(', ') + hint,
+    isKey: true,
+  };
+}
+
+/** Describes a key that its section must have. */
+export function describeMissingKey(
+  path: readonly string[],
+  key: string,
+  node: SettingsNode,
+): SettingsMistake {
+  return {
+    path: [...path, key],
+    found: 'nothing',
+    allowed: describeAllowed(node),
+    isKey: false,
+  };
+}
+
 /** Says in words which values a setting takes. */
 export function describeAllowed(node: SettingsNode): string {
   if (node.enum !== undefined) return node.enum.map(String).join(' or ');
@@ -87,35 +101,6 @@
   return `text of at least ${node.minLength ?? 0} characters`;
 }
 
-function describeUnknownKey(
-  path: readonly string[],
-  key: string,
-  node: SettingsNode,
-): SettingsMistake {
-  const known = Object.keys(node.properties ?? {});
-  const nearest = findNearestName(key, known);
-  const hint = nearest === undefined ? '' : `; did you mean "${nearest}"?`;
-  return {
-    path: [...path, key],
-    found: `unknown key "${key}"`,
-    allowed: known.join(', ') + hint,
-    isKey: true,
-  };
-}
-
-function describeMissingKey(
-  path: readonly string[],
-  key: string,
-  node: SettingsNode,
-): SettingsMistake {
-  return {
-    path: [...path, key],
-    found: 'nothing',
-    allowed: describeAllowed(node.properties![key]),
-    isKey: false,
-  };
-}
-
 function showValue(value: unknown): string {
   const text = JSON.stringify(value) ?? 'nothing';
   return text.length <= LONGEST_VALUE_SHOWN
@@ -126,10 +111,3 @@
 function formatPath(path: readonly string[]): string {
   return path.length === 0 ? '(file)' : path.join('.');
 }
-
-function parsePointer(pointer: string): string[] {
-  return pointer
-    .split('/')
-    .slice(1)
-    .map(part => part.replace(/~1/g, '/').replace(/~0/g, '~'));
-}
--- a/src/lib/settings/settings_source.ts
+++ b/src/lib/settings/settings_source.ts
@@ -49,12 +49,6 @@
     return this.document.toJS();
   }
 
-  /** Returns the value at a path, as the file has it. */
-  getValue(path: readonly string[]): unknown {
-    const node = this.document.getIn(path.map(toKey), true);
-    return isNode(node) ? node.toJS(this.document) : node;
-  }
-
   /** Finds the place of a mistake, or of the nearest section around it. */
   locate(mistake: Pick<SettingsMistake, 'path' | 'isKey'>): SourcePosition {
     let node: Node | null = this.document.contents;
@@ -92,10 +86,6 @@
   return isNode(node) ? node.range?.[0] : undefined;
 }
 
-function toKey(part: string): string | number {
-  return /^\d+$/.test(part) ? Number(part) : part;
-}
-
 function readText(file: string): string {
   try {
     return readFileSync(file, 'utf8');
--- a/test/settings/read_settings_test.ts
+++ b/test/settings/read_settings_test.ts
@@ -57,6 +57,17 @@
     expect(settings.permission.freshMs).to.equal(4000);
   });
 
+  it('fills in a section that stands empty, and refuses one without a value', () => {
+    const settings = checkText(
+      `${AGENT_TEXT}metrics: {}\n`,
+      AGENT_SETTINGS_SCHEMA,
+    );
+    expect(settings.metrics).to.deep.equal({host: '127.0.0.1', port: 8125});
+    expect(
+      catchMessage(`${AGENT_TEXT}target:\n`, AGENT_SETTINGS_SCHEMA),
+    ).to.contain('target: found null; allowed: a section with leaseMs');
+  });
+
   it('takes the examples', () => {
     readSettings('examples/entry.yaml', ENTRY_SETTINGS_SCHEMA);
     readSettings('examples/agent.yaml', AGENT_SETTINGS_SCHEMA);
