--- a/src/lib/agent/runner.ts
+++ b/src/lib/agent/runner.ts
@@ -1,8 +1,10 @@
 /** The task of an agent that decides what runs on its target. */
+import {RunnerLinks} from './runner_links.js';
+import type {RunnerCounters} from './runner_links.js';
+import type {RunnerOptions} from './runner_options.js';
 import {Task} from '../core/task.js';
 import type {Post} from '../core/task.js';
 import {repeatTimer} from '../core/clock.js';
-import type {ReadMonotonicMs, StartTimer} from '../core/clock.js';
 import type {ProcessIdentity} from '../core/identity.js';
 import {NotStartedReason, TargetCondition} from '../core/link_messages.js';
 import type {
@@ -12,24 +14,21 @@
   TaskReport,
 } from '../core/link_messages.js';
 import {StartBook} from '../decisions/start_book.js';
-import type {StartWindow} from '../decisions/start_book.js';
+import type {StartWindow} from '../decisions/agent_task.js';
 import {
   DataCentreAction,
   DataCentreState,
+  findRefusal,
   StartPermission,
 } from '../decisions/start_permission.js';
 import type {PermissionJudgement} from '../decisions/start_permission.js';
 import {
   LinkMessageKind,
+  NO_TARGET,
   RunnerMessageKind,
   TargetMessageKind,
 } from './runner_messages.js';
-import type {
-  LinkMessage,
-  RunnerMessage,
-  TargetMessage,
-  TargetView,
-} from './runner_messages.js';
+import type {RunnerMessage, TargetView} from './runner_messages.js';
 
 /** Number of messages that may wait at the runner. */
 const MAILBOX_CAPACITY = 100_000;
@@ -37,56 +36,6 @@
 /** Period of the checks for expired tasks and permission. */
 const TICK_PERIOD_MS = 50;
 
-/** Shortest time between two load reports to an entry that nothing else is sent to. */
-const LOAD_PERIOD_MS = 10;
-
-const NO_TARGET: TargetView = {
-  condition: TargetCondition.ABSENT,
-  name: '',
-  instance: '',
-  slots: 0,
-};
-
-/** Counts of what an agent has done since it started. */
-export interface RunnerCounters {
-  ordersTaken: number;
-  starts: number;
-  refusals: number;
-  framesSent: number;
-  loadReports: number;
-}
-
-/** What the runner needs to be created. */
-export interface RunnerOptions {
-  readonly identity: ProcessIdentity;
-  readonly queueLimit: number;
-  readonly permissionFreshMs: number;
-  readonly readMonotonicMs: ReadMonotonicMs;
-  readonly startTimer: StartTimer;
-  /** Hands a message to the link of that address. */
-  readonly postToLink: (link: string, message: LinkMessage) => void;
-  readonly postToTarget: Post<TargetMessage>;
-  /** Is told of every newer configuration. */
-  readonly publishConfiguration: (configuration: AgentConfiguration) => void;
-  /** Is told when the permission's state changes. */
-  readonly reportPermission: (state: DataCentreState) => void;
-  /** Is told when nothing waits, runs or is unacknowledged after `LEAVE`. */
-  readonly reportIdle: () => void;
-  readonly reportFailure: (failure: unknown, message: unknown) => void;
-}
-
-/** What the runner knows of one link. */
-interface LinkView {
-  /** Name of the entry at the other end; empty before the first welcome. */
-  entryId: string;
-  /** Incarnation of the entry at the other end; empty before the first welcome. */
-  entry: string;
-  isOpen: boolean;
-  /** Reports to send with the next frame. */
-  pending: TaskReport[];
-  isLoadStale: boolean;
-}
-
 /**
  * Owns the agent's start book and its permission to start tasks. Talks to the
  * links and to the target's keeper by messages.
@@ -95,7 +44,7 @@
   private readonly task: Task<RunnerMessage>;
   private readonly book: StartBook;
   private readonly permission: StartPermission;
-  private readonly links = new Map<string, LinkView>();
+  private readonly links: RunnerLinks;
   private target: TargetView = NO_TARGET;
   private judgement: PermissionJudgement = {
     state: DataCentreState.UNKNOWN,
@@ -104,8 +53,6 @@
   };
   private isLeaving = false;
   private isRefusing = false;
-  private isFlushScheduled = false;
-  private isLoadTimerRunning = false;
   /** Counts since the start, for metrics. */
   readonly counters: RunnerCounters = {
     ordersTaken: 0,
@@ -116,6 +63,14 @@
   };
 
   private constructor(private readonly options: RunnerOptions) {
+    this.links = RunnerLinks.create({
+      counters: this.counters,
+      startTimer: options.startTimer,
+      defer: options.defer,
+      describeLoad: entry => this.describeLoad(entry),
+      postToLink: options.postToLink,
+      postLoadDue: () => this.post({kind: RunnerMessageKind.LOAD_DUE}),
+    });
     this.book = StartBook.create(options.queueLimit);
     this.permission = StartPermission.create({
       dataCentre: options.identity.dataCentre,
@@ -161,7 +116,7 @@
         this.takeFrame(message.link, message.frame);
         break;
       case RunnerMessageKind.LINK_CLOSED:
-        this.openLinkView(message.link).isOpen = false;
+        this.links.open(message.link).isOpen = false;
         break;
       case RunnerMessageKind.TARGET_CHANGED:
         this.changeTarget(message.target);
@@ -178,12 +133,11 @@
         this.check();
         break;
       case RunnerMessageKind.LOAD_DUE:
-        this.isLoadTimerRunning = false;
-        this.flushLoads();
+        this.links.flushLoads();
         break;
       case RunnerMessageKind.LEAVE:
         this.isLeaving = true;
-        this.spreadLoad();
+        this.links.spreadLoad();
         break;
       case RunnerMessageKind.REFUSE_WORK:
         this.isRefusing = true;
@@ -195,7 +149,7 @@
   }
 
   private greet(link: string, streamNumber: number): void {
-    const view = this.openLinkView(link);
+    const view = this.links.open(link);
     view.isOpen = false;
     view.pending = [];
     this.options.postToLink(link, {
@@ -211,7 +165,7 @@
   }
 
   private openLink(link: string, entry: ProcessIdentity): void {
-    const view = this.openLinkView(link);
+    const view = this.links.open(link);
     if (view.entry !== '' && view.entry !== entry.incarnation) {
       this.book.forget(view.entry);
     }
@@ -219,12 +173,11 @@
     view.entry = entry.incarnation;
     view.isOpen = true;
     view.pending = [...this.book.listReports(view.entry)];
-    view.isLoadStale = true;
-    this.scheduleFlush();
+    this.links.scheduleFlush();
   }
 
   private takeFrame(link: string, frame: EntryFrame): void {
-    const view = this.openLinkView(link);
+    const view = this.links.open(link);
     if (frame.configuration !== undefined) {
       this.learnConfiguration(frame.configuration);
     }
@@ -245,14 +198,14 @@
       const refusal = this.book.take(view.entry, order, window);
       if (refusal !== undefined) this.addReport(view.entry, refusal);
     }
-    this.spreadLoad();
+    this.links.spreadLoad();
   }
 
   private learnConfiguration(configuration: AgentConfiguration): void {
     if (!this.permission.learn(configuration)) return;
     this.options.publishConfiguration(configuration);
     this.judgePermission();
-    this.spreadLoad();
+    this.links.spreadLoad();
   }
 
   private changeTarget(target: TargetView): void {
@@ -260,7 +213,7 @@
     if (target.condition !== TargetCondition.PRESENT) {
       this.addReports(this.book.refuseAll(NotStartedReason.NO_TARGET));
     }
-    this.spreadLoad();
+    this.links.spreadLoad();
   }
 
   private check(): void {
@@ -276,7 +229,7 @@
     }
     if (this.judgement.state === before) return;
     this.options.reportPermission(this.judgement.state);
-    this.spreadLoad();
+    this.links.spreadLoad();
   }
 
   private startTasks(): void {
@@ -303,22 +256,13 @@
     return {
       nowMs,
       permittedUntilMs: this.judgement.expiresAtMs,
-      refusal: this.findRefusal(nowMs),
+      refusal: this.isRefusing
+        ? NotStartedReason.LEAVING
+        : findRefusal(this.judgement, nowMs),
       slots: isPresent ? this.target.slots : 0,
     };
   }
 
-  private findRefusal(nowMs: number): NotStartedReason {
-    if (this.isRefusing) return NotStartedReason.LEAVING;
-    if (this.judgement.state === DataCentreState.OUT) {
-      return NotStartedReason.DATA_CENTRE_OUT;
-    }
-    if (this.judgement.expiresAtMs <= nowMs) {
-      return NotStartedReason.NO_PERMISSION;
-    }
-    return NotStartedReason.NONE;
-  }
-
   private describeLoad(entry: string): LoadReport {
     return {
       target: this.target.condition,
@@ -344,80 +288,10 @@
 
   private addReport(entry: string, report: TaskReport): void {
     if (report.reason !== NotStartedReason.NONE) this.counters.refusals += 1;
-    for (const view of this.links.values()) {
-      if (view.entry === entry && view.isOpen) view.pending.push(report);
-      view.isLoadStale = true;
-    }
-    this.scheduleFlush();
-  }
-
-  private spreadLoad(): void {
-    for (const view of this.links.values()) view.isLoadStale = true;
-    this.startLoadTimer();
-  }
-
-  // One flush a turn of the event loop batches the reports of that turn.
-  private scheduleFlush(): void {
-    if (this.isFlushScheduled) return;
-    this.isFlushScheduled = true;
-    setImmediate(() => this.flushReports());
-  }
-
-  private flushReports(): void {
-    this.isFlushScheduled = false;
-    for (const [link, view] of this.links) {
-      if (view.isOpen && view.pending.length > 0) this.send(link, view);
-    }
-    this.startLoadTimer();
-  }
-
-  private startLoadTimer(): void {
-    if (this.isLoadTimerRunning) return;
-    const isAnyStale = [...this.links.values()].some(
-      view => view.isOpen && view.isLoadStale,
-    );
-    if (!isAnyStale) return;
-    this.isLoadTimerRunning = true;
-    this.options.startTimer(LOAD_PERIOD_MS, () =>
-      this.post({kind: RunnerMessageKind.LOAD_DUE}),
-    );
-  }
-
-  private flushLoads(): void {
-    for (const [link, view] of this.links) {
-      if (!view.isOpen || !view.isLoadStale) continue;
-      this.counters.loadReports += 1;
-      this.send(link, view);
-    }
-  }
-
-  private send(link: string, view: LinkView): void {
-    const reports = view.pending;
-    view.pending = [];
-    view.isLoadStale = false;
-    this.counters.framesSent += 1;
-    this.options.postToLink(link, {
-      kind: LinkMessageKind.SEND,
-      reports,
-      load: this.describeLoad(view.entry),
-    });
+    this.links.addReport(entry, report);
   }
 
   private reportIfIdle(): void {
     if (this.isLeaving && this.book.isIdle) this.options.reportIdle();
   }
-
-  private openLinkView(link: string): LinkView {
-    const known = this.links.get(link);
-    if (known !== undefined) return known;
-    const view: LinkView = {
-      entryId: '',
-      entry: '',
-      isOpen: false,
-      pending: [],
-      isLoadStale: false,
-    };
-    this.links.set(link, view);
-    return view;
-  }
 }
--- a/src/lib/agent/target_client.ts
+++ b/src/lib/agent/target_client.ts
@@ -1,8 +1,8 @@
 /** Runs tasks on a target over HTTP. */
 import {Pool} from 'undici';
 import type {Dispatcher} from 'undici';
-import {AgentTaskEvent} from '../decisions/start_book.js';
-import type {AgentTask, RunEnd} from '../decisions/start_book.js';
+import {AgentTaskEvent} from '../decisions/agent_task.js';
+import type {AgentTask, RunEnd} from '../decisions/agent_task.js';
 import type {TargetAnnouncement} from './runner_messages.js';
 
 /** Response header by which a target says that a task did not start. */
--- a/src/lib/agent/target_keeper.ts
+++ b/src/lib/agent/target_keeper.ts
@@ -1,11 +1,13 @@
 /** The task of an agent that owns the connections to its target. */
-import {Chart, ChartRun, readChart} from '../core/chart.js';
+import {Chart} from '../core/chart.js';
+import {readChart} from '../core/chart_file.js';
+import {ChartRun} from '../core/chart_run.js';
 import type {ReadMonotonicMs, StartTimer, StopTimer} from '../core/clock.js';
 import {Task} from '../core/task.js';
 import type {Post} from '../core/task.js';
 import {TargetCondition} from '../core/link_messages.js';
-import {AgentTaskEvent} from '../decisions/start_book.js';
-import type {AgentTask, RunEnd} from '../decisions/start_book.js';
+import {AgentTaskEvent} from '../decisions/agent_task.js';
+import type {AgentTask, RunEnd} from '../decisions/agent_task.js';
 import {RunnerMessageKind, TargetMessageKind} from './runner_messages.js';
 import type {
   RunnerMessage,
--- a/src/lib/core/http_listener.ts
+++ b/src/lib/core/http_listener.ts
@@ -1,6 +1,8 @@
 /** Listening sockets for HTTP, and what every HTTP front of ours has in common. */
 import {createServer} from 'node:http';
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
+import {followConnections} from './connection_tracker.js';
+import type {CloseQuietConnections} from './connection_tracker.js';
 import {AddressError} from './errors.js';
 
 /** Handles one request. */
@@ -20,6 +22,7 @@
 }
 
 const HEADERS_TIMEOUT_MS = 5000;
+const TIMEOUT_CHECK_PERIOD_MS = 1000;
 const KEEP_ALIVE_TIMEOUT_MS = 30_000;
 const HEADER_BYTES_AT_MOST = 16 * 1024;
 
@@ -45,14 +48,20 @@
       headersTimeout: HEADERS_TIMEOUT_MS,
       keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
       maxHeaderSize: HEADER_BYTES_AT_MOST,
+      connectionsCheckingInterval: TIMEOUT_CHECK_PERIOD_MS,
       noDelay: true,
     },
     options.handle,
   );
+  const closeQuietConnections = followConnections(server);
   await listen(server, options);
   const address = server.address();
   const port = typeof address === 'object' ? (address?.port ?? 0) : 0;
-  return {server, port, close: () => closeServer(server)};
+  return {
+    server,
+    port,
+    close: () => closeServer(server, closeQuietConnections),
+  };
 }
 
 function listen(server: Server, options: HttpListenerOptions): Promise<void> {
@@ -67,10 +76,13 @@
   });
 }
 
-function closeServer(server: Server): Promise<void> {
+function closeServer(
+  server: Server,
+  closeQuietConnections: CloseQuietConnections,
+): Promise<void> {
   return new Promise(resolve => {
     server.close(() => resolve());
-    server.closeIdleConnections();
+    closeQuietConnections();
   });
 }
 
--- a/src/lib/decisions/start_book.ts
+++ b/src/lib/decisions/start_book.ts
@@ -1,37 +1,11 @@
 /** Decides at an agent which start orders run, wait or are refused. */
-import {Chart, readChart} from '../core/chart.js';
+import {Chart} from '../core/chart.js';
+import {readChart} from '../core/chart_file.js';
 import {TaskEnd} from '../core/job.js';
 import {NotStartedReason} from '../core/link_messages.js';
 import type {StartOrder, TaskReport} from '../core/link_messages.js';
-
-/** States of `charts/agent_task.yaml`. */
-export enum AgentTaskState {
-  QUEUED = 'queued',
-  RUNNING = 'running',
-  ENDED = 'ended',
-  NOT_STARTED = 'notStarted',
-  FORGOTTEN = 'forgotten',
-}
-
-/** Events of `charts/agent_task.yaml`. */
-export enum AgentTaskEvent {
-  START = 'start',
-  REFUSE = 'refuse',
-  ANSWERED = 'answered',
-  REJECTED = 'rejected',
-  BROKEN = 'broken',
-  UNSENT = 'unsent',
-  ACKNOWLEDGE = 'acknowledge',
-}
-
-/** One task at an agent. */
-export interface AgentTask {
-  readonly entry: string;
-  readonly order: StartOrder;
-  readonly receivedAtMs: number;
-  startedAtMs: number;
-  state: AgentTaskState;
-}
+import {AgentTaskEvent, AgentTaskState} from './agent_task.js';
+import type {AgentTask, RunEnd, StartWindow} from './agent_task.js';
 
 /** One entry's life as the agent knows it. */
 interface EntryAccount {
@@ -43,28 +17,6 @@
   readonly reports: Map<number, TaskReport>;
 }
 
-/** Whether and until when tasks may start. */
-export interface StartWindow {
-  readonly nowMs: number;
-  /** Starts are allowed before this time; 0 if not at all. */
-  readonly permittedUntilMs: number;
-  /** Why starts are not allowed, if so. */
-  readonly refusal: NotStartedReason;
-  /** Slots of the target; 0 if there is none. */
-  readonly slots: number;
-}
-
-/** How a target's answer, or the lack of one, ended a task. */
-export interface RunEnd {
-  readonly event:
-    | AgentTaskEvent.ANSWERED
-    | AgentTaskEvent.REJECTED
-    | AgentTaskEvent.BROKEN
-    | AgentTaskEvent.UNSENT;
-  readonly result: Uint8Array;
-  readonly targetStatus: number;
-}
-
 const NO_BYTES = new Uint8Array(0);
 
 const ENDS: Readonly<Record<RunEnd['event'], TaskEnd>> = {
--- a/src/lib/decisions/start_permission.ts
+++ b/src/lib/decisions/start_permission.ts
@@ -1,6 +1,8 @@
 /** Decides whether an agent may start tasks, from evidence that ages. */
-import {Chart, readChart} from '../core/chart.js';
+import {Chart} from '../core/chart.js';
+import {readChart} from '../core/chart_file.js';
 import {StoreContact} from '../records/configuration_view.js';
+import {NotStartedReason} from '../core/link_messages.js';
 import type {AgentConfiguration, EntryPong} from '../core/link_messages.js';
 
 /** States of `charts/data_centre.yaml`. */
@@ -172,3 +174,15 @@
     }
   }
 }
+
+/** Returns why no task may start under a judgement, or `NONE` if one may. */
+export function findRefusal(
+  judgement: PermissionJudgement,
+  nowMs: number,
+): NotStartedReason {
+  if (judgement.state === DataCentreState.OUT) {
+    return NotStartedReason.DATA_CENTRE_OUT;
+  }
+  if (judgement.expiresAtMs <= nowMs) return NotStartedReason.NO_PERMISSION;
+  return NotStartedReason.NONE;
+}
--- a/src/lib/entry/agent_desk.ts
+++ b/src/lib/entry/agent_desk.ts
@@ -1,19 +1,14 @@
 /** The agents of an entry: greetings, reports, and what is sent to them. */
-import type {ReadMonotonicMs, StartTimer} from '../core/clock.js';
 import type {ProcessIdentity} from '../core/identity.js';
 import {TaskEnd} from '../core/job.js';
 import {NotStartedReason, TargetCondition} from '../core/link_messages.js';
 import type {
-  AgentConfiguration,
   AgentFrame,
   AgentHello,
-  EntryFrame,
-  EntryPong,
   LoadReport,
   StartOrder,
   TaskReport,
 } from '../core/link_messages.js';
-import type {AgentBoard} from '../decisions/agent_board.js';
 import type {QueuedTask} from '../decisions/fair_queue.js';
 import {
   AgentAccount,
@@ -22,7 +17,8 @@
   PresenceState,
 } from './agent_account.js';
 import type {SentTask} from './agent_account.js';
-import type {DispatcherCounters} from './dispatcher_counters.js';
+import {EMPTY_FRAME} from './agent_desk_options.js';
+import type {AgentDeskOptions, AgentStatus} from './agent_desk_options.js';
 import type {AgentStreamHandle} from './dispatcher_messages.js';
 
 /** Silence in milliseconds after which an agent gets no new task. */
@@ -30,39 +26,6 @@
 
 const NO_BYTES = new Uint8Array(0);
 
-const EMPTY_FRAME: EntryFrame = {starts: [], withdrawn: [], acknowledged: []};
-
-/** What an agent's desk needs to be created. */
-export interface AgentDeskOptions {
-  readonly identity: ProcessIdentity;
-  readonly board: AgentBoard;
-  readonly counters: DispatcherCounters;
-  /** How long a broken stream may take to return, in milliseconds. */
-  readonly returnLimitMs: number;
-  readonly readMonotonicMs: ReadMonotonicMs;
-  readonly startTimer: StartTimer;
-  /** Posts the event of an agent's timer to the owner's mailbox. */
-  readonly postTimer: (agent: string, event: string) => void;
-  /** Is told how a task ended that was sent to an agent. */
-  readonly endTask: (
-    task: QueuedTask,
-    agent: string,
-    report: TaskReport,
-  ) => void;
-  readonly describeConfiguration: () => AgentConfiguration | undefined;
-  readonly describePong: (pingSentAtMs: number) => EntryPong;
-  readonly reportAgent: (state: PresenceState, agent: ProcessIdentity) => void;
-}
-
-/** What is known of one agent, for status pages. */
-export interface AgentStatus {
-  readonly agent: ProcessIdentity;
-  readonly state: PresenceState;
-  readonly load: LoadReport;
-  /** Tasks sent whose end is not known. */
-  readonly outstanding: number;
-}
-
 /** Keeps an account of each agent's life for the dispatcher, which owns it. */
 export class AgentDesk {
   private readonly agents = new Map<string, AgentAccount>();
@@ -83,6 +46,7 @@
       state: account.state,
       load: account.load,
       outstanding: account.sent.size,
+      heardAtMs: account.heardAtMs,
     }));
   }
 
@@ -215,18 +179,14 @@
   ): AgentAccount {
     const {incarnation, dataCentre} = hello.agent;
     const {options} = this;
-    const account = AgentAccount.create(
-      hello,
-      stream,
-      options.readMonotonicMs(),
-      {
-        entryIncarnation: options.identity.incarnation,
-        startNamedTimer: (_name, fire) =>
-          options.startTimer(options.returnLimitMs, fire),
-        fire: event => options.postTimer(incarnation, event),
-        perform: action => this.perform(incarnation, action),
-      },
-    );
+    const nowMs = options.readMonotonicMs();
+    const account = AgentAccount.create(hello, stream, nowMs, {
+      entryIncarnation: options.identity.incarnation,
+      startNamedTimer: (_name, fire) =>
+        options.startTimer(options.returnLimitMs, fire),
+      fire: event => options.postTimer(incarnation, event),
+      perform: action => this.perform(incarnation, action),
+    });
     this.agents.set(incarnation, account);
     options.board.addAgent(incarnation, dataCentre);
     options.reportAgent(PresenceState.CONNECTED, hello.agent);
@@ -323,7 +283,7 @@
   private scheduleFlush(): void {
     if (this.isFlushScheduled) return;
     this.isFlushScheduled = true;
-    setImmediate(() => this.flush());
+    this.options.defer(() => this.flush());
   }
 
   private flush(): void {
--- a/src/lib/entry/caller_front.ts
+++ b/src/lib/entry/caller_front.ts
@@ -50,10 +50,9 @@
   return {
     ...listener,
     countOpen: () => openCount,
-    leave: () => {
-      isLeaving = true;
-      listener.server.closeIdleConnections();
-    },
+    // Idle connections stay open until the drain has ended: a request may be
+    // on its way on any of them.
+    leave: () => (isLeaving = true),
   };
 }
 
--- a/tools/scenario/load_runner.ts
+++ b/tools/scenario/load_runner.ts
@@ -5,7 +5,7 @@
 import type {CallerTask, SubmissionOrder} from './caller_task.js';
 import type {LoadStep} from './step.js';
 import type {Submission} from './evidence.js';
-import {createJobBody} from './job_body.js';
+import {createJobBody, nameAttempt} from './job_body.js';
 
 /** What a load needs. */
 export interface LoadOptions {
@@ -70,7 +70,7 @@
     const {step, caller, startTimer} = this.options;
     for (let attempt = 0; attempt < ATTEMPTS_AT_MOST; attempt += 1) {
       const submission = await caller.submit(this.order(number, attempt));
-      if (!step.retries || !mayRetry(submission)) return;
+      if (!step.retries || !isRetryAllowed(submission)) return;
       await pause(findRetryDelay(submission), startTimer);
     }
   }
@@ -97,7 +97,7 @@
       keyName: `${job}-${attempt}`,
       via,
       sessionFrom: via,
-      body: createJobBody(job, step.job),
+      body: createJobBody(nameAttempt(job, attempt), step.job),
       team: step.job.team,
     };
   }
@@ -114,7 +114,7 @@
  * It may when nothing ran: the answer says so, the session had ended before
  * this first submission under its key, or nothing was sent at all.
  */
-export function mayRetry(submission: Submission): boolean {
+export function isRetryAllowed(submission: Submission): boolean {
   const body = submission.answer?.body;
   if (submission.answer === undefined) return !submission.isCut;
   return body?.outcome === 'did-not-run' || body?.code === 'session-ended';
