--- a/src/lib/decisions/work_planner.ts
+++ b/src/lib/decisions/work_planner.ts
@@ -221,18 +221,11 @@
     nowMs: number,
   ): Admission {
     const {board, limits} = this.options;
-    const {workMs, longestMs, density, startByMs} = estimate;
+    const {startByMs} = estimate;
     const tasks = job.declaredMs.length;
     const workAheadMs = this.queue.sumWorkAhead(job.team, startByMs);
     const admission = decideAdmission(
-      {
-        tasks,
-        workMs,
-        longestMs,
-        deadlineMs: job.deadlineMs,
-        density,
-        workAheadMs,
-      },
+      {...estimate, tasks, deadlineMs: job.deadlineMs, workAheadMs},
       {
         ...limits,
         slots: board.slots,
--- a/tools/load/caller.ts
+++ b/tools/load/caller.ts
@@ -207,14 +207,9 @@
       body: JSON.stringify({team}),
     });
     const {session} = (await answer.body.json()) as {session?: string};
-<<<<<<< HEAD
-    if (session === undefined)
-      {throw new RequestError('An entry opened no session.');}
-=======
     if (session === undefined) {
       throw new RequestError('An entry opened no session.');
     }
->>>>>>> policy
     return session;
   }
 
@@ -229,10 +224,8 @@
   }
 
   private async sendCancellation(number: number, entry: number) {
-    const names = [...this.sessions].filter(([name]) =>
-      name.endsWith(`@${entry}`),
-    );
-    for (const [, opened] of names) {
+    for (const [name, opened] of this.sessions) {
+      if (!name.endsWith(`@${entry}`)) continue;
       const key = `${await opened}.${nameJob(number)}`;
       const path = `/v1/jobs/${encodeURIComponent(key)}`;
       const pool = this.pools[entry];
