--- a/tools/house_style/module_rules.ts
+++ b/tools/house_style/module_rules.ts
@@ -13,6 +13,8 @@
 /** What decisions may import beside one another. */
 const DECISIONS_MAY_IMPORT = [
   'src/lib/core/chart',
+  'src/lib/core/chart_file',
+  'src/lib/core/chart_run',
   'src/lib/core/errors',
   'src/lib/core/identity',
   'src/lib/core/job',
--- a/tools/load/caller.ts
+++ b/tools/load/caller.ts
@@ -211,14 +211,9 @@
       body: JSON.stringify({team}),
     });
     const {session} = (await answer.body.json()) as {session?: string};
-<<<<<<< HEAD
-    if (session === undefined)
-      {throw new RequestError('An entry opened no session.');}
-=======
     if (session === undefined) {
       throw new RequestError('An entry opened no session.');
     }
->>>>>>> policy
     return session;
   }
 
