Take the verbs of the glossary in the stand-ins; create their tasks in one place

Cause: the house-style test names thirteen functions of the stand-ins and their tests; five servers repeated the same task options, four the same chart options. Change: renamed; stand_in_task.ts creates both.

--- a/stand_ins/balancer_server.ts
+++ b/stand_ins/balancer_server.ts
@@ -2,13 +2,13 @@
 import {createConnection} from 'node:net';
 import type {Socket} from 'node:net';
 import {Client} from 'undici';
-import {Chart} from '../src/lib/core/chart.js';
-import {readChart} from '../src/lib/core/chart_file.js';
-import {ChartRun} from '../src/lib/core/chart_run.js';
+import type {ChartRun} from '../src/lib/core/chart_run.js';
 import {repeatTimer, startTimer} from '../src/lib/core/clock.js';
-import {PostOutcome, Task} from '../src/lib/core/task.js';
+import {PostOutcome} from '../src/lib/core/task.js';
+import type {Task} from '../src/lib/core/task.js';
 import {SendOutcome, sendOnce} from '../src/lib/platform/send_once.js';
 import {TcpListener} from './tcp_listener.js';
+import {createStandInTask, createUntimedRun} from './stand_in_task.js';
 
 /** One entry behind the balancer. */
 export interface BalancerAddress {
@@ -65,7 +65,6 @@
     }
   | {readonly kind: MessageKind.CLOSED; readonly socket: Socket};
 
-const MAILBOX_CAPACITY = 10_000;
 const CHECK_TIMEOUT_MS = 500;
 
 /** Gives each new connection to the next ready entry; open ones stay. */
@@ -78,12 +77,9 @@
 
   private constructor(options: BalancerServerOptions) {
     this.entries = options.entries.map(createEntry);
-    this.task = Task.create<Message>({
-      name: 'balancer',
-      capacity: MAILBOX_CAPACITY,
-      handle: message => this.handle(message),
-      reportFailure: failure => process.emitWarning(String(failure)),
-    });
+    this.task = createStandInTask<Message>('balancer', message =>
+      this.handle(message),
+    );
   }
 
   /** Creates a balancer that is listening. */
@@ -121,7 +117,7 @@
   }
 
   private accept(caller: Socket): void {
-    this.own(caller);
+    this.adopt(caller);
     const outcome = this.task.post({kind: MessageKind.ACCEPTED, caller});
     if (outcome !== PostOutcome.QUEUED) caller.destroy();
   }
@@ -151,7 +147,7 @@
     const entry = ready[this.turn % ready.length];
     this.turn += 1;
     const socket = createConnection({...entry.address, allowHalfOpen: true});
-    this.own(socket);
+    this.adopt(socket);
     const retry = () =>
       this.task.post({kind: MessageKind.UNREACHABLE, entry, caller});
     // Before the connection stands no byte has been sent, so another may be tried.
@@ -174,7 +170,7 @@
     return this.entries.filter(entry => entry.health.state === Health.READY);
   }
 
-  private own(socket: Socket): void {
+  private adopt(socket: Socket): void {
     this.sockets.add(socket);
     socket.setNoDelay(true);
     socket.on('error', () => undefined);
@@ -189,19 +185,15 @@
 }
 
 function createEntry(address: BalancerAddress): BalancedEntry {
-  const chart = Chart.create(readChart('balancer_entry'), {
-    states: Health,
-    events: HealthEvent,
-  });
   return {
     address,
     client: new Client(`http://${address.host}:${address.port}`, {
       pipelining: 1,
       connectTimeout: CHECK_TIMEOUT_MS,
     }),
-    health: ChartRun.create(chart, {
-      startNamedTimer: () => () => undefined,
-      fire: () => undefined,
+    health: createUntimedRun('balancer_entry', {
+      states: Health,
+      events: HealthEvent,
     }),
   };
 }
--- a/stand_ins/delay_line.ts
+++ b/stand_ins/delay_line.ts
@@ -84,7 +84,7 @@
   }
 
   private schedule(): void {
-    while (this.canSchedule()) {
+    while (this.hasNext()) {
       const wholeMs = this.roundDelay(this.waiting[0].dueMs);
       if (wholeMs > 0) {
         this.stopTimer = this.options.startTimer(wholeMs, () => this.expire());
@@ -94,7 +94,7 @@
     }
   }
 
-  private canSchedule(): boolean {
+  private hasNext(): boolean {
     const isIdle = this.waiting.length === 0 || this.rule.isHeld;
     return !isIdle && this.stopTimer === undefined;
   }
--- a/stand_ins/platform_store_server.ts
+++ b/stand_ins/platform_store_server.ts
@@ -1,11 +1,10 @@
 /** The store stand-in as a task that owns its listener, values and switches. */
 import type {ServerResponse} from 'node:http';
-import {Chart} from '../src/lib/core/chart.js';
-import {readChart} from '../src/lib/core/chart_file.js';
-import {ChartRun} from '../src/lib/core/chart_run.js';
+import type {ChartRun} from '../src/lib/core/chart_run.js';
 import {startTimer} from '../src/lib/core/clock.js';
 import type {ReadMonotonicMs, StopTimer} from '../src/lib/core/clock.js';
-import {PostOutcome, Task} from '../src/lib/core/task.js';
+import {PostOutcome} from '../src/lib/core/task.js';
+import type {Task} from '../src/lib/core/task.js';
 import {CallCounter} from './call_counter.js';
 import type {CallCounts, RateLimits} from './call_counter.js';
 import {HttpListener, cutConnection, sendJson} from './http_listener.js';
@@ -17,6 +16,7 @@
 import {LostReplies, StoreMode, decodeControl} from './store_control.js';
 import type {StoreControl} from './store_control.js';
 import {WatchList} from './watch_list.js';
+import {createStandInTask, createUntimedRun} from './stand_in_task.js';
 
 /** What the stand-in needs to be created. */
 export interface PlatformStoreServerOptions {
@@ -52,7 +52,6 @@
     };
 
 const CONTROL_PATH = '/control';
-const MAILBOX_CAPACITY = 10_000;
 const ACTIONS = ['noteOutage', 'endOutage', 'cutConnections'];
 
 /** Serves the platform's key-value protocol on loopback, in memory only. */
@@ -73,22 +72,18 @@
     this.state = PlatformStoreState.create(options);
     this.counter = CallCounter.create(options.limits);
     this.leasesExpireInOutage = options.leasesExpireInOutage;
-    this.task = Task.create<Message>({
-      name: 'store-stand-in',
-      capacity: MAILBOX_CAPACITY,
-      handle: message => this.handle(message),
-      reportFailure: failure => process.emitWarning(String(failure)),
-    });
-    const chart = Chart.create(readChart('store_stand_in'), {
-      states: StoreMode,
-      events: StoreMode,
-      actions: ACTIONS,
-    });
-    this.availability = ChartRun.create(chart, {
-      startNamedTimer: () => () => undefined,
-      fire: () => undefined,
-      perform: action => this.perform(action),
-    });
+    this.task = createStandInTask<Message>('store-stand-in', message =>
+      this.handle(message),
+    );
+    this.availability = createUntimedRun(
+      'store_stand_in',
+      {
+        states: StoreMode,
+        events: StoreMode,
+        actions: ACTIONS,
+      },
+      action => this.perform(action),
+    );
   }
 
   /** Creates a store that is listening. */
--- a/stand_ins/relay_connection.ts
+++ b/stand_ins/relay_connection.ts
@@ -2,10 +2,12 @@
 import {createConnection} from 'node:net';
 import type {Socket} from 'node:net';
 import {readMonotonicMs, startTimer} from '../src/lib/core/clock.js';
-import {PostOutcome, Task} from '../src/lib/core/task.js';
+import {PostOutcome} from '../src/lib/core/task.js';
+import type {Task} from '../src/lib/core/task.js';
 import {DelayLine, StreamEnd} from './delay_line.js';
 import type {LineRule, Parcel} from './delay_line.js';
 import {Direction} from './relay_control.js';
+import {createStandInTask} from './stand_in_task.js';
 
 /** Rules of both directions. */
 export type RelayRules = Readonly<Record<Direction, LineRule>>;
@@ -34,7 +36,6 @@
   | {readonly kind: MessageKind.RULES; readonly rules: RelayRules}
   | {readonly kind: MessageKind.RESET | MessageKind.CLOSED};
 
-const MAILBOX_CAPACITY = 10_000;
 /** Backlog at which the relay reads no more, so that senders feel a held link. */
 const BACKLOG_BYTES_AT_MOST = 1_048_576;
 
@@ -50,12 +51,9 @@
     rules: RelayRules,
     private readonly notifyEnd: (connection: RelayConnection) => void,
   ) {
-    this.task = Task.create<Message>({
-      name: 'relay-connection',
-      capacity: MAILBOX_CAPACITY,
-      handle: message => this.handle(message),
-      reportFailure: failure => process.emitWarning(String(failure)),
-    });
+    this.task = createStandInTask<Message>('relay-connection', message =>
+      this.handle(message),
+    );
     this.server = createConnection({...address, allowHalfOpen: true});
     this.lines = {
       [Direction.FORWARD]: this.createLine(Direction.FORWARD, rules),
@@ -121,9 +119,9 @@
     switch (message.kind) {
       case MessageKind.PARCEL:
         this.lines[message.direction].push(message.parcel);
-        return this.regulate(message.direction);
+        return this.limitReading(message.direction);
       case MessageKind.DRAINED:
-        return this.regulate(message.direction);
+        return this.limitReading(message.direction);
       case MessageKind.RULES:
         for (const direction of Object.values(Direction)) {
           this.lines[direction].setRule(message.rules[direction]);
@@ -153,10 +151,10 @@
     if (parcel === StreamEnd.FINISHED) sink.end();
     else if (parcel === StreamEnd.BROKEN) sink.destroy();
     else if (!sink.destroyed) sink.write(parcel);
-    this.regulate(direction);
+    this.limitReading(direction);
   }
 
-  private regulate(direction: Direction): void {
+  private limitReading(direction: Direction): void {
     const source = this.getSink(getOpposite(direction));
     const isFull =
       this.lines[direction].backlogBytes > BACKLOG_BYTES_AT_MOST ||
--- a/stand_ins/relay_server.ts
+++ b/stand_ins/relay_server.ts
@@ -1,10 +1,9 @@
 /** The relay stand-in: delays and cuts TCP connections between two processes. */
 import type {ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
-import {Chart} from '../src/lib/core/chart.js';
-import {readChart} from '../src/lib/core/chart_file.js';
-import {ChartRun} from '../src/lib/core/chart_run.js';
-import {PostOutcome, Task} from '../src/lib/core/task.js';
+import type {ChartRun} from '../src/lib/core/chart_run.js';
+import {PostOutcome} from '../src/lib/core/task.js';
+import type {Task} from '../src/lib/core/task.js';
 import {HttpListener, sendJson} from './http_listener.js';
 import type {HttpExchange} from './http_listener.js';
 import {RelayConnection} from './relay_connection.js';
@@ -18,6 +17,7 @@
 } from './relay_control.js';
 import type {RelayControl} from './relay_control.js';
 import {TcpListener} from './tcp_listener.js';
+import {createStandInTask, createUntimedRun} from './stand_in_task.js';
 
 /** What the relay needs to be created. */
 export interface RelayServerOptions {
@@ -47,8 +47,6 @@
 
 type DirectionRun = ChartRun<DirectionState, DirectionEvent>;
 
-const MAILBOX_CAPACITY = 10_000;
-
 /** Relays TCP on loopback by rules that `POST /control` changes. */
 export class RelayServer {
   private readonly task: Task<Message>;
@@ -62,12 +60,9 @@
     const {delayMs} = options;
     this.delaysMs = {forward: delayMs, backward: delayMs};
     this.runs = {forward: createRun(), backward: createRun()};
-    this.task = Task.create<Message>({
-      name: 'relay',
-      capacity: MAILBOX_CAPACITY,
-      handle: message => this.handle(message),
-      reportFailure: failure => process.emitWarning(String(failure)),
-    });
+    this.task = createStandInTask<Message>('relay', message =>
+      this.handle(message),
+    );
   }
 
   /** Creates a relay that is listening. */
@@ -190,12 +185,8 @@
 }
 
 function createRun(): DirectionRun {
-  const chart = Chart.create(readChart('relay_direction'), {
+  return createUntimedRun('relay_direction', {
     states: DirectionState,
     events: DirectionEvent,
   });
-  return ChartRun.create(chart, {
-    startNamedTimer: () => () => undefined,
-    fire: () => undefined,
-  });
 }
--- a/stand_ins/target_record.ts
+++ b/stand_ins/target_record.ts
@@ -102,7 +102,7 @@
   }
 
   /** Notes a start; returns its sequence. */
-  noteStart(task: TaskName, startMs: number): number {
+  recordStart(task: TaskName, startMs: number): number {
     if (this.runningCount >= this.limits.slots) this.violations.slots += 1;
     const name = `${task.job}/${task.index}`;
     if (this.started.has(name)) this.violations.duplicates += 1;
@@ -121,7 +121,7 @@
   }
 
   /** Notes the end of a start; false if it had ended before. */
-  noteEnd(sequence: number, outcome: StartOutcome, endMs: number): boolean {
+  recordEnd(sequence: number, outcome: StartOutcome, endMs: number): boolean {
     const entry = this.starts[sequence - 1];
     if (entry.endMs !== null) return false;
     this.starts[sequence - 1] = {...entry, endMs, outcome};
@@ -130,12 +130,12 @@
   }
 
   /** Notes a task that was not started. */
-  noteRefusal(task: TaskName, reason: RefusalReason, atMs: number): void {
+  recordRefusal(task: TaskName, reason: RefusalReason, atMs: number): void {
     this.refusals.push({...task, reason, atMs});
   }
 
   /** Notes a connection that carries its first task. */
-  noteConnection(): void {
+  recordConnection(): void {
     this.connectionCount += 1;
     if (this.connectionCount > this.limits.connections) {
       this.violations.connections += 1;
@@ -143,12 +143,12 @@
   }
 
   /** Notes the end of a connection that carried tasks. */
-  noteDisconnection(): void {
+  recordDisconnection(): void {
     this.connectionCount -= 1;
   }
 
   /** Notes a change of mode. */
-  noteMode(mode: TargetMode, atMs: number): void {
+  recordMode(mode: TargetMode, atMs: number): void {
     this.modes.push({mode, atMs});
   }
 
--- a/stand_ins/target_server.ts
+++ b/stand_ins/target_server.ts
@@ -1,12 +1,11 @@
 /** The target stand-in as a task that owns its listener, runs and record. */
 import type {ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
-import {Chart} from '../src/lib/core/chart.js';
-import {readChart} from '../src/lib/core/chart_file.js';
-import {ChartRun} from '../src/lib/core/chart_run.js';
+import type {ChartRun} from '../src/lib/core/chart_run.js';
 import {repeatTimer, startTimer} from '../src/lib/core/clock.js';
 import type {ReadMonotonicMs, StopTimer} from '../src/lib/core/clock.js';
-import {PostOutcome, Task} from '../src/lib/core/task.js';
+import {PostOutcome} from '../src/lib/core/task.js';
+import type {Task} from '../src/lib/core/task.js';
 import {HttpListener, sendJson} from './http_listener.js';
 import type {HttpExchange} from './http_listener.js';
 import {MessageKind, decodeTargetMessage} from './target_message.js';
@@ -24,6 +23,7 @@
 import type {TaskRequest} from './target_request.js';
 import {TargetMode, planWork} from './target_work.js';
 import type {WorkPlan} from './target_work.js';
+import {createStandInTask, createUntimedRun} from './stand_in_task.js';
 
 /** What the target needs to be created. */
 export interface TargetServerOptions {
@@ -43,7 +43,6 @@
   readonly readHostMs: ReadMonotonicMs;
 }
 
-const MAILBOX_CAPACITY = 10_000;
 const NOT_STARTED_HEADERS = {'foxtailbay-started': 'no'};
 const STATUS_BY_REASON: Readonly<Record<RefusalReason, number>> = {
   [RefusalReason.LATE]: 409,
@@ -73,22 +72,18 @@
     this.record = TargetRecord.create(name, instance, limits);
     this.announcer = TargetAnnouncer.create(agent, name);
     this.idled = new Promise(resolve => (this.resolveIdled = resolve));
-    this.task = Task.create<TargetMessage>({
-      name,
-      capacity: MAILBOX_CAPACITY,
-      handle: message => this.handle(message),
-      reportFailure: failure => process.emitWarning(String(failure)),
-    });
-    const chart = Chart.create(readChart('target_stand_in'), {
-      states: Presence,
-      events: PresenceEvent,
-      actions: ['announce', 'sayGoodbye'],
-    });
-    this.presence = ChartRun.create(chart, {
-      startNamedTimer: () => () => undefined,
-      fire: () => undefined,
-      perform: action => this.perform(action),
-    });
+    this.task = createStandInTask<TargetMessage>(name, message =>
+      this.handle(message),
+    );
+    this.presence = createUntimedRun(
+      'target_stand_in',
+      {
+        states: Presence,
+        events: PresenceEvent,
+        actions: ['announce', 'sayGoodbye'],
+      },
+      action => this.perform(action),
+    );
   }
 
   /** Creates a target that is listening and announces itself. */
@@ -165,12 +160,12 @@
       case MessageKind.STOP:
         this.isStopping = true;
         this.presence.send(PresenceEvent.LEAVE);
-        return this.noticeIdle();
+        return this.checkIdle();
     }
   }
 
   private admit(request: TaskRequest, response: ServerResponse): void {
-    this.noteConnection(response.socket);
+    this.adoptConnection(response.socket);
     const nowMs = this.options.readHostMs();
     const refusal = findRefusal(request, {
       instance: this.options.instance,
@@ -180,7 +175,7 @@
       nowMs,
     });
     if (refusal !== undefined) {
-      this.record.noteRefusal(request.name, refusal, nowMs);
+      this.record.recordRefusal(request.name, refusal, nowMs);
       const status = STATUS_BY_REASON[refusal];
       return sendJson(response, status, {refusal}, NOT_STARTED_HEADERS);
     }
@@ -192,7 +187,7 @@
     response: ServerResponse,
     nowMs: number,
   ): void {
-    const sequence = this.record.noteStart(request.name, nowMs);
+    const sequence = this.record.recordStart(request.name, nowMs);
     const {mode, factor} = this;
     const {speed, finishesAbandoned} = this.options;
     const plan = planWork(request.payload, {mode, speed, factor});
@@ -218,20 +213,20 @@
     const outcome = isSuccess ? StartOutcome.SUCCEEDED : StartOutcome.FAILED;
     if (!this.end(sequence, outcome)) return;
     sendJson(response, plan.status, plan.body);
-    this.noticeIdle();
+    this.checkIdle();
   }
 
   private abandon(sequence: number): void {
-    if (this.end(sequence, StartOutcome.ABANDONED)) this.noticeIdle();
+    if (this.end(sequence, StartOutcome.ABANDONED)) this.checkIdle();
   }
 
   private end(sequence: number, outcome: StartOutcome): boolean {
     this.endTimers.get(sequence)?.();
     this.endTimers.delete(sequence);
-    return this.record.noteEnd(sequence, outcome, this.options.readHostMs());
+    return this.record.recordEnd(sequence, outcome, this.options.readHostMs());
   }
 
-  private noticeIdle(): void {
+  private checkIdle(): void {
     if (this.record.running > 0) return;
     if (this.presence.state === Presence.LEAVING) {
       this.presence.send(PresenceEvent.IDLE);
@@ -242,7 +237,7 @@
   private perform(action: string): void {
     const {instance, limits} = this.options;
     if (action === 'sayGoodbye') {
-      this.goodbye = this.announcer.sayGoodbye(instance);
+      this.goodbye = this.announcer.sendGoodbye(instance);
     }
     if (action === 'announce') {
       const address = this.listener.origin;
@@ -254,16 +249,16 @@
     const {mode, factor} = control;
     this.mode = mode;
     this.factor = factor ?? this.factor;
-    this.record.noteMode(mode, this.options.readHostMs());
+    this.record.recordMode(mode, this.options.readHostMs());
     this.presence.send(PRESENCE_EVENT_BY_MODE[mode]);
-    this.noticeIdle();
+    this.checkIdle();
     sendJson(response, 200, {mode, presence: this.presence.state});
   }
 
-  private noteConnection(socket: Socket | null): void {
+  private adoptConnection(socket: Socket | null): void {
     if (socket === null || this.sockets.has(socket)) return;
     this.sockets.add(socket);
-    this.record.noteConnection();
+    this.record.recordConnection();
     socket.once('close', () =>
       this.task.post({kind: MessageKind.DISCONNECTED, socket}),
     );
@@ -271,7 +266,7 @@
 
   private disconnect(socket: Socket): void {
     this.sockets.delete(socket);
-    this.record.noteDisconnection();
+    this.record.recordDisconnection();
   }
 
   private stopTimers(): void {
--- a/test/platform/lost_replies_test.ts
+++ b/test/platform/lost_replies_test.ts
@@ -12,7 +12,7 @@
 const WRITES_PER_WRITER = 60;
 
 /** Cuts, holds and restores a relay at random until it is told to stop. */
-async function disturbLink(
+async function changeLink(
   controlPort: number,
   drawRandom: () => number,
   isOver: () => boolean,
@@ -84,7 +84,7 @@
     };
     let isOver = false;
     const random = createRandom(SEED);
-    const disturbing = disturbLink(relay.controlPort, random, () => isOver);
+    const disturbing = changeLink(relay.controlPort, random, () => isOver);
     const writers = Array.from({length: WRITERS}, (_, i) => writeMany(i));
     await Promise.all(writers);
     isOver = true;
