--- a/src/lib/entry/entry_reports.ts
+++ b/src/lib/entry/entry_reports.ts
@@ -2,6 +2,7 @@
 import type {AdministrationAction} from '../admin/request_executor.js';
 import type {ProcessIdentity} from '../core/identity.js';
 import {Outcome} from '../core/job.js';
+import {ProcessState} from '../core/process_life.js';
 import {extendWithJob, LogEvent} from '../observe/log.js';
 import type {Log} from '../observe/log.js';
 import {Counter, Gauge, Histogram} from '../observe/metrics.js';
@@ -11,7 +12,7 @@
 import type {RecordReport} from '../records/apply_records.js';
 import {LogLevel} from '../settings/settings_schema.js';
 import {PresenceState} from './agent_account.js';
-import type {EndedJob, EndedTask} from './job_desk.js';
+import type {EndedJob, EndedTask} from './running_job.js';
 
 const AGENT_EVENTS: Readonly<Record<PresenceState, LogEvent>> = {
   [PresenceState.CONNECTED]: LogEvent.AGENT_CONNECTED,
@@ -19,6 +20,14 @@
   [PresenceState.GONE]: LogEvent.AGENT_GONE,
 };
 
+const STATE_EVENTS: Readonly<Record<ProcessState, LogEvent>> = {
+  [ProcessState.STARTING]: LogEvent.STOPPED,
+  [ProcessState.SERVING]: LogEvent.READY,
+  [ProcessState.LEAVING]: LogEvent.STOPPING,
+  [ProcessState.DRAINING]: LogEvent.STOPPING,
+  [ProcessState.STOPPED]: LogEvent.STOPPED,
+};
+
 /** Reports to the log and the metrics of an entry. */
 export class EntryReports {
   private contact: StoreContact | undefined;
@@ -33,6 +42,18 @@
     return new EntryReports(log, metrics);
   }
 
+  /** Reports a state that the process has entered. */
+  reportState(state: ProcessState, port: number | undefined): void {
+    const event = STATE_EVENTS[state];
+    this.log.write(LogLevel.INFO, event, `The entry is ${state}.`, {port});
+  }
+
+  /** Reports that the drain was cut short. */
+  reportUnfinished(drainMs: number): void {
+    const text = `Work was still in progress after ${drainMs} ms.`;
+    this.log.write(LogLevel.WARN, LogEvent.UNFINISHED, text);
+  }
+
   /** Reports that an agent came, is missed, or is gone. */
   readonly reportAgent = (
     state: PresenceState,
--- a/src/lib/entry/entry_status.ts
+++ b/src/lib/entry/entry_status.ts
@@ -10,7 +10,7 @@
   ConfigurationView,
   StoreContact,
 } from '../records/configuration_view.js';
-import type {AgentStatus} from './agent_desk.js';
+import type {AgentStatus} from './agent_desk_options.js';
 import type {Dispatcher} from './dispatcher.js';
 import type {PeerKeeper} from './peer_keeper.js';
 
--- a/test/interleavings/once_test.ts
+++ b/test/interleavings/once_test.ts
@@ -68,7 +68,7 @@
   await time.advanceTo(time.nowMs + 1000);
   const trial: Trial = {fleet, submissions: [], outages: []};
   for (const step of steps) {
-    disturb(trial, step, time);
+    performStep(trial, step, time);
     await time.advanceTo(time.nowMs + step.afterMs);
   }
   for (const outage of trial.outages) {
@@ -78,7 +78,7 @@
   return trial;
 }
 
-function disturb(trial: Trial, step: Step, time: VirtualTime): void {
+function performStep(trial: Trial, step: Step, time: VirtualTime): void {
   const {fleet, outages} = trial;
   const id = AGENTS[step.agent];
   switch (step.kind) {
@@ -89,10 +89,10 @@
       fleet.cut(id);
       break;
     case Disturbance.FREEZE_AGENT:
-      fleet.freezeAgent(id, step.lastsMs);
+      fleet.pauseAgent(id, step.lastsMs);
       break;
     case Disturbance.FREEZE_ENTRY:
-      fleet.freezeEntry(step.lastsMs);
+      fleet.pauseEntry(step.lastsMs);
       break;
     case Disturbance.RESTART_AGENT:
       fleet.startAgent(id, findDataCentre(step.agent));
