Let a second signal change nothing and a hanging store answer no watch

Cause: process.once gave the second SIGTERM to Node, which ends the process with a task in progress; a watch whose wait ended while the store hangs was answered. Change: stop is remembered; such a watch is dropped. Tests for leases in an outage and for a slow write that takes effect after its time-out.

--- a/stand_ins/platform_store_server.ts
+++ b/stand_ins/platform_store_server.ts
@@ -145,9 +145,7 @@
       case MessageKind.SLOW_CALL:
         return this.serve(message.call, message.response);
       case MessageKind.WATCH_ENDED:
-        return this.watches.end(message.watch, call =>
-          this.state.concludeWatch(call),
-        );
+        return this.concludeWatch(message.watch);
       case MessageKind.LEASE_ENDED:
         return this.expireLeases();
       case MessageKind.CONTROL:
@@ -203,6 +201,14 @@
     response.once('close', () => this.watches.drop(watch));
   }
 
+  private concludeWatch(watch: number): void {
+    if (this.availability.state !== StoreMode.UP) {
+      this.watches.drop(watch);
+      return;
+    }
+    this.watches.end(watch, call => this.state.concludeWatch(call));
+  }
+
   private takeLostReply(kind: StoreCallKind, answer: StoreAnswer): boolean {
     const isWritten = answer.kind === StoreAnswerKind.WRITTEN;
     if (!isValueWrite(kind) || !isWritten) return false;
--- a/stand_ins/run_stand_in.ts
+++ b/stand_ins/run_stand_in.ts
@@ -6,20 +6,22 @@
   readonly stop: () => Promise<void>;
 }
 
-/** Prints the ready line and stops the server once, on the first signal. */
+/** Prints the ready line and stops the server on the first signal. */
 export async function runStandIn<T extends Stoppable>(
   create: () => Promise<T>,
   describe: (server: T) => object = () => ({}),
 ): Promise<void> {
   const server = await create();
+  let stopping: Promise<void> | undefined;
   const stop = () => {
-    void server.stop().catch((failure: unknown) => {
+    // A second signal finds the first stop under way and changes nothing.
+    stopping ??= server.stop().catch((failure: unknown) => {
       process.exitCode = 1;
       process.stderr.write(`${String(failure)}\n`);
     });
   };
-  process.once('SIGTERM', stop);
-  process.once('SIGINT', stop);
+  process.on('SIGTERM', stop);
+  process.on('SIGINT', stop);
   const line = {event: 'ready', port: server.port, ...describe(server)};
   process.stdout.write(`${JSON.stringify(line)}\n`);
 }
--- a/test/platform/http_platform_store_test.ts
+++ b/test/platform/http_platform_store_test.ts
@@ -27,13 +27,16 @@
   let server: PlatformStoreServer;
   let store: HttpPlatformStore;
 
-  async function createServerWith(writesPerSecond: number) {
+  async function createServerWith(
+    writesPerSecond: number,
+    readClock = readMonotonicMs,
+  ) {
     const created = await PlatformStoreServer.create({
       port: 0,
       limits: {writesPerSecond, readsPerSecond: 2000},
       historyLimit: 100,
       leasesExpireInOutage: false,
-      readMonotonicMs,
+      readMonotonicMs: readClock,
       drawLease: drawIncarnation,
     });
     cleanUp.add(() => created.stop());
@@ -156,6 +159,33 @@
     expect((await store.list('/')).revision).to.equal(0);
   });
 
+  it('keeps leases through an outage unless told otherwise', async () => {
+    let nowMs = 0;
+    server = await createServerWith(500, () => nowMs);
+    store = createClient(server.origin);
+    const lease = await store.openLease(1000);
+    await store.write({key: KEY, value: 'v', expectedRevision: 0, lease});
+    await control({mode: StoreMode.DOWN});
+    nowMs += 5000;
+    await control({mode: StoreMode.UP});
+    expect((await store.list('/')).values).to.have.length(1);
+    await control({mode: StoreMode.DOWN, leasesExpireInOutage: true});
+    nowMs += 5000;
+    await control({mode: StoreMode.UP});
+    expect((await store.list('/')).values).to.have.length(0);
+  });
+
+  it('admits that a slow write may take effect after its time-out', async () => {
+    await control({slowMs: 60});
+    const hasty = createClient(server.origin, 20);
+    const write = {key: KEY, value: 'late', expectedRevision: 0};
+    expect(await readCode(hasty.write(write))).to.equal(
+      ErrorCode.STORE_OUTCOME_UNKNOWN,
+    );
+    const {changes} = await store.watch('/', 0, 4000);
+    expect(changes.map(change => change.value)).to.deep.equal(['late']);
+  });
+
   it('ends a call to a store that hangs by its own time-out', async () => {
     await control({mode: StoreMode.HANG});
     const hasty = createClient(server.origin, 20);
