--- a/test/scenarios/evidence_builder.ts
+++ b/test/scenarios/evidence_builder.ts
@@ -44,6 +44,7 @@
   return {
     submissions: [],
     starts: [],
+    refusals: [],
     changes: [],
     revisions: [],
     limitViolations: 0,
--- a/tools/scenario/evidence.ts
+++ b/tools/scenario/evidence.ts
@@ -44,6 +44,12 @@
   readonly startedAtMs: number;
 }
 
+/** A task that reached a stand-in target and was not started there. */
+export interface RecordedRefusal {
+  readonly target: string;
+  readonly atMs: number;
+}
+
 /** A change of configuration, or another named moment. */
 export interface Change {
   readonly name: string;
@@ -69,6 +75,7 @@
 export interface Evidence {
   readonly submissions: readonly Submission[];
   readonly starts: readonly RecordedStart[];
+  readonly refusals: readonly RecordedRefusal[];
   readonly changes: readonly Change[];
   readonly revisions: readonly RevisionSample[];
   /** Times that targets saw more tasks or connections than they allow. */
--- a/tools/scenario/judge.ts
+++ b/tools/scenario/judge.ts
@@ -62,7 +62,7 @@
   [ExpectationKind.STARTS_IN_DATA_CENTRE]: (line, evidence) =>
     judgeLateStarts(line, evidence, start => start.dataCentre),
   [ExpectationKind.STARTS_AT_LEFT_TARGET]: (line, evidence) =>
-    judgeLateStarts(line, evidence, start => start.target),
+    judgeLateStarts(line, addRefusals(evidence), start => start.target),
   [ExpectationKind.REVISION_IN_FORCE]: judgeInForce,
   [ExpectationKind.OUTCOME]: judgeOutcome,
   [ExpectationKind.ANSWERS_WITH]: judgeAnswersWith,
@@ -120,6 +120,18 @@
   };
 }
 
+/** Counts work that a target had to refuse as work that it received. */
+function addRefusals(evidence: Evidence): Evidence {
+  const received = evidence.refusals.map(({target, atMs}) => ({
+    taskId: 'refused',
+    target,
+    dataCentre: '',
+    instance: '',
+    startedAtMs: atMs,
+  }));
+  return {...evidence, starts: [...evidence.starts, ...received]};
+}
+
 function judgeInForce(line: Expectation, evidence: Evidence): Verdict {
   const change = findChange(line, evidence);
   if (change === undefined) return rejectChange(line);
--- a/tools/scenario/observer.ts
+++ b/tools/scenario/observer.ts
@@ -6,6 +6,7 @@
   RevisionSample,
   Submission,
 } from './evidence.js';
+import type {TargetRecord} from './target_record.js';
 
 /** Keeps what was observed; the verdict reads it when the run has ended. */
 export class Observer {
@@ -13,8 +14,7 @@
   private readonly changes = new Map<string, Change>();
   private readonly revisions: RevisionSample[] = [];
   // By target and life, since a replaced target begins a record of its own.
-  private readonly starts = new Map<string, readonly RecordedStart[]>();
-  private readonly violations = new Map<string, number>();
+  private readonly records = new Map<string, TargetRecord>();
 
   private constructor() {}
 
@@ -44,18 +44,13 @@
   }
 
   /** Replaces the record of one life of a target by a longer one. */
-  setStarts(
-    life: string,
-    starts: readonly RecordedStart[],
-    violations: number,
-  ): void {
-    this.starts.set(life, starts);
-    this.violations.set(life, violations);
+  setRecord(life: string, record: TargetRecord): void {
+    this.records.set(life, record);
   }
 
   /** Lists all starts seen so far. */
   listStarts(): RecordedStart[] {
-    return [...this.starts.values()].flat();
+    return [...this.records.values()].flatMap(({starts}) => [...starts]);
   }
 
   /** Lists all submissions that have ended. */
@@ -65,13 +60,15 @@
 
   /** Returns everything that was observed. */
   createEvidence(endedAtMs: number): Evidence {
+    const records = [...this.records.values()];
     return {
       submissions: this.submissions,
       starts: this.listStarts(),
+      refusals: records.flatMap(({refusals}) => [...refusals]),
       changes: [...this.changes.values()],
       revisions: this.revisions,
-      limitViolations: [...this.violations.values()].reduce(
-        (sum, count) => sum + count,
+      limitViolations: records.reduce(
+        (sum, {violations}) => sum + violations,
         0,
       ),
       endedAtMs,
--- a/tools/scenario/scene.ts
+++ b/tools/scenario/scene.ts
@@ -175,7 +175,7 @@
     const address = this.fleet.findAddress(target, Listener.MAIN);
     const record = await readTargetRecord(this.http.call, address, plan);
     const life = `${target}/${this.fleet.findProcess(target).pid}`;
-    this.observer.setStarts(life, record.starts, record.violations);
+    this.observer.setRecord(life, record);
   }
 
   /** Reads the records of all targets that serve. */
--- a/tools/scenario/target_record.ts
+++ b/tools/scenario/target_record.ts
@@ -1,6 +1,6 @@
 /** Reads the record that a stand-in target keeps of what really started. */
 import type {RecordReport} from '../../stand_ins/target_record.js';
-import type {RecordedStart} from './evidence.js';
+import type {RecordedRefusal, RecordedStart} from './evidence.js';
 import type {ProcessPlan} from './fleet_plan.js';
 import {readReply} from './http_call.js';
 import type {CallHttp, HttpCall} from './http_call.js';
@@ -8,6 +8,7 @@
 /** What a target's record holds, as far as the verdict needs it. */
 export interface TargetRecord {
   readonly starts: readonly RecordedStart[];
+  readonly refusals: readonly RecordedRefusal[];
   /** Times that more tasks or connections came than the target allows. */
   readonly violations: number;
 }
@@ -27,6 +28,10 @@
     instance: start.instance,
     startedAtMs: start.startMs,
   }));
+  const refusals = body.refusals.map(refusal => ({
+    target: plan.name,
+    atMs: refusal.atMs,
+  }));
   const {slots, connections} = body.violations;
-  return {starts, violations: slots + connections};
+  return {starts, refusals, violations: slots + connections};
 }
