Hand an entry's sessions to a peer when it stops as planned

Cause: a key was bound to one life of an entry; after a planned replacement each of its keys was answered 'unknown', though nothing had failed. Ruled out: the store (a write for each key), copies while the entry lives (a replicated store of our own). Change: a drained entry, which takes nothing new any more, streams its ledgers to one peer; another peer is asked only after a refusal, since two holders could both run a new key. The holder tells the others which ended lives it answers for. The process chart has a state for it.

--- a/src/lib/agent/agent_process.ts
+++ b/src/lib/agent/agent_process.ts
@@ -175,6 +175,9 @@
       case ProcessAction.REFUSE_WORK:
         this.runner.post({kind: RunnerMessageKind.REFUSE_WORK});
         break;
+      case ProcessAction.HAND_OVER:
+        this.life.send(ProcessEvent.RELEASED);
+        break;
       case ProcessAction.REPORT_UNFINISHED:
         this.log.write(
           LogLevel.WARN,
@@ -196,6 +199,7 @@
         break;
       case ProcessState.LEAVING:
       case ProcessState.DRAINING:
+      case ProcessState.RELEASING:
         this.log.write(
           LogLevel.INFO,
           LogEvent.STOPPING,
--- a/src/lib/core/process_life.ts
+++ b/src/lib/core/process_life.ts
@@ -10,6 +10,7 @@
   SERVING = 'serving',
   LEAVING = 'leaving',
   DRAINING = 'draining',
+  RELEASING = 'releasing',
   STOPPED = 'stopped',
 }
 
@@ -18,8 +19,10 @@
   READY = 'ready',
   STOP = 'stop',
   IDLE = 'idle',
+  RELEASED = 'released',
   NOTICE = 'timer.notice',
   DRAIN_LIMIT = 'timer.drainLimit',
+  RELEASE_LIMIT = 'timer.releaseLimit',
 }
 
 /** Actions of `charts/process.yaml`. */
@@ -27,8 +30,12 @@
   REFUSE_READINESS = 'refuseReadiness',
   REFUSE_WORK = 'refuseWork',
   REPORT_UNFINISHED = 'reportUnfinished',
+  HAND_OVER = 'handOver',
 }
 
+/** Longest time in milliseconds for handing over what others need. */
+const RELEASE_LIMIT_MS = 5000;
+
 /** What a process's life needs to be created. */
 export interface ProcessLifeOptions {
   /** How long a leaving process still takes new work, in milliseconds. */
@@ -55,6 +62,7 @@
     const durations: Readonly<Record<string, number>> = {
       notice: options.noticeMs,
       drainLimit: options.drainMs,
+      releaseLimit: RELEASE_LIMIT_MS,
     };
     this.run = ChartRun.create(chart, {
       startNamedTimer: (name, fire) =>
--- a/src/lib/decisions/key_ledger.ts
+++ b/src/lib/decisions/key_ledger.ts
@@ -24,6 +24,22 @@
   readonly answer?: A;
 }
 
+/** One key as it is handed to another ledger. */
+export interface KeptKey<A> {
+  readonly name: string;
+  readonly digest: string;
+  /** Undefined if the answer is not kept, or was never known. */
+  readonly answer: A | undefined;
+}
+
+/** One session as it is handed to another ledger. */
+export interface KeptSession<A> {
+  readonly serial: number;
+  /** Time in milliseconds since the session was last used. */
+  readonly unusedMs: number;
+  readonly keys: readonly KeptKey<A>[];
+}
+
 /** Limits of a ledger. */
 export interface LedgerLimits {
   /** Time in milliseconds for which an unused session is remembered. */
@@ -70,6 +86,11 @@
     return new KeyLedger<A>(limits);
   }
 
+  /** Number of sessions remembered. */
+  get size(): number {
+    return this.sessions.size;
+  }
+
   /** Number of keys remembered. */
   get keys(): number {
     return this.keyCount;
@@ -149,6 +170,41 @@
     }
   }
 
+  /** Describes every session, so that another ledger can take them over. */
+  listSessions(nowMs: number): KeptSession<A>[] {
+    return [...this.sessions].map(([serial, session]) => ({
+      serial,
+      unusedMs: nowMs - session.usedAtMs,
+      keys: [...session.keys].map(([name, record]) => ({
+        name,
+        digest: record.digest,
+        answer: record.answer,
+      })),
+    }));
+  }
+
+  /**
+   * Takes over sessions of an ended life. `measure` returns the bytes of an
+   * answer. A key whose job was still running is remembered without an answer.
+   */
+  addSessions(
+    sessions: readonly KeptSession<A>[],
+    measure: (answer: A) => number,
+    nowMs: number,
+  ): void {
+    for (const {serial, unusedMs, keys} of sessions) {
+      const usedAtMs = nowMs - unusedMs;
+      const session: SessionRecord<A> = {usedAtMs, keys: new Map()};
+      this.sessions.set(serial, session);
+      for (const {name, digest, answer} of keys) {
+        session.keys.set(name, {digest, isRunning: false, answer: undefined});
+        this.keyCount += 1;
+        if (answer === undefined) continue;
+        this.settle(serial, name, answer, measure(answer));
+      }
+    }
+  }
+
   private findSession(
     serial: number,
     nowMs: number,
--- a/src/lib/entry/answer_encoding.ts
+++ b/src/lib/entry/answer_encoding.ts
@@ -60,6 +60,9 @@
   [Problem.CANCELLED]: 'The job was cancelled.',
 };
 
+/** Advice in milliseconds on when to ask an unreachable owner again. */
+const OWNER_RETRY_MS = 1000;
+
 const EMPTY_LIST = Buffer.from('[]}');
 const COMMA = Buffer.from(',');
 const OPENING = Buffer.from('[');
@@ -153,3 +156,16 @@
   const outcome = isProvenUnstarted ? Outcome.DID_NOT_RUN : Outcome.UNKNOWN;
   return encodeProblem({problem, outcome, detail, key, retryAfterMs});
 }
+
+/** Answers that the owner of a key cannot be reached. */
+export function describeLostOwner(key: string): EncodedAnswer {
+  return encodeProblem({
+    problem: Problem.OWNER_UNREACHABLE,
+    outcome: Outcome.UNKNOWN,
+    detail:
+      'The entry that owns this key gave no answer. Asking again under the ' +
+      'same key is safe.',
+    key,
+    retryAfterMs: OWNER_RETRY_MS,
+  });
+}
--- a/src/lib/entry/dispatcher.ts
+++ b/src/lib/entry/dispatcher.ts
@@ -18,10 +18,12 @@
 import {selectAgentConfiguration} from './agent_desk_options.js';
 import type {AgentStatus} from './agent_desk_options.js';
 import {createDispatcherCounters} from './dispatcher_counters.js';
+import type {DispatcherHoldings} from './dispatcher_counters.js';
 import {DispatcherMessageKind} from './dispatcher_messages.js';
 import type {DispatcherMessage} from './dispatcher_messages.js';
 import type {DispatcherOptions} from './dispatcher_options.js';
 import {JobTable} from './job_table.js';
+import {LedgerBook} from './ledger_book.js';
 import {SubmissionDesk} from './submission_desk.js';
 
 const MAILBOX_CAPACITY = 1_000_000;
@@ -40,6 +42,7 @@
   private readonly task: Task<DispatcherMessage>;
   private readonly board: AgentBoard;
   private readonly planner: WorkPlanner;
+  private readonly ledgers: LedgerBook;
   private readonly desk: SubmissionDesk;
   private readonly jobs: JobTable;
   private readonly agents: AgentDesk;
@@ -65,6 +68,11 @@
       rankJob: options.rankJob,
       limits: options.limits,
     });
+    this.ledgers = LedgerBook.create(
+      options.identity.incarnation,
+      options.ledger,
+      options.publishHeld,
+    );
     this.desk = this.createSubmissionDesk();
     this.jobs = this.createJobTable();
     this.agents = this.createAgentDesk();
@@ -99,19 +107,13 @@
     return this.view !== undefined && !this.isLeaving;
   }
 
-  /** Number of tasks that wait for an agent. */
-  get waiting(): number {
-    return this.planner.waiting;
-  }
-
-  /** Number of jobs that are not answered. */
-  get running(): number {
-    return this.jobs.size;
-  }
-
-  /** Number of keys remembered. */
-  get keys(): number {
-    return this.desk.keys;
+  /** Describes how much is in hand. */
+  describeHoldings(): DispatcherHoldings {
+    return {
+      jobsRunning: this.jobs.size,
+      tasksWaiting: this.planner.waiting,
+      keys: this.ledgers.keys,
+    };
   }
 
   /** Lists the agents known. */
@@ -126,7 +128,8 @@
 
   private createSubmissionDesk(): SubmissionDesk {
     return SubmissionDesk.create({
-      ledger: this.options.ledger,
+      incarnation: this.options.identity.incarnation,
+      ledgers: this.ledgers,
       getJobs: () => this.jobs,
       counters: this.counters,
       readMonotonicMs: this.options.readMonotonicMs,
@@ -224,6 +227,13 @@
         this.isRefusing = true;
         this.desk.refuseWork();
         break;
+      case DispatcherMessageKind.LIST_LEDGERS:
+        message.take(this.ledgers.listLedgers(this.options.readMonotonicMs()));
+        break;
+      case DispatcherMessageKind.ADOPT_LEDGER:
+        this.ledgers.adopt(message.ledger, this.options.readMonotonicMs());
+        message.confirm();
+        break;
     }
   }
 
@@ -238,7 +248,7 @@
     this.agents.checkSilence(nowMs);
     this.board.refreshAll(nowMs);
     if (this.board.slots > 0) this.lastTargetAtMs = nowMs;
-    this.desk.expire(nowMs);
+    this.ledgers.expire(nowMs);
     this.jobs.check(nowMs);
   }
 
--- a/src/lib/entry/dispatcher_counters.ts
+++ b/src/lib/entry/dispatcher_counters.ts
@@ -19,6 +19,15 @@
   pings: number;
 }
 
+/** What a dispatcher holds at a moment. */
+export interface DispatcherHoldings {
+  readonly jobsRunning: number;
+  /** Tasks that wait for an agent. */
+  readonly tasksWaiting: number;
+  /** Keys remembered. */
+  readonly keys: number;
+}
+
 /** Creates counters at zero. */
 export function createDispatcherCounters(): DispatcherCounters {
   return {
--- a/src/lib/entry/dispatcher_messages.ts
+++ b/src/lib/entry/dispatcher_messages.ts
@@ -7,6 +7,7 @@
 } from '../core/link_messages.js';
 import type {JobState} from '../decisions/job_charts.js';
 import type {JobAnswer} from '../decisions/job_run.js';
+import type {KeptSession} from '../decisions/key_ledger.js';
 import type {
   ConfigurationEvidence,
   ConfigurationView,
@@ -28,10 +29,14 @@
   TICK = 'tick',
   LEAVE = 'leave',
   REFUSE_WORK = 'refuse-work',
+  LIST_LEDGERS = 'list-ledgers',
+  ADOPT_LEDGER = 'adopt-ledger',
 }
 
-/** A key of this entry's own sessions. */
+/** A key of sessions whose memory this entry holds. */
 export interface OwnKey {
+  /** The life that minted the session: this one, or one that handed it over. */
+  readonly owner: string;
   readonly serial: number;
   readonly name: string;
   readonly team: string;
@@ -107,7 +112,23 @@
     }
   | {readonly kind: DispatcherMessageKind.TICK}
   | {readonly kind: DispatcherMessageKind.LEAVE}
-  | {readonly kind: DispatcherMessageKind.REFUSE_WORK};
+  | {readonly kind: DispatcherMessageKind.REFUSE_WORK}
+  | {
+      readonly kind: DispatcherMessageKind.LIST_LEDGERS;
+      readonly take: (ledgers: readonly KeptLedger[]) => void;
+    }
+  | {
+      readonly kind: DispatcherMessageKind.ADOPT_LEDGER;
+      readonly ledger: KeptLedger;
+      /** Is told when the sessions' keys are answered here. */
+      readonly confirm: () => void;
+    };
+
+/** The sessions of one life of an entry. */
+export interface KeptLedger {
+  readonly incarnation: string;
+  readonly sessions: readonly KeptSession<JobAnswer>[];
+}
 
 /** Kinds of reply to a caller. */
 export enum ReplyKind {
--- a/src/lib/entry/dispatcher_options.ts
+++ b/src/lib/entry/dispatcher_options.ts
@@ -27,6 +27,8 @@
   /** Gathers what one turn of the event loop produced before it is sent. */
   readonly defer: Defer;
   readonly drawRandom: DrawRandom;
+  /** Is told of the ended lives whose sessions are held here. */
+  readonly publishHeld: (incarnations: readonly string[]) => void;
   readonly reportAgent: (state: PresenceState, agent: ProcessIdentity) => void;
   readonly reportJob: (ended: EndedJob) => void;
   readonly reportTask: (ended: EndedTask) => void;
--- a/src/lib/entry/dispatcher_settings.ts
+++ b/src/lib/entry/dispatcher_settings.ts
@@ -11,6 +11,8 @@
 export interface DispatcherParts {
   readonly identity: ProcessIdentity;
   readonly reports: EntryReports;
+  /** Is told of the ended lives whose sessions are held here. */
+  readonly publishHeld: (incarnations: readonly string[]) => void;
   /** Is told, as long as it lasts, that no job runs in a draining process. */
   readonly reportIdle: () => void;
 }
@@ -32,6 +34,7 @@
     startTimer,
     defer,
     drawRandom: Math.random,
+    publishHeld: parts.publishHeld,
     reportAgent: parts.reports.reportAgent,
     reportJob: parts.reports.reportJob,
     reportTask: parts.reports.reportTask,
--- a/src/lib/entry/entry_process.ts
+++ b/src/lib/entry/entry_process.ts
@@ -26,14 +26,16 @@
 import {openCallerFront} from './caller_front.js';
 import type {CallerFront} from './caller_front.js';
 import {ConfigurationMessageKind} from './configuration_message.js';
-import {ConfigurationTask} from './configuration_task.js';
+import {createConfigurationTask} from './configuration_settings.js';
+import type {ConfigurationTask} from './configuration_task.js';
 import type {Dispatcher} from './dispatcher.js';
 import {createDispatcherOf} from './dispatcher_settings.js';
 import {DispatcherMessageKind} from './dispatcher_messages.js';
 import {EntryReports} from './entry_reports.js';
 import {describeEntryStatus} from './entry_status.js';
 import {openPeerPort} from './peer_port.js';
-import {PeerKeeper, PeerMessageKind} from './peer_keeper.js';
+import {PeerKeeper} from './peer_keeper.js';
+import {PeerMessageKind} from './peer_messages.js';
 import {RequestDesk} from './request_desk.js';
 import {RevisionWaiters} from './revision_waiters.js';
 
@@ -75,6 +77,7 @@
     this.dispatcher = this.createDispatcher();
     this.peers = PeerKeeper.create({
       identity,
+      address: settings.advertise.peers,
       connect: connectPeer,
       forwardWithinMs: FORWARD_WITHIN_MS,
       readMonotonicMs,
@@ -136,6 +139,8 @@
     return createDispatcherOf(this.settings, {
       identity: this.identity,
       reports: this.reports,
+      publishHeld: incarnations =>
+        void this.peers.post({kind: PeerMessageKind.OWN_HELD, incarnations}),
       reportIdle: () => this.reportIfIdle(),
     });
   }
@@ -147,6 +152,7 @@
       secret: this.settings.sessions.secret,
       sessionLifetimeMs: this.settings.sessions.lifetimeMs,
       postToDispatcher: message => this.dispatcher.post(message),
+      findHolder: incarnation => this.peers.findHolder(incarnation),
       forward: (address, request, answer) =>
         void this.peers.post({
           kind: PeerMessageKind.FORWARD,
@@ -171,6 +177,15 @@
           kind: ConfigurationMessageKind.LEARN,
           learned,
         }),
+      recordHeld: (address, incarnations) =>
+        void this.peers.post({
+          kind: PeerMessageKind.PEER_HELD,
+          address,
+          incarnations,
+        }),
+      isAdopting: () =>
+        this.life.state === ProcessState.SERVING ||
+        this.life.state === ProcessState.LEAVING,
       getContact: () => this.contact,
     });
     this.store.add(() => server.close());
@@ -215,23 +230,11 @@
   }
 
   private followConfiguration(): void {
-    const {store, advertise} = this.settings;
-    const configuration = ConfigurationTask.create({
-      store: HttpPlatformStore.create(store),
+    const configuration = createConfigurationTask(this.settings, {
       identity: this.identity,
-      address: advertise.peers,
-      prefix: store.prefix,
-      watchWaitMs: store.watchWaitMs,
-      callTimeoutMs: store.callTimeoutMs,
-      leaseMs: store.leaseMs,
+      reports: this.reports,
       publishView: view => this.publishView(view),
       publishEvidence: evidence => this.publishEvidence(evidence),
-      reportRecord: this.reports.reportRecord,
-      reportRegistration: () => undefined,
-      reportFailure: this.reports.reportStoreFailure,
-      readMonotonicMs,
-      startTimer,
-      drawRandom: Math.random,
     });
     this.configuration = configuration;
     this.store.add(() => configuration.stop());
@@ -261,12 +264,30 @@
         this.configuration?.post({kind: ConfigurationMessageKind.LEAVE});
         this.dispatcher.post({kind: DispatcherMessageKind.REFUSE_WORK});
         break;
+      case ProcessAction.HAND_OVER:
+        this.handOver();
+        break;
       case ProcessAction.REPORT_UNFINISHED:
         this.reports.reportUnfinished(this.settings.stop.drainMs);
         break;
     }
   }
 
+  private handOver(): void {
+    this.dispatcher.post({
+      kind: DispatcherMessageKind.LIST_LEDGERS,
+      take: ledgers =>
+        this.peers.post({
+          kind: PeerMessageKind.HAND_OVER,
+          ledgers,
+          reportEnd: end => {
+            this.reports.reportHandOver(end);
+            this.life.send(ProcessEvent.RELEASED);
+          },
+        }),
+    });
+  }
+
   private reportIfIdle(): void {
     if (this.front?.countOpen() === 0) this.life.send(ProcessEvent.IDLE);
   }
--- a/src/lib/entry/entry_reports.ts
+++ b/src/lib/entry/entry_reports.ts
@@ -12,6 +12,7 @@
 import type {RecordReport} from '../records/apply_records.js';
 import {LogLevel} from '../settings/settings_schema.js';
 import {PresenceState} from './agent_account.js';
+import {HandOverEnd} from './peer_messages.js';
 import type {EndedJob, EndedTask} from './running_job.js';
 
 const AGENT_EVENTS: Readonly<Record<PresenceState, LogEvent>> = {
@@ -25,6 +26,7 @@
   [ProcessState.SERVING]: LogEvent.READY,
   [ProcessState.LEAVING]: LogEvent.STOPPING,
   [ProcessState.DRAINING]: LogEvent.STOPPING,
+  [ProcessState.RELEASING]: LogEvent.STOPPING,
   [ProcessState.STOPPED]: LogEvent.STOPPED,
 };
 
@@ -48,6 +50,14 @@
     this.log.write(LogLevel.INFO, event, `The entry is ${state}.`, {port});
   }
 
+  /** Reports whether a peer has taken the sessions' memory. */
+  reportHandOver(end: HandOverEnd): void {
+    const isTaken = end === HandOverEnd.TAKEN;
+    const level = isTaken ? LogLevel.INFO : LogLevel.WARN;
+    const text = `Handing over the sessions ended: ${end}.`;
+    this.log.write(level, LogEvent.STOPPING, text, {handOver: end});
+  }
+
   /** Reports that the drain was cut short. */
   reportUnfinished(drainMs: number): void {
     const text = `Work was still in progress after ${drainMs} ms.`;
--- a/src/lib/entry/entry_status.ts
+++ b/src/lib/entry/entry_status.ts
@@ -39,9 +39,7 @@
     targets: agents.flatMap(describeTarget),
     counters: {
       ...dispatcher.counters,
-      jobsRunning: dispatcher.running,
-      tasksWaiting: dispatcher.waiting,
-      keys: dispatcher.keys,
+      ...dispatcher.describeHoldings(),
     },
   };
 }
--- a/src/lib/entry/peer_keeper.ts
+++ b/src/lib/entry/peer_keeper.ts
@@ -1,63 +1,27 @@
 /** The task of an entry that owns the connections to the other entries. */
-import {Outcome, Problem} from '../core/job.js';
 import type {ProcessIdentity} from '../core/identity.js';
 import type {ReadMonotonicMs, StartTimer} from '../core/clock.js';
 import {Task} from '../core/task.js';
 import type {Post} from '../core/task.js';
-import type {ConfigurationView} from '../records/configuration_view.js';
+import type {
+  ConfigurationView,
+  EntryAddress,
+} from '../records/configuration_view.js';
 import {PeerCallEnd} from '../wire/peer_client.js';
 import type {ConnectPeer, PeerConnection} from '../wire/peer_client.js';
 import type {PeerConfigurationState} from '../wire/peer_codec.js';
-import {encodeProblem} from './answer_encoding.js';
-import type {EncodedAnswer} from './answer_encoding.js';
-import type {Answer, CallerRequest} from './request_desk.js';
-
-/** Kinds of message that the keeper takes. */
-export enum PeerMessageKind {
-  FORWARD = 'forward',
-  VIEW = 'view',
-  ANNOUNCED = 'announced',
-  AWAIT_MAJORITY = 'await-majority',
-  MAJORITY_TIMEOUT = 'majority-timeout',
-  ANNOUNCE_AGAIN = 'announce-again',
-}
-
-/** Messages that the keeper takes. */
-export type PeerMessage =
-  | {
-      readonly kind: PeerMessageKind.FORWARD;
-      readonly address: string;
-      readonly request: CallerRequest;
-      readonly answer: Answer;
-    }
-  | {readonly kind: PeerMessageKind.VIEW; readonly view: ConfigurationView}
-  | {
-      readonly kind: PeerMessageKind.ANNOUNCED;
-      readonly state: PeerConfigurationState;
-    }
-  | {
-      readonly kind: PeerMessageKind.ANNOUNCE_AGAIN;
-      readonly address: string;
-      readonly revision: number;
-    }
-  | {
-      readonly kind: PeerMessageKind.AWAIT_MAJORITY;
-      readonly waiter: MajorityWaiter;
-    }
-  | {
-      readonly kind: PeerMessageKind.MAJORITY_TIMEOUT;
-      readonly waiter: MajorityWaiter;
-    };
-
-/** Somebody who waits for a revision to be held by a majority of the entries. */
-export interface MajorityWaiter {
-  readonly revision: number;
-  readonly settle: (isHeld: boolean) => void;
-}
+import {describeLostOwner} from './answer_encoding.js';
+import {HandOverEnd, PeerMessageKind} from './peer_messages.js';
+import type {MajorityWaiter, PeerMessage} from './peer_messages.js';
+import {HolderKind} from './request_desk.js';
+import type {Answer, CallerRequest, Holder} from './request_desk.js';
+import type {KeptLedger} from './dispatcher_messages.js';
 
 /** What the keeper needs to be created. */
 export interface PeerKeeperOptions {
   readonly identity: ProcessIdentity;
+  /** `host:port` at which other entries reach this one. */
+  readonly address: string;
   readonly connect: ConnectPeer;
   /** Time in milliseconds that a forwarded request may take. */
   readonly forwardWithinMs: number;
@@ -76,7 +40,7 @@
 const MAILBOX_CAPACITY = 100_000;
 const ANNOUNCE_WITHIN_MS = 2000;
 const ANNOUNCE_AGAIN_AFTER_MS = 1000;
-const RETRY_AFTER_MS = 1000;
+const HAND_OVER_WITHIN_MS = 4000;
 
 /**
  * Hands requests to the owner of their key, tells peers of a newer
@@ -89,6 +53,10 @@
   private readonly held = new Map<string, PeerKnowledge>();
   private view: ConfigurationView | undefined;
   private waiters: MajorityWaiter[] = [];
+  /** Ended lives whose sessions are held here. */
+  private ownHeld: readonly string[] = [];
+  /** Peers that hold the sessions of ended lives: life, address. */
+  private readonly holders = new Map<string, string>();
 
   private constructor(private readonly options: PeerKeeperOptions) {
     this.task = Task.create<PeerMessage>({
@@ -116,6 +84,16 @@
     return this.held.get(incarnation);
   }
 
+  /** Finds who holds the sessions of an ended life of an entry. */
+  findHolder(incarnation: string): Holder {
+    if (this.ownHeld.includes(incarnation)) {
+      return {kind: HolderKind.SELF, address: this.options.address};
+    }
+    const address = this.holders.get(incarnation);
+    if (address === undefined) return NO_HOLDER;
+    return {kind: HolderKind.PEER, address};
+  }
+
   /** Waits until a majority of the registered entries hold a revision. */
   awaitMajority(revision: number, timeoutMs: number): Promise<boolean> {
     return new Promise(resolve => {
@@ -152,6 +130,18 @@
       case PeerMessageKind.ANNOUNCE_AGAIN:
         this.announceAgain(message.address, message.revision);
         break;
+      case PeerMessageKind.OWN_HELD:
+        this.ownHeld = message.incarnations;
+        if (this.view !== undefined) this.sendToAll(this.view);
+        break;
+      case PeerMessageKind.PEER_HELD:
+        for (const incarnation of message.incarnations) {
+          this.holders.set(incarnation, message.address);
+        }
+        break;
+      case PeerMessageKind.HAND_OVER:
+        void this.handOver(message.ledgers).then(message.reportEnd);
+        break;
       case PeerMessageKind.AWAIT_MAJORITY:
         this.waiters.push(message.waiter);
         this.settleWaiters();
@@ -182,18 +172,51 @@
     for (const incarnation of this.held.keys()) {
       if (!live.has(incarnation)) this.held.delete(incarnation);
     }
+    const addresses = new Set(view.entries.map(entry => entry.address));
+    for (const [incarnation, address] of this.holders) {
+      if (!addresses.has(address)) this.holders.delete(incarnation);
+    }
     this.settleWaiters();
-    for (const entry of view.entries) {
-      if (entry.incarnation === this.options.identity.incarnation) continue;
+    this.sendToAll(view);
+  }
+
+  private sendToAll(view: ConfigurationView): void {
+    for (const entry of this.listPeers(view)) {
       void this.sendView(entry.address, view);
     }
   }
 
+  private listPeers(view: ConfigurationView): readonly EntryAddress[] {
+    const own = this.options.identity.incarnation;
+    return view.entries.filter(entry => entry.incarnation !== own);
+  }
+
+  // Another peer is asked only after a refusal: if an answer is lost the first
+  // may hold the sessions, and two holders could both run a new key.
+  private async handOver(ledgers: readonly KeptLedger[]): Promise<HandOverEnd> {
+    const peers = this.view === undefined ? [] : this.listPeers(this.view);
+    for (const peer of peers) {
+      const connection = this.open(peer.address);
+      const {end} = await connection.handOver(ledgers, HAND_OVER_WITHIN_MS);
+      if (end === PeerCallEnd.ANSWERED) return HandOverEnd.TAKEN;
+      if (end === PeerCallEnd.LOST) return HandOverEnd.LOST;
+    }
+    return HandOverEnd.REFUSED;
+  }
+
   private async sendView(
     address: string,
     view: ConfigurationView,
   ): Promise<void> {
-    const result = await this.open(address).announce(view, ANNOUNCE_WITHIN_MS);
+    const configuration = {
+      view,
+      senderAddress: this.options.address,
+      heldIncarnations: this.ownHeld,
+    };
+    const result = await this.open(address).announce(
+      configuration,
+      ANNOUNCE_WITHIN_MS,
+    );
     if (result.end === PeerCallEnd.ANSWERED) {
       this.post({kind: PeerMessageKind.ANNOUNCED, state: result.value!});
       return;
@@ -267,14 +290,4 @@
   }
 }
 
-function describeLostOwner(key: string): EncodedAnswer {
-  return encodeProblem({
-    problem: Problem.OWNER_UNREACHABLE,
-    outcome: Outcome.UNKNOWN,
-    detail:
-      'The entry that owns this key gave no answer. Asking again under the ' +
-      'same key is safe.',
-    key,
-    retryAfterMs: RETRY_AFTER_MS,
-  });
-}
+const NO_HOLDER: Holder = {kind: HolderKind.NOBODY, address: ''};
--- a/src/lib/entry/peer_port.ts
+++ b/src/lib/entry/peer_port.ts
@@ -8,7 +8,7 @@
 import {openLinkServer} from '../wire/link_server.js';
 import type {LinkServer} from '../wire/link_server.js';
 import {DispatcherMessageKind} from './dispatcher_messages.js';
-import type {DispatcherMessage} from './dispatcher_messages.js';
+import type {DispatcherMessage, KeptLedger} from './dispatcher_messages.js';
 import {RequestOrigin} from './request_desk.js';
 import type {RequestDesk} from './request_desk.js';
 import type {RevisionWaiters} from './revision_waiters.js';
@@ -23,6 +23,13 @@
   readonly revisions: RevisionWaiters;
   /** Puts a configuration in force that a peer has told, if it is newer. */
   readonly learn: (view: ConfigurationView) => void;
+  /** Notes whose sessions a peer holds. */
+  readonly recordHeld: (
+    address: string,
+    incarnations: readonly string[],
+  ) => void;
+  /** Tells whether ledgers of others are still taken over. */
+  readonly isAdopting: () => boolean;
   readonly getContact: () => StoreContact;
 }
 
@@ -51,7 +58,9 @@
     handleForward: (request, answer) =>
       options.desk.handle(request, RequestOrigin.PEER, answer),
     // The answer says that the revision is in force here, so it waits for that.
-    handleAnnouncement: (view, answer) => {
+    handleAnnouncement: (configuration, answer) => {
+      const {view, senderAddress, heldIncarnations} = configuration;
+      options.recordHeld(senderAddress, heldIncarnations);
       options.learn(view);
       revisions.add(view.revision, () =>
         answer({
@@ -61,5 +70,26 @@
         }),
       );
     },
+    handleHandOver: (ledgers, answer) => {
+      if (!options.isAdopting()) return answer(false);
+      adoptAll(postToDispatcher, ledgers, () => answer(true));
+    },
   });
 }
+
+// The last confirmation covers all: the dispatcher takes messages in order.
+function adoptAll(
+  postToDispatcher: Post<DispatcherMessage>,
+  ledgers: readonly KeptLedger[],
+  confirm: () => void,
+): void {
+  if (ledgers.length === 0) return confirm();
+  for (const [index, ledger] of ledgers.entries()) {
+    const isLast = index === ledgers.length - 1;
+    postToDispatcher({
+      kind: DispatcherMessageKind.ADOPT_LEDGER,
+      ledger,
+      confirm: isLast ? confirm : () => undefined,
+    });
+  }
+}
--- a/src/lib/entry/request_desk.ts
+++ b/src/lib/entry/request_desk.ts
@@ -53,8 +53,26 @@
   readonly sessionLifetimeMs: number;
   readonly postToDispatcher: Post<DispatcherMessage>;
   readonly forward: ForwardRequest;
+  /** Finds who holds the sessions of an ended life of an entry, if anybody does. */
+  readonly findHolder: FindHolder;
 }
 
+/** Kinds of holder of an ended life's sessions. */
+export enum HolderKind {
+  SELF = 'self',
+  PEER = 'peer',
+  NOBODY = 'nobody',
+}
+
+/** Who holds the sessions of an ended life; the address is that of a peer. */
+export interface Holder {
+  readonly kind: HolderKind;
+  readonly address: string;
+}
+
+/** Finds who holds the sessions of a life that has handed them over. */
+export type FindHolder = (incarnation: string) => Holder;
+
 /** Where a request came from. */
 export enum RequestOrigin {
   CALLER = 'caller',
@@ -102,14 +120,19 @@
     const key = this.readKey(request.key, answer);
     if (key === undefined) return;
     const {ownerAddress, ownerIncarnation, serial, team} = key.token;
-    if (ownerIncarnation === this.options.identity.incarnation) {
-      return this.handleOwn(request, {serial, name: key.name, team}, answer);
+    const holder = this.options.findHolder(ownerIncarnation);
+    const isOwn = ownerIncarnation === this.options.identity.incarnation;
+    if (isOwn || holder.kind === HolderKind.SELF) {
+      const own = {owner: ownerIncarnation, serial, name: key.name, team};
+      return this.handleOwn(request, own, answer);
     }
-    const isHere = ownerAddress === this.options.address;
+    const address =
+      holder.kind === HolderKind.PEER ? holder.address : ownerAddress;
+    const isHere = address === this.options.address;
     if (isHere || origin === RequestOrigin.PEER) {
       return answer(refuseEndedOwner(request.key));
     }
-    this.options.forward(ownerAddress, request, answer);
+    this.options.forward(address, request, answer);
   }
 
   private handleOwn(
--- a/src/lib/entry/running_job.ts
+++ b/src/lib/entry/running_job.ts
@@ -89,7 +89,7 @@
 
 /** Returns the name under which a key's job is found. */
 export function joinKey(key: OwnKey): string {
-  return `${key.serial}.${key.name}`;
+  return `${key.owner}.${key.serial}.${key.name}`;
 }
 
 /** Writes a payload as JSON text in UTF-8. */
--- a/src/lib/entry/submission_desk.ts
+++ b/src/lib/entry/submission_desk.ts
@@ -2,8 +2,8 @@
 import type {ReadMonotonicMs} from '../core/clock.js';
 import {Outcome, Problem} from '../core/job.js';
 import type {JobAnswer} from '../decisions/job_run.js';
-import {KeyLedger, LedgerVerdict} from '../decisions/key_ledger.js';
-import type {LedgerFinding, LedgerLimits} from '../decisions/key_ledger.js';
+import {LedgerVerdict} from '../decisions/key_ledger.js';
+import type {LedgerFinding} from '../decisions/key_ledger.js';
 import type {ConfigurationView} from '../records/configuration_view.js';
 import type {DispatcherCounters} from './dispatcher_counters.js';
 import {ReplyKind} from './dispatcher_messages.js';
@@ -22,10 +22,14 @@
   STOPPING,
 } from './job_refusal.js';
 import type {JobTable} from './job_table.js';
+import {measureAnswer} from './ledger_book.js';
+import type {LedgerBook} from './ledger_book.js';
 
 /** What a desk of submissions needs to be created. */
 export interface SubmissionDeskOptions {
-  readonly ledger: LedgerLimits;
+  /** Life of this entry, which owns the sessions that it opens. */
+  readonly incarnation: string;
+  readonly ledgers: LedgerBook;
   /** Returns the jobs that the desk hands submissions to. */
   readonly getJobs: () => JobTable;
   readonly counters: DispatcherCounters;
@@ -36,23 +40,15 @@
 
 /** Keeps the sessions' memory for the dispatcher, which owns it. */
 export class SubmissionDesk {
-  private readonly ledger: KeyLedger<JobAnswer>;
   private isRefusing = false;
 
-  private constructor(private readonly options: SubmissionDeskOptions) {
-    this.ledger = KeyLedger.create<JobAnswer>(options.ledger);
-  }
+  private constructor(private readonly options: SubmissionDeskOptions) {}
 
   /** Creates a desk without sessions. */
   static create(options: SubmissionDeskOptions): SubmissionDesk {
     return new SubmissionDesk(options);
   }
 
-  /** Number of keys remembered. */
-  get keys(): number {
-    return this.ledger.keys;
-  }
-
   /** From now on refuses new jobs. */
   refuseWork(): void {
     this.isRefusing = true;
@@ -62,7 +58,9 @@
   openSession(team: string, reply: Reply): void {
     const refusal = this.findRefusal(team);
     if (refusal !== undefined) return this.refuse(reply, refusal);
-    const serial = this.ledger.openSession(this.options.readMonotonicMs());
+    const {ledgers, incarnation, readMonotonicMs} = this.options;
+    const ledger = ledgers.getLedger(incarnation)!;
+    const serial = ledger.openSession(readMonotonicMs());
     reply({kind: ReplyKind.SESSION, serial, team});
   }
 
@@ -71,7 +69,9 @@
     const {key, draft, digest, isDetached, reply} = message;
     const nowMs = this.options.readMonotonicMs();
     if (key !== undefined) {
-      const finding = this.ledger.submit(key.serial, key.name, digest, nowMs);
+      const ledger = this.options.ledgers.getLedger(key.owner);
+      if (ledger === undefined) return this.refuse(reply, SESSION_ENDED);
+      const finding = ledger.submit(key.serial, key.name, digest, nowMs);
       if (finding.verdict !== LedgerVerdict.NEW) {
         return this.answerKnown(key, finding, isDetached, reply);
       }
@@ -87,7 +87,9 @@
   /** Tells how a job stands, or its answer. */
   lookUp(key: OwnKey, reply: Reply): void {
     const nowMs = this.options.readMonotonicMs();
-    const finding = this.ledger.lookUp(key.serial, key.name, nowMs);
+    const ledger = this.options.ledgers.getLedger(key.owner);
+    if (ledger === undefined) return this.refuse(reply, SESSION_ENDED);
+    const finding = ledger.lookUp(key.serial, key.name, nowMs);
     if (finding.verdict === LedgerVerdict.NEW) {
       return this.refuse(reply, NOT_FOUND);
     }
@@ -102,25 +104,19 @@
     job.run.cancel(Problem.CANCELLED);
   }
 
-  /** Forgets sessions that have been unused for their lifetime. */
-  expire(nowMs: number): void {
-    this.ledger.expire(nowMs);
-  }
-
   /** Keeps an answer, unless the job provably did not run. */
   recordAnswer(key: OwnKey, answer: JobAnswer): void {
     if (answer.outcome === Outcome.DID_NOT_RUN) {
       this.releaseKey(key);
       return;
     }
-    let bytes = 0;
-    for (const result of answer.results) bytes += result.length;
-    this.ledger.settle(key.serial, key.name, answer, bytes);
+    const ledger = this.options.ledgers.getLedger(key.owner);
+    ledger?.settle(key.serial, key.name, answer, measureAnswer(answer));
   }
 
   /** Forgets a key whose job provably did not run, so that it may come again. */
   releaseKey(key: OwnKey): void {
-    this.ledger.release(key.serial, key.name);
+    this.options.ledgers.getLedger(key.owner)?.release(key.serial, key.name);
   }
 
   private answerKnown(
--- /dev/null
+++ b/src/lib/wire/hand_over_codec.ts
@@ -0,0 +1,126 @@
+/** Maps sessions that are handed over to and from the generated wire messages. */
+import {Outcome, Problem, TaskEnd} from '../core/job.js';
+import type {JobAnswer} from '../decisions/job_run.js';
+import type {KeptKey, KeptSession} from '../decisions/key_ledger.js';
+import type {KeptLedger} from '../entry/dispatcher_messages.js';
+import type * as wire from './generated/foxtailbay.js';
+
+/** Keys after which a part ends. */
+const KEYS_PER_PART = 500;
+
+/** Bytes of results after which a part ends. */
+const BYTES_PER_PART = 1024 * 1024;
+
+const OUTCOMES = new Set<string>(Object.values(Outcome));
+const PROBLEMS = new Set<string>(Object.values(Problem));
+const ENDS = new Set<string>(Object.values(TaskEnd));
+
+/** Splits a ledger into parts of bounded size, in order. */
+export function* encodeLedger(
+  ledger: KeptLedger,
+): Generator<wire.HandOverPart> {
+  const {incarnation} = ledger;
+  for (const session of ledger.sessions) {
+    for (const keys of splitKeys(session.keys)) {
+      const {serial, unusedMs} = session;
+      yield {
+        incarnation,
+        sessions: [{serial, unusedMs, keys: keys.map(encodeKey)}],
+      };
+    }
+  }
+}
+
+/** Gathers parts until the stream has ended. */
+export class LedgerGatherer {
+  private readonly ledgers = new Map<
+    string,
+    Map<number, {unusedMs: number; keys: KeptKey<JobAnswer>[]}>
+  >();
+
+  private constructor() {}
+
+  /** Creates a gatherer without parts. */
+  static create(): LedgerGatherer {
+    return new LedgerGatherer();
+  }
+
+  /** Adds a part. */
+  add(part: wire.HandOverPart): void {
+    const sessions = this.ledgers.get(part.incarnation) ?? new Map();
+    this.ledgers.set(part.incarnation, sessions);
+    for (const {serial, unusedMs, keys} of part.sessions) {
+      const session = sessions.get(serial) ?? {unusedMs, keys: []};
+      sessions.set(serial, session);
+      for (const key of keys) session.keys.push(decodeKey(key));
+    }
+  }
+
+  /** Lists the ledgers that all parts make up. */
+  listLedgers(): KeptLedger[] {
+    return [...this.ledgers].map(([incarnation, sessions]) => ({
+      incarnation,
+      sessions: [...sessions].map(([serial, session]): Session => ({
+        serial,
+        ...session,
+      })),
+    }));
+  }
+}
+
+type Session = KeptSession<JobAnswer>;
+
+// A session without keys is handed over too: its next key is still new.
+function* splitKeys(
+  keys: readonly KeptKey<JobAnswer>[],
+): Generator<KeptKey<JobAnswer>[]> {
+  let part: KeptKey<JobAnswer>[] = [];
+  let bytes = 0;
+  for (const key of keys) {
+    part.push(key);
+    for (const result of key.answer?.results ?? []) bytes += result.length;
+    if (part.length < KEYS_PER_PART && bytes < BYTES_PER_PART) continue;
+    yield part;
+    part = [];
+    bytes = 0;
+  }
+  if (part.length > 0 || keys.length === 0) yield part;
+}
+
+function encodeKey(key: KeptKey<JobAnswer>): wire.KeptKey {
+  const {name, digest, answer} = key;
+  return {name, digest, answer: answer && encodeAnswer(answer)};
+}
+
+function encodeAnswer(answer: JobAnswer): wire.KeptAnswer {
+  return {
+    outcome: answer.outcome,
+    problem: answer.problem ?? '',
+    results: answer.results as Buffer[],
+    faults: answer.faults.map(fault => ({...fault})),
+  };
+}
+
+function decodeKey(key: wire.KeptKey): KeptKey<JobAnswer> {
+  const {name, digest, answer} = key;
+  return {name, digest, answer: answer && decodeAnswer(answer)};
+}
+
+// An outcome of a newer version is not known here and counts as not kept.
+function decodeAnswer(answer: wire.KeptAnswer): JobAnswer | undefined {
+  if (!OUTCOMES.has(answer.outcome)) return undefined;
+  return {
+    outcome: answer.outcome as Outcome,
+    problem: decodeProblem(answer.problem),
+    results: answer.results,
+    faults: answer.faults.map(fault => ({
+      ...fault,
+      end: ENDS.has(fault.end) ? (fault.end as TaskEnd) : TaskEnd.UNKNOWN,
+    })),
+  };
+}
+
+function decodeProblem(problem: string): Problem | undefined {
+  if (problem === '') return undefined;
+  return PROBLEMS.has(problem) ? (problem as Problem) : Problem.INTERNAL;
+}
--- a/src/lib/wire/link_server.ts
+++ b/src/lib/wire/link_server.ts
@@ -3,16 +3,20 @@
 import type {
   sendUnaryData,
   ServerDuplexStream,
+  ServerReadableStream,
   ServerUnaryCall,
 } from '@grpc/grpc-js';
 import {AddressError} from '../core/errors.js';
+import type {KeptLedger} from '../entry/dispatcher_messages.js';
 import type {AgentFrame, EntryFrame} from '../core/link_messages.js';
 import {
   AgentLinkService,
   ConfigurationState,
   PeerLinkService,
 } from './generated/foxtailbay.js';
+import type {HandOverReceipt} from './generated/foxtailbay.js';
 import type * as wire from './generated/foxtailbay.js';
+import {LedgerGatherer} from './hand_over_codec.js';
 import {decodeAgentFrame, encodeEntryFrame} from './link_codec.js';
 import {FRAME_BYTES_AT_MOST} from './link_client.js';
 import {
@@ -50,6 +54,13 @@
     configuration: PeerConfiguration,
     answer: (state: PeerConfigurationState) => void,
   ) => void;
+  /**
+   * Takes over ledgers as a whole; `answer` tells whether they were taken.
+   */
+  readonly handleHandOver: (
+    ledgers: readonly KeptLedger[],
+    answer: (isTaken: boolean) => void,
+  ) => void;
 }
 
 /** An open server. */
@@ -92,6 +103,8 @@
       options.handleAnnouncement(decodePeerConfiguration(call.request), state =>
         done(null, encodeConfigurationState(state)),
       ),
+    handOver: (call: HandOverCall, done: sendUnaryData<HandOverReceipt>) =>
+      gatherLedgers(options, call, done),
   });
   const port = await bind(server, options);
   return {port, close: () => stopServer(server)};
@@ -104,6 +117,35 @@
   wire.ConfigurationState
 >;
 
+type HandOverCall = ServerReadableStream<wire.HandOverPart, HandOverReceipt>;
+
+function gatherLedgers(
+  options: LinkServerOptions,
+  call: HandOverCall,
+  done: sendUnaryData<HandOverReceipt>,
+): void {
+  const gatherer = LedgerGatherer.create();
+  let isBroken = false;
+  call.on('data', (part: wire.HandOverPart) => gatherer.add(part));
+  call.on('error', () => (isBroken = true));
+  call.on('cancelled', () => (isBroken = true));
+  call.on('end', () => {
+    if (isBroken || call.cancelled) return;
+    const ledgers = gatherer.listLedgers();
+    options.handleHandOver(ledgers, isTaken => {
+      if (isTaken) return done(null, countLedgers(ledgers));
+      const details = 'This entry is stopping.';
+      done({code: status.FAILED_PRECONDITION, details});
+    });
+  });
+}
+
+function countLedgers(ledgers: readonly KeptLedger[]): HandOverReceipt {
+  const sessions = ledgers.flatMap(ledger => ledger.sessions);
+  const keys = sessions.reduce((sum, session) => sum + session.keys.length, 0);
+  return {sessions: sessions.length, keys};
+}
+
 function serveStream(
   options: LinkServerOptions,
   call: AgentCall,
--- a/src/lib/wire/peer_client.ts
+++ b/src/lib/wire/peer_client.ts
@@ -1,7 +1,10 @@
 /** Calls other entries over gRPC, each call sent at most once. */
 import {credentials, Metadata, status} from '@grpc/grpc-js';
 import type {ServiceError} from '@grpc/grpc-js';
+import type {KeptLedger} from '../entry/dispatcher_messages.js';
 import {PeerLinkClient} from './generated/foxtailbay.js';
+import type {HandOverPart, HandOverReceipt} from './generated/foxtailbay.js';
+import {encodeLedger} from './hand_over_codec.js';
 import {CHANNEL_OPTIONS} from './link_client.js';
 import {
   decodeConfigurationState,
@@ -21,6 +24,8 @@
   ANSWERED = 'answered',
   /** No answer; the peer may or may not have taken the call. */
   LOST = 'lost',
+  /** The peer said that it did not take the call. */
+  REFUSED = 'refused',
 }
 
 /** The end of a call, with the answer if there is one. */
@@ -40,6 +45,11 @@
     configuration: PeerConfiguration,
     withinMs: number,
   ) => Promise<PeerCallResult<PeerConfigurationState>>;
+  /** Hands ledgers over; resolves when the peer has taken all, or not. */
+  readonly handOver: (
+    ledgers: readonly KeptLedger[],
+    withinMs: number,
+  ) => Promise<PeerCallResult<HandOverReceipt>>;
   readonly close: () => void;
 }
 
@@ -76,10 +86,44 @@
             ),
         );
       }),
+    handOver: (ledgers, withinMs) => handOver(client, ledgers, withinMs),
     close: () => client.close(),
   };
 };
 
+function handOver(
+  client: PeerLinkClient,
+  ledgers: readonly KeptLedger[],
+  withinMs: number,
+): Promise<PeerCallResult<HandOverReceipt>> {
+  return new Promise(resolve => {
+    const call = client.handOver(
+      new Metadata(),
+      {deadline: computeDeadline(withinMs)},
+      (failure, receipt) => resolve(describeEnd(failure, () => receipt)),
+    );
+    call.on('error', () => undefined);
+    const parts = listParts(ledgers);
+    const writeOn = () => {
+      for (;;) {
+        const next = parts.next();
+        if (next.done) return void call.end();
+        if (call.write(next.value)) continue;
+        call.once('drain', writeOn);
+        return;
+      }
+    };
+    writeOn();
+  });
+}
+
+function* listParts(
+  ledgers: readonly KeptLedger[],
+): Generator<HandOverPart, undefined> {
+  for (const ledger of ledgers) yield* encodeLedger(ledger);
+  return undefined;
+}
+
 // The library takes a point of the wall clock; it is made and used at once.
 function computeDeadline(withinMs: number): Date {
   const deadline = new Date();
@@ -95,5 +139,6 @@
     return {end: PeerCallEnd.ANSWERED, value: decode(), detail: ''};
   }
   const detail = `${status[failure.code]}: ${failure.details}`;
-  return {end: PeerCallEnd.LOST, detail};
+  const isRefused = failure.code === status.FAILED_PRECONDITION;
+  return {end: isRefused ? PeerCallEnd.REFUSED : PeerCallEnd.LOST, detail};
 }
--- a/src/lib/wire/peer_codec.ts
+++ b/src/lib/wire/peer_codec.ts
@@ -23,8 +23,14 @@
   readonly retryAfterMs: number;
 }
 
-/** A configuration that one entry tells another. */
-export type PeerConfiguration = ConfigurationView;
+/** What one entry tells another of itself and of the configuration. */
+export interface PeerConfiguration {
+  readonly view: ConfigurationView;
+  /** `host:port` at which other entries reach the sender. */
+  readonly senderAddress: string;
+  /** Ended lives of entries whose sessions the sender holds. */
+  readonly heldIncarnations: readonly string[];
+}
 
 /** What an entry has in force. */
 export interface PeerConfigurationState {
@@ -85,9 +91,12 @@
 
 /** Converts a configuration to its wire message. */
 export function encodePeerConfiguration(
-  view: PeerConfiguration,
+  configuration: PeerConfiguration,
 ): wire.PeerConfiguration {
+  const {view, senderAddress, heldIncarnations} = configuration;
   return {
+    senderAddress,
+    heldIncarnations: [...heldIncarnations],
     summary: encodeConfiguration(view),
     teams: [...view.teams.values()].map(team => ({...team})),
     taskClasses: [...view.taskClasses.values()].map(entry => ({...entry})),
@@ -103,11 +112,13 @@
     dataCentresOut: [],
     entries: [],
   };
-  return {
+  const view: ConfigurationView = {
     ...decodeConfiguration(summary),
     teams: new Map(message.teams.map(team => [team.name, team])),
     taskClasses: new Map(message.taskClasses.map(entry => [entry.name, entry])),
   };
+  const {senderAddress, heldIncarnations} = message;
+  return {view, senderAddress, heldIncarnations};
 }
 
 /** Converts what an entry has in force to its wire message. */
--- a/test/interleavings/virtual_fleet.ts
+++ b/test/interleavings/virtual_fleet.ts
@@ -195,6 +195,7 @@
       startTimer: entryHost.startTimer,
       defer: entryHost.defer,
       drawRandom: this.drawRandom,
+      publishHeld: () => undefined,
       reportAgent: () => undefined,
       reportJob: () => undefined,
       reportTask: () => undefined,
