--- a/tools/load/fleet_files.ts
+++ b/tools/load/fleet_files.ts
@@ -42,8 +42,21 @@
   readonly queueLimit: number;
 }
 
+/** Ports given out, so that fleets side by side do not get the same. */
+const portsGiven = new Set<number>();
+
 /** Finds ports that nothing listens on. */
 export async function findFreePorts(count: number): Promise<number[]> {
+  const found: number[] = [];
+  while (found.length < count) {
+    const ports = await findUnboundPorts(count - found.length);
+    found.push(...ports.filter(port => !portsGiven.has(port)));
+    for (const port of ports) portsGiven.add(port);
+  }
+  return found;
+}
+
+async function findUnboundPorts(count: number): Promise<number[]> {
   const servers = Array.from({length: count}, () => createServer());
   const ports = await Promise.all(
     servers.map(
--- a/tools/load/foxtailbay_load.ts
+++ b/tools/load/foxtailbay_load.ts
@@ -60,7 +60,10 @@
   for (let first = 0; first < variants.length; first += together) {
     const group = variants.slice(first, first + together);
     const runs = group.map(variant => runVariant(settings, variant));
-    summaries.push(...(await Promise.all(runs)));
+    for (const run of await Promise.allSettled(runs)) {
+      if (run.status === 'fulfilled') summaries.push(run.value);
+      else process.stderr.write(`A run failed: ${String(run.reason)}\n`);
+    }
   }
   return summaries;
 }
