--- a/src/lib/agent/runner_messages.ts
+++ b/src/lib/agent/runner_messages.ts
@@ -1,13 +1,13 @@
 /** Messages among the tasks of an agent. */
+import {TargetCondition} from '../core/link_messages.js';
 import type {ProcessIdentity} from '../core/identity.js';
 import type {
   AgentHello,
   EntryFrame,
   LoadReport,
-  TargetCondition,
   TaskReport,
 } from '../core/link_messages.js';
-import type {AgentTask, RunEnd} from '../decisions/start_book.js';
+import type {AgentTask, RunEnd} from '../decisions/agent_task.js';
 import type {AgentConfiguration} from '../core/link_messages.js';
 
 /** Kinds of message that the runner takes. */
@@ -32,6 +32,14 @@
   readonly slots: number;
 }
 
+/** The view before any target has announced itself. */
+export const NO_TARGET: TargetView = {
+  condition: TargetCondition.ABSENT,
+  name: '',
+  instance: '',
+  slots: 0,
+};
+
 /** Messages that the runner takes. */
 export type RunnerMessage =
   | {
--- a/src/lib/agent/target_keeper.ts
+++ b/src/lib/agent/target_keeper.ts
@@ -6,8 +6,8 @@
 import {Task} from '../core/task.js';
 import type {Post} from '../core/task.js';
 import {TargetCondition} from '../core/link_messages.js';
-import {AgentTaskEvent} from '../decisions/start_book.js';
-import type {AgentTask, RunEnd} from '../decisions/start_book.js';
+import {AgentTaskEvent} from '../decisions/agent_task.js';
+import type {AgentTask, RunEnd} from '../decisions/agent_task.js';
 import {RunnerMessageKind, TargetMessageKind} from './runner_messages.js';
 import type {
   RunnerMessage,
--- a/src/lib/entry/dispatcher.ts
+++ b/src/lib/entry/dispatcher.ts
@@ -1,37 +1,28 @@
 /** The task of an entry that owns its jobs and places their tasks. */
 import {repeatTimer} from '../core/clock.js';
-import type {
-  Defer,
-  DrawRandom,
-  ReadMonotonicMs,
-  StartTimer,
-} from '../core/clock.js';
-import type {ProcessIdentity} from '../core/identity.js';
 import {Problem} from '../core/job.js';
-import type {AgentConfiguration, EntryPong} from '../core/link_messages.js';
+import type {EntryPong} from '../core/link_messages.js';
 import {Task} from '../core/task.js';
 import type {Post} from '../core/task.js';
 import {AgentBoard} from '../decisions/agent_board.js';
-import type {PlacementPolicy} from '../decisions/choose_agent.js';
 import type {QueuedTask} from '../decisions/fair_queue.js';
 import type {JobEvent} from '../decisions/job_charts.js';
-import type {LedgerLimits} from '../decisions/key_ledger.js';
-import type {RankJob} from '../decisions/rank_job.js';
 import {PlanStepKind, WorkPlanner} from '../decisions/work_planner.js';
-import type {PlannerLimits} from '../decisions/work_planner.js';
 import {StoreContact} from '../records/configuration_view.js';
 import type {
   ConfigurationEvidence,
   ConfigurationView,
 } from '../records/configuration_view.js';
-import type {PresenceEvent, PresenceState} from './agent_account.js';
+import type {PresenceEvent} from './agent_account.js';
 import {AgentDesk} from './agent_desk.js';
-import type {AgentStatus} from './agent_desk.js';
+import {selectAgentConfiguration} from './agent_desk_options.js';
+import type {AgentStatus} from './agent_desk_options.js';
 import {createDispatcherCounters} from './dispatcher_counters.js';
 import {DispatcherMessageKind} from './dispatcher_messages.js';
 import type {DispatcherMessage} from './dispatcher_messages.js';
-import {JobDesk} from './job_desk.js';
-import type {EndedJob, EndedTask} from './job_desk.js';
+import type {DispatcherOptions} from './dispatcher_options.js';
+import {JobTable} from './job_table.js';
+import {SubmissionDesk} from './submission_desk.js';
 
 const MAILBOX_CAPACITY = 1_000_000;
 const TICK_PERIOD_MS = 100;
@@ -39,28 +30,6 @@
 /** Time in milliseconds without any target before jobs are refused for it. */
 const NO_TARGET_PATIENCE_MS = 3000;
 
-/** What the dispatcher needs to be created. */
-export interface DispatcherOptions {
-  readonly identity: ProcessIdentity;
-  readonly ledger: LedgerLimits;
-  readonly limits: PlannerLimits;
-  /** How long a broken stream may take to return, in milliseconds. */
-  readonly returnLimitMs: number;
-  readonly policy: PlacementPolicy;
-  readonly rankJob: RankJob;
-  readonly readMonotonicMs: ReadMonotonicMs;
-  readonly startTimer: StartTimer;
-  /** Gathers what one turn of the event loop produced before it is sent. */
-  readonly defer: Defer;
-  readonly drawRandom: DrawRandom;
-  readonly reportAgent: (state: PresenceState, agent: ProcessIdentity) => void;
-  readonly reportJob: (ended: EndedJob) => void;
-  readonly reportTask: (ended: EndedTask) => void;
-  /** Is told, as long as it lasts, that no job runs after `REFUSE_WORK`. */
-  readonly reportIdle: () => void;
-  readonly reportFailure: (failure: unknown, message: unknown) => void;
-}
-
 /**
  * Owns the sessions' memory, the running jobs and the accounts of the agents.
  *
@@ -71,7 +40,8 @@
   private readonly task: Task<DispatcherMessage>;
   private readonly board: AgentBoard;
   private readonly planner: WorkPlanner;
-  private readonly jobs: JobDesk;
+  private readonly desk: SubmissionDesk;
+  private readonly jobs: JobTable;
   private readonly agents: AgentDesk;
   private view: ConfigurationView | undefined;
   private evidence: ConfigurationEvidence = {
@@ -95,7 +65,8 @@
       rankJob: options.rankJob,
       limits: options.limits,
     });
-    this.jobs = this.createJobDesk();
+    this.desk = this.createSubmissionDesk();
+    this.jobs = this.createJobTable();
     this.agents = this.createAgentDesk();
     this.lastTargetAtMs = options.readMonotonicMs();
     this.task = Task.create<DispatcherMessage>({
@@ -140,7 +111,7 @@
 
   /** Number of keys remembered. */
   get keys(): number {
-    return this.jobs.keys;
+    return this.desk.keys;
   }
 
   /** Lists the agents known. */
@@ -153,11 +124,20 @@
     return this.task.stop();
   }
 
-  private createJobDesk(): JobDesk {
+  private createSubmissionDesk(): SubmissionDesk {
+    return SubmissionDesk.create({
+      ledger: this.options.ledger,
+      getJobs: () => this.jobs,
+      counters: this.counters,
+      readMonotonicMs: this.options.readMonotonicMs,
+      getView: () => this.view,
+    });
+  }
+
+  private createJobTable(): JobTable {
     const {options} = this;
-    return JobDesk.create({
+    return JobTable.create({
       identity: options.identity,
-      ledger: options.ledger,
       planner: this.planner,
       counters: this.counters,
       readMonotonicMs: options.readMonotonicMs,
@@ -167,6 +147,8 @@
       withdraw: (agent, sequence) => this.agents.withdraw(agent, sequence),
       getView: () => this.view,
       isPlannable: nowMs => this.isPlannable(nowMs),
+      recordAnswer: (key, answer) => this.desk.recordAnswer(key, answer),
+      releaseKey: key => this.desk.releaseKey(key),
       reportJob: options.reportJob,
       reportTask: options.reportTask,
     });
@@ -185,7 +167,7 @@
       postTimer: (agent, event) =>
         void this.post({kind: DispatcherMessageKind.AGENT_TIMER, agent, event}),
       endTask: (task, agent, report) => this.jobs.endTask(task, agent, report),
-      describeConfiguration: () => this.describeConfiguration(),
+      describeConfiguration: () => selectAgentConfiguration(this.view),
       describePong: pingSentAtMs => this.describePong(pingSentAtMs),
       reportAgent: options.reportAgent,
     });
@@ -200,16 +182,16 @@
   private takeMessage(message: DispatcherMessage): void {
     switch (message.kind) {
       case DispatcherMessageKind.OPEN_SESSION:
-        this.jobs.openSession(message.team, message.reply);
+        this.desk.openSession(message.team, message.reply);
         break;
       case DispatcherMessageKind.SUBMIT:
-        this.jobs.submit(message);
+        this.desk.submit(message);
         break;
       case DispatcherMessageKind.LOOK_UP:
-        this.jobs.lookUp(message.key, message.reply);
+        this.desk.lookUp(message.key, message.reply);
         break;
       case DispatcherMessageKind.CANCEL:
-        this.jobs.cancel(message.key, message.reply);
+        this.desk.cancel(message.key, message.reply);
         break;
       case DispatcherMessageKind.JOB_TIMER:
         this.jobs.handleTimer(message.job, message.event as JobEvent);
@@ -240,7 +222,7 @@
         break;
       case DispatcherMessageKind.REFUSE_WORK:
         this.isRefusing = true;
-        this.jobs.refuseWork();
+        this.desk.refuseWork();
         break;
     }
   }
@@ -256,6 +238,7 @@
     this.agents.checkSilence(nowMs);
     this.board.refreshAll(nowMs);
     if (this.board.slots > 0) this.lastTargetAtMs = nowMs;
+    this.desk.expire(nowMs);
     this.jobs.check(nowMs);
   }
 
@@ -303,12 +286,6 @@
     this.jobs.recordSent(job, task.index, {agent, sequence});
   }
 
-  private describeConfiguration(): AgentConfiguration | undefined {
-    if (this.view === undefined) return undefined;
-    const {revision, dataCentresOut, entries} = this.view;
-    return {revision, dataCentresOut, entries};
-  }
-
   private describePong(pingSentAtMs: number): EntryPong {
     const {contact, confirmedSentAtMs} = this.evidence;
     return {
--- a/src/lib/entry/entry_process.ts
+++ b/src/lib/entry/entry_process.ts
@@ -1,7 +1,6 @@
 /** The entry: its tasks, tied together. */
 import {AdministrationTask} from '../admin/administration_task.js';
-import type {StatusReport} from '../admin/status_report.js';
-import {defer, readMonotonicMs, startTimer} from '../core/clock.js';
+import {readMonotonicMs, startTimer} from '../core/clock.js';
 import {DisposableStore} from '../core/disposable_store.js';
 import {drawIncarnation} from '../core/identity.js';
 import type {ProcessIdentity} from '../core/identity.js';
@@ -11,8 +10,6 @@
   ProcessLife,
   ProcessState,
 } from '../core/process_life.js';
-import {createPlacementPolicy} from '../decisions/choose_agent.js';
-import {selectRankJob} from '../decisions/rank_job.js';
 import {createLog, LogEvent} from '../observe/log.js';
 import type {Log} from '../observe/log.js';
 import {createMetrics} from '../observe/metrics.js';
@@ -25,18 +22,19 @@
 } from '../records/configuration_view.js';
 import type {EntrySettings} from '../settings/entry_settings.js';
 import {LogLevel} from '../settings/settings_schema.js';
-import {openLinkServer} from '../wire/link_server.js';
 import {connectPeer} from '../wire/peer_client.js';
 import {openCallerFront} from './caller_front.js';
 import type {CallerFront} from './caller_front.js';
 import {ConfigurationMessageKind} from './configuration_message.js';
 import {ConfigurationTask} from './configuration_task.js';
-import {Dispatcher} from './dispatcher.js';
+import type {Dispatcher} from './dispatcher.js';
+import {createDispatcherOf} from './dispatcher_settings.js';
 import {DispatcherMessageKind} from './dispatcher_messages.js';
 import {EntryReports} from './entry_reports.js';
 import {describeEntryStatus} from './entry_status.js';
+import {openPeerPort} from './peer_port.js';
 import {PeerKeeper, PeerMessageKind} from './peer_keeper.js';
-import {RequestDesk, RequestOrigin} from './request_desk.js';
+import {RequestDesk} from './request_desk.js';
 import {RevisionWaiters} from './revision_waiters.js';
 
 /** Longest time in milliseconds for the owner of a key to answer another entry. */
@@ -62,7 +60,7 @@
   private constructor(
     private readonly settings: EntrySettings,
     private readonly identity: ProcessIdentity,
-    private readonly log: Log,
+    log: Log,
     metrics: Metrics,
   ) {
     this.reports = EntryReports.create(log, metrics);
@@ -135,27 +133,10 @@
   }
 
   private createDispatcher(): Dispatcher {
-    const {sessions, limits, agents, placement} = this.settings;
-    return Dispatcher.create({
+    return createDispatcherOf(this.settings, {
       identity: this.identity,
-      ledger: {
-        lifetimeMs: sessions.lifetimeMs,
-        keysAtMost: sessions.keysAtMost,
-        answerBytesAtMost: sessions.answerBytesAtMost,
-      },
-      limits,
-      returnLimitMs: agents.returnLimitMs,
-      policy: createPlacementPolicy(placement.policy),
-      rankJob: selectRankJob(placement.order),
-      readMonotonicMs,
-      startTimer,
-      defer,
-      drawRandom: Math.random,
-      reportAgent: this.reports.reportAgent,
-      reportJob: this.reports.reportJob,
-      reportTask: this.reports.reportTask,
+      reports: this.reports,
       reportIdle: () => this.reportIfIdle(),
-      reportFailure: this.reports.reportFailure,
     });
   }
 
@@ -178,39 +159,19 @@
 
   private async openPeerPort(): Promise<void> {
     const {host, port} = this.settings.listen.peers;
-    const server = await openLinkServer({
+    const server = await openPeerPort({
       host,
       port,
-      receiveFrame: (stream, frame) =>
-        this.dispatcher.post(
-          frame.hello === undefined
-            ? {kind: DispatcherMessageKind.AGENT_FRAME, stream, frame}
-            : {
-                kind: DispatcherMessageKind.AGENT_HELLO,
-                stream,
-                hello: frame.hello,
-              },
-        ),
-      reportClosed: stream =>
-        this.dispatcher.post({
-          kind: DispatcherMessageKind.AGENT_CLOSED,
-          stream,
-        }),
-      handleForward: (request, answer) =>
-        this.desk.handle(request, RequestOrigin.PEER, answer),
-      handleAnnouncement: (learned, answer) => {
-        this.configuration?.post({
+      identity: this.identity,
+      postToDispatcher: message => this.dispatcher.post(message),
+      desk: this.desk,
+      revisions: this.revisions,
+      learn: learned =>
+        void this.configuration?.post({
           kind: ConfigurationMessageKind.LEARN,
           learned,
-        });
-        this.revisions.add(learned.revision, () =>
-          answer({
-            entry: this.identity,
-            revision: this.revisions.current,
-            contact: this.contact,
-          }),
-        );
-      },
+        }),
+      getContact: () => this.contact,
     });
     this.store.add(() => server.close());
   }
@@ -237,7 +198,12 @@
       key: administration.key,
       store: HttpPlatformStore.create(store),
       prefix: store.prefix,
-      readStatus: () => this.describeStatus(),
+      readStatus: () => {
+        const {identity, view, contact, dispatcher, peers} = this;
+        const nowMs = readMonotonicMs();
+        const own = {identity, view, contact, nowMs};
+        return describeEntryStatus({...own, dispatcher, peers});
+      },
       awaitMajority: (revision, timeoutMs) =>
         this.peers.awaitMajority(revision, timeoutMs),
       reportAction: this.reports.reportAction,
@@ -248,17 +214,6 @@
     this.store.add(() => task.stop());
   }
 
-  private describeStatus(): StatusReport {
-    return describeEntryStatus({
-      identity: this.identity,
-      view: this.view,
-      contact: this.contact,
-      dispatcher: this.dispatcher,
-      peers: this.peers,
-      nowMs: readMonotonicMs(),
-    });
-  }
-
   private followConfiguration(): void {
     const {store, advertise} = this.settings;
     const configuration = ConfigurationTask.create({
@@ -307,11 +262,7 @@
         this.dispatcher.post({kind: DispatcherMessageKind.REFUSE_WORK});
         break;
       case ProcessAction.REPORT_UNFINISHED:
-        this.log.write(
-          LogLevel.WARN,
-          LogEvent.UNFINISHED,
-          `Work was still in progress after ${this.settings.stop.drainMs} ms.`,
-        );
+        this.reports.reportUnfinished(this.settings.stop.drainMs);
         break;
     }
   }
@@ -321,26 +272,8 @@
   }
 
   private followState(state: ProcessState): void {
-    switch (state) {
-      case ProcessState.STARTING:
-        break;
-      case ProcessState.SERVING:
-        this.log.write(LogLevel.INFO, LogEvent.READY, 'The entry serves.', {
-          port: this.front?.port,
-        });
-        break;
-      case ProcessState.LEAVING:
-      case ProcessState.DRAINING:
-        this.log.write(
-          LogLevel.INFO,
-          LogEvent.STOPPING,
-          `The entry is ${state}.`,
-        );
-        break;
-      case ProcessState.STOPPED:
-        void this.release();
-        break;
-    }
+    this.reports.reportState(state, this.front?.port);
+    if (state === ProcessState.STOPPED) void this.release();
   }
 
   private async release(): Promise<void> {
@@ -349,7 +282,6 @@
     } catch (failure) {
       this.reports.reportFailure(failure);
     }
-    this.log.write(LogLevel.INFO, LogEvent.STOPPED, 'The entry has stopped.');
     this.resolveStopped();
   }
 }
--- a/src/lib/entry/job_desk.ts
+++ b/src/lib/entry/job_table.ts
@@ -1,90 +1,41 @@
-/** The jobs of an entry: sessions, submissions and answers. */
+/** The jobs of an entry that have not been answered. */
 import type {ReadMonotonicMs, StartTimer} from '../core/clock.js';
 import type {ProcessIdentity} from '../core/identity.js';
-import {Outcome, Problem, TaskEnd} from '../core/job.js';
+import {Problem, TaskEnd} from '../core/job.js';
 import type {JobSpecification} from '../core/job.js';
 import type {TaskReport} from '../core/link_messages.js';
 import {AdmissionKind} from '../decisions/admission.js';
 import type {QueuedTask} from '../decisions/fair_queue.js';
 import {EntryTaskState, JobAction} from '../decisions/job_charts.js';
-import {Aftermath, JobRun} from '../decisions/job_run.js';
 import type {JobEvent} from '../decisions/job_charts.js';
+import {Aftermath, JobRun} from '../decisions/job_run.js';
 import type {JobAnswer} from '../decisions/job_run.js';
-import {KeyLedger, LedgerVerdict} from '../decisions/key_ledger.js';
-import type {LedgerFinding, LedgerLimits} from '../decisions/key_ledger.js';
 import type {WorkPlanner} from '../decisions/work_planner.js';
 import type {ConfigurationView} from '../records/configuration_view.js';
+import {countAnswer} from './dispatcher_counters.js';
 import type {DispatcherCounters} from './dispatcher_counters.js';
 import {ReplyKind} from './dispatcher_messages.js';
-import type {
-  JobDraft,
-  OwnKey,
-  Refusal,
-  Reply,
-  SubmitMessage,
-} from './dispatcher_messages.js';
+import type {JobDraft, OwnKey, Refusal, Reply} from './dispatcher_messages.js';
 import {
-  describeUnknownTeam,
-  describeVerdict,
-  NOT_FOUND,
-  NOT_READY,
-  SESSION_ENDED,
-  STOPPING,
-} from './job_refusal.js';
+  completeDraft,
+  DEFAULT_RUN_WITHIN_MS,
+  describeEndedJob,
+  encodePayload,
+  joinKey,
+} from './running_job.js';
+import type {
+  EndedJob,
+  EndedTask,
+  RunningJob,
+  SentPlace,
+} from './running_job.js';
 
 /** Time in milliseconds that a failing job waits for tasks that have started. */
 const SETTLE_MS = 5000;
 
-const DEFAULT_CLASS = 'default';
-const DEFAULT_DEADLINE_MS = 60_000;
-const DEFAULT_RUN_WITHIN_MS = 30_000;
-const DEFAULT_VALUE = 1;
-
-/** A job that has been answered, for logs and metrics. */
-export interface EndedJob {
-  readonly job: string;
-  readonly team: string;
-  readonly taskClass: string;
-  readonly trace: string;
-  readonly outcome: Outcome;
-  readonly problem: Problem | undefined;
-  readonly tasks: number;
-  readonly durationMs: number;
-}
-
-/** A task that has ended, for metrics. */
-export interface EndedTask {
-  readonly team: string;
-  readonly taskClass: string;
-  readonly end: TaskEnd;
-  readonly runMs: number;
-  readonly queuedMs: number;
-}
-
-/** A job that has not been answered. */
-export interface RunningJob {
-  readonly run: JobRun;
-  readonly key: OwnKey | undefined;
-  readonly takenAtMs: number;
-  readonly deadlineAtMs: number;
-  readonly runWithinMs: number;
-  /** JSON texts in UTF-8, in task order. */
-  readonly payloads: readonly Uint8Array[];
-  /** Where each task that is out at an agent has gone. */
-  readonly places: Map<number, SentPlace>;
-  readonly replies: Reply[];
-}
-
-/** Where a task has been sent. */
-export interface SentPlace {
-  readonly agent: string;
-  readonly sequence: number;
-}
-
-/** What a job desk needs to be created. */
-export interface JobDeskOptions {
+/** What a table of jobs needs to be created. */
+export interface JobTableOptions {
   readonly identity: ProcessIdentity;
-  readonly ledger: LedgerLimits;
   readonly planner: WorkPlanner;
   readonly counters: DispatcherCounters;
   readonly readMonotonicMs: ReadMonotonicMs;
@@ -97,27 +48,27 @@
   readonly getView: () => ConfigurationView | undefined;
   /** Tells whether jobs may be planned now; otherwise they wait a moment. */
   readonly isPlannable: (nowMs: number) => boolean;
+  /** Keeps the answer to a key. */
+  readonly recordAnswer: (key: OwnKey, answer: JobAnswer) => void;
+  /** Forgets a key whose job provably did not run. */
+  readonly releaseKey: (key: OwnKey) => void;
   readonly reportJob: (ended: EndedJob) => void;
   readonly reportTask: (ended: EndedTask) => void;
 }
 
-/** Keeps the sessions' memory and the running jobs for the dispatcher. */
-export class JobDesk {
-  private readonly ledger: KeyLedger<JobAnswer>;
+/** Keeps the running jobs for the dispatcher, which owns it. */
+export class JobTable {
   private readonly jobs = new Map<string, RunningJob>();
   private readonly jobsByKey = new Map<string, RunningJob>();
   /** Jobs taken while no target was known; planned as soon as one is. */
   private unplanned: RunningJob[] = [];
   private lastJob = 0;
-  private isRefusing = false;
 
-  private constructor(private readonly options: JobDeskOptions) {
-    this.ledger = KeyLedger.create<JobAnswer>(options.ledger);
-  }
+  private constructor(private readonly options: JobTableOptions) {}
 
-  /** Creates a desk without jobs. */
-  static create(options: JobDeskOptions): JobDesk {
-    return new JobDesk(options);
+  /** Creates a table without jobs. */
+  static create(options: JobTableOptions): JobTable {
+    return new JobTable(options);
   }
 
   /** Number of jobs that are not answered. */
@@ -125,65 +76,32 @@
     return this.jobs.size;
   }
 
-  /** Number of keys remembered. */
-  get keys(): number {
-    return this.ledger.keys;
-  }
-
   /** Returns a running job. */
   getJob(id: string): RunningJob | undefined {
     return this.jobs.get(id);
   }
 
-  /** From now on refuses new jobs. */
-  refuseWork(): void {
-    this.isRefusing = true;
+  /** Returns the running job of a key. */
+  findJob(key: OwnKey): RunningJob | undefined {
+    return this.jobsByKey.get(joinKey(key));
   }
 
-  /** Opens a session for a team. */
-  openSession(team: string, reply: Reply): void {
-    const refusal = this.findRefusal(team);
-    if (refusal !== undefined) return this.refuse(reply, refusal);
-    const serial = this.ledger.openSession(this.options.readMonotonicMs());
-    reply({kind: ReplyKind.SESSION, serial, team});
-  }
-
-  /** Takes a submission, unless its key is known or it is refused. */
-  submit(message: SubmitMessage): void {
-    const {key, draft, digest, isDetached, reply} = message;
-    const nowMs = this.options.readMonotonicMs();
-    if (key !== undefined) {
-      const finding = this.ledger.submit(key.serial, key.name, digest, nowMs);
-      if (finding.verdict !== LedgerVerdict.NEW) {
-        return this.answerKnown(key, finding, isDetached, reply);
-      }
-    }
-    const refusal = this.findRefusal(draft.team);
-    if (refusal !== undefined) {
-      if (key !== undefined) this.ledger.release(key.serial, key.name);
-      return this.refuse(reply, refusal);
-    }
-    const job = this.openJob(key, draft, nowMs);
+  /** Takes a job; the reply is its answer, or its progress if detached. */
+  submit(
+    key: OwnKey | undefined,
+    draft: JobDraft,
+    isDetached: boolean,
+    reply: Reply,
+  ): void {
+    const job = this.openJob(key, draft, this.options.readMonotonicMs());
     if (!isDetached) job.replies.push(reply);
     this.plan(job, isDetached ? reply : undefined);
   }
 
-  /** Tells how a job stands, or its answer. */
-  lookUp(key: OwnKey, reply: Reply): void {
-    const nowMs = this.options.readMonotonicMs();
-    const finding = this.ledger.lookUp(key.serial, key.name, nowMs);
-    if (finding.verdict === LedgerVerdict.NEW) {
-      return this.refuse(reply, NOT_FOUND);
-    }
-    this.answerKnown(key, finding, true, reply);
-  }
-
-  /** Cancels a job; the reply is its answer. */
-  cancel(key: OwnKey, reply: Reply): void {
-    const job = this.jobsByKey.get(joinKey(key));
-    if (job === undefined) return this.lookUp(key, reply);
-    job.replies.push(reply);
-    job.run.cancel(Problem.CANCELLED);
+  /** Replies how far a job is. */
+  reportProgress(job: RunningJob, reply: Reply): void {
+    const {state, done, total} = job.run;
+    reply({kind: ReplyKind.PROGRESS, state, done, total});
   }
 
   /** Ends a job that has not started and will not. */
@@ -222,9 +140,8 @@
     this.options.reportTask({team, taskClass, end, runMs, queuedMs});
   }
 
-  /** Plans the jobs that wait for a first target, and forgets old sessions. */
+  /** Plans the jobs that wait for a first target. */
   check(nowMs: number): void {
-    this.ledger.expire(nowMs);
     if (this.unplanned.length === 0 || !this.options.isPlannable(nowMs)) return;
     const jobs = this.unplanned;
     this.unplanned = [];
@@ -238,44 +155,6 @@
     for (const job of this.jobs.values()) job.run.stopTimers();
   }
 
-  private answerKnown(
-    key: OwnKey,
-    finding: LedgerFinding<JobAnswer>,
-    isDetached: boolean,
-    reply: Reply,
-  ): void {
-    if (finding.verdict === LedgerVerdict.RUNNING) {
-      const job = this.jobsByKey.get(joinKey(key));
-      if (job === undefined) return this.refuse(reply, SESSION_ENDED);
-      if (isDetached) return this.reportProgress(job, reply);
-      job.replies.push(reply);
-      return;
-    }
-    if (finding.answer !== undefined) {
-      reply({kind: ReplyKind.ANSWER, answer: finding.answer});
-      return;
-    }
-    this.refuse(reply, describeVerdict(finding.verdict));
-  }
-
-  private reportProgress(job: RunningJob, reply: Reply): void {
-    const {state, done, total} = job.run;
-    reply({kind: ReplyKind.PROGRESS, state, done, total});
-  }
-
-  private findRefusal(team: string): Refusal | undefined {
-    const view = this.options.getView();
-    if (view === undefined) return NOT_READY;
-    if (this.isRefusing) return STOPPING;
-    if (!view.teams.has(team)) return describeUnknownTeam(team);
-    return undefined;
-  }
-
-  private refuse(reply: Reply, refusal: Refusal): void {
-    this.options.counters.jobsRefused += 1;
-    reply({kind: ReplyKind.REFUSAL, refusal});
-  }
-
   private openJob(
     key: OwnKey | undefined,
     draft: JobDraft,
@@ -283,10 +162,9 @@
   ): RunningJob {
     this.lastJob += 1;
     const id = `${this.options.identity.incarnation}-${this.lastJob}`;
-    const specification = this.completeDraft(draft);
-    const taskClass = this.options
-      .getView()
-      ?.taskClasses.get(specification.taskClass);
+    const taskClasses = this.options.getView()?.taskClasses;
+    const specification = completeDraft(draft, taskClasses);
+    const taskClass = taskClasses?.get(specification.taskClass);
     const job: RunningJob = {
       run: this.createRun(id, specification),
       key,
@@ -302,20 +180,6 @@
     return job;
   }
 
-  private completeDraft(draft: JobDraft): JobSpecification {
-    const taskClass = draft.taskClass ?? DEFAULT_CLASS;
-    const defaults = this.options.getView()?.taskClasses.get(taskClass);
-    return {
-      team: draft.team,
-      taskClass,
-      value: draft.value ?? defaults?.value ?? DEFAULT_VALUE,
-      deadlineMs:
-        draft.deadlineMs ?? defaults?.deadlineMs ?? DEFAULT_DEADLINE_MS,
-      tasks: draft.tasks,
-      trace: draft.trace,
-    };
-  }
-
   private createRun(id: string, specification: JobSpecification): JobRun {
     const durations: Readonly<Record<string, number>> = {
       deadline: specification.deadlineMs,
@@ -367,9 +231,10 @@
     this.jobs.delete(job.run.id);
     if (job.key !== undefined) {
       this.jobsByKey.delete(joinKey(job.key));
-      this.ledger.release(job.key.serial, job.key.name);
+      this.options.releaseKey(job.key);
     }
-    for (const reply of job.replies) this.refuse(reply, refusal);
+    this.options.counters.jobsRefused += job.replies.length;
+    for (const reply of job.replies) reply({kind: ReplyKind.REFUSAL, refusal});
   }
 
   private perform(id: string, action: JobAction): void {
@@ -407,44 +272,11 @@
     const answer = run.describeAnswer();
     if (key !== undefined) {
       this.jobsByKey.delete(joinKey(key));
-      this.recordAnswer(key, answer);
+      this.options.recordAnswer(key, answer);
     }
     for (const reply of job.replies) reply({kind: ReplyKind.ANSWER, answer});
-    this.reportAnswer(job, answer);
-  }
-
-  private recordAnswer(key: OwnKey, answer: JobAnswer): void {
-    if (answer.outcome === Outcome.DID_NOT_RUN) {
-      this.ledger.release(key.serial, key.name);
-      return;
-    }
-    let bytes = 0;
-    for (const result of answer.results) bytes += result.length;
-    this.ledger.settle(key.serial, key.name, answer, bytes);
-  }
-
-  private reportAnswer(job: RunningJob, answer: JobAnswer): void {
     const {counters, reportJob, readMonotonicMs} = this.options;
-    if (answer.outcome === Outcome.COMPLETE) counters.jobsComplete += 1;
-    else counters.jobsFailed += 1;
-    const {team, taskClass, trace, tasks} = job.run.specification;
-    reportJob({
-      job: job.run.id,
-      team,
-      taskClass,
-      trace,
-      outcome: answer.outcome,
-      problem: answer.problem,
-      tasks: tasks.length,
-      durationMs: readMonotonicMs() - job.takenAtMs,
-    });
+    countAnswer(counters, answer);
+    reportJob(describeEndedJob(job, answer, readMonotonicMs()));
   }
 }
-
-function joinKey(key: OwnKey): string {
-  return `${key.serial}.${key.name}`;
-}
-
-function encodePayload(payload: unknown): Uint8Array {
-  return Buffer.from(JSON.stringify(payload));
-}
--- a/test/interleavings/virtual_fleet.ts
+++ b/test/interleavings/virtual_fleet.ts
@@ -1,9 +1,5 @@
 /** Entries and agents in one process, over a network that tests disturb. */
 import {EntryLink} from '../../src/lib/agent/entry_link.js';
-import type {
-  LinkStream,
-  LinkStreamListener,
-} from '../../src/lib/agent/entry_link.js';
 import {Runner} from '../../src/lib/agent/runner.js';
 import {
   RunnerMessageKind,
@@ -12,24 +8,23 @@
 import type {TargetMessage} from '../../src/lib/agent/runner_messages.js';
 import type {DrawRandom} from '../../src/lib/core/clock.js';
 import {TargetCondition} from '../../src/lib/core/link_messages.js';
-import type {AgentFrame, EntryFrame} from '../../src/lib/core/link_messages.js';
 import {PostOutcome} from '../../src/lib/core/task.js';
 import {
   createPlacementPolicy,
   PlacementKind,
 } from '../../src/lib/decisions/choose_agent.js';
 import {JobOrder, selectRankJob} from '../../src/lib/decisions/rank_job.js';
-import {AgentTaskEvent} from '../../src/lib/decisions/start_book.js';
+import {AgentTaskEvent} from '../../src/lib/decisions/agent_task.js';
 import {Dispatcher} from '../../src/lib/entry/dispatcher.js';
 import {DispatcherMessageKind} from '../../src/lib/entry/dispatcher_messages.js';
 import type {
-  AgentStreamHandle,
   DispatcherReply,
   JobDraft,
   OwnKey,
 } from '../../src/lib/entry/dispatcher_messages.js';
 import {StoreContact} from '../../src/lib/records/configuration_view.js';
 import type {ConfigurationView} from '../../src/lib/records/configuration_view.js';
+import {VirtualNetwork} from './virtual_network.js';
 import {VirtualHost} from './virtual_time.js';
 import type {VirtualTime} from './virtual_time.js';
 
@@ -44,19 +39,6 @@
   readonly dataCentre: string;
 }
 
-interface Connection {
-  readonly agentHost: VirtualHost;
-  isOpen: boolean;
-  /** Whether frames under way at the cut still arrive, by direction. */
-  arrivesAtEntry: boolean;
-  arrivesAtAgent: boolean;
-  /** Times at which the last frame of each direction arrives. */
-  toEntryMs: number;
-  toAgentMs: number;
-  readonly handle: AgentStreamHandle;
-  readonly listener: LinkStreamListener;
-}
-
 /** One life of an agent. */
 export interface VirtualAgent {
   readonly id: string;
@@ -70,9 +52,8 @@
   readonly starts: VirtualStart[] = [];
   readonly entryHost: VirtualHost;
   readonly dispatcher: Dispatcher;
-  private readonly connections: Connection[] = [];
+  private readonly network: VirtualNetwork;
   private readonly agents = new Map<string, VirtualAgent>();
-  private lastStream = 0;
   private lives = 0;
   private view: ConfigurationView;
 
@@ -91,6 +72,10 @@
       entries: [{id: 'entry', incarnation: 'e', address: ENTRY_ADDRESS}],
     };
     this.dispatcher = this.createDispatcher();
+    this.network = VirtualNetwork.create(time, drawRandom, {
+      host: this.entryHost,
+      dispatcher: this.dispatcher,
+    });
     this.dispatcher.post({kind: DispatcherMessageKind.VIEW, view: this.view});
     this.confirmStore();
   }
@@ -114,7 +99,7 @@
     const link = EntryLink.create({
       address: ENTRY_ADDRESS,
       pingPeriodMs: 500,
-      openStream: (_address, listener) => this.connect(host, listener),
+      openStream: (_address, listener) => this.network.connect(host, listener),
       postToRunner: message => runner.post(message),
       readMonotonicMs: host.readMonotonicMs,
       startTimer: host.startTimer,
@@ -144,22 +129,20 @@
   }
 
   /** Freezes an agent for a time. */
-  freezeAgent(id: string, forMs: number): void {
+  pauseAgent(id: string, forMs: number): void {
     const agent = this.agents.get(id);
     if (agent !== undefined) agent.host.frozenUntilMs = this.time.nowMs + forMs;
   }
 
   /** Freezes the entry for a time. */
-  freezeEntry(forMs: number): void {
+  pauseEntry(forMs: number): void {
     this.entryHost.frozenUntilMs = this.time.nowMs + forMs;
   }
 
   /** Cuts an agent's connection; frames under way are lost. */
   cut(id: string): void {
     const host = this.agents.get(id)?.host;
-    for (const connection of this.connections) {
-      if (connection.agentHost === host) this.breakConnection(connection);
-    }
+    if (host !== undefined) this.network.cut(host);
   }
 
   /** Puts a data centre out of service or back. */
@@ -172,7 +155,7 @@
     };
     const {view} = this;
     this.time.schedule(
-      this.drawDelayMs(),
+      this.network.drawDelayMs(),
       () => this.dispatcher.post({kind: DispatcherMessageKind.VIEW, view}),
       this.entryHost,
     );
@@ -185,7 +168,7 @@
     reply: (message: DispatcherReply) => void,
   ): void {
     this.time.schedule(
-      this.drawDelayMs(),
+      this.network.drawDelayMs(),
       () =>
         this.dispatcher.post({
           kind: DispatcherMessageKind.SUBMIT,
@@ -271,101 +254,6 @@
     return PostOutcome.QUEUED;
   }
 
-  private connect(
-    agentHost: VirtualHost,
-    listener: LinkStreamListener,
-  ): LinkStream {
-    this.lastStream += 1;
-    const connection: Connection = {
-      agentHost,
-      isOpen: true,
-      arrivesAtEntry: true,
-      arrivesAtAgent: true,
-      toEntryMs: 0,
-      toAgentMs: 0,
-      handle: {
-        id: this.lastStream,
-        send: frame => this.carryToAgent(connection, frame),
-        close: () => this.breakConnection(connection),
-      },
-      listener,
-    };
-    this.connections.push(connection);
-    return {
-      send: frame => this.carryToEntry(connection, frame),
-      close: () => this.breakConnection(connection),
-    };
-  }
-
-  // Each direction keeps its order; a frame under way is lost with a cut, but
-  // the two ends notice the cut at times of their own.
-  private carryToEntry(connection: Connection, frame: AgentFrame): void {
-    if (!connection.isOpen) return;
-    const {handle} = connection;
-    connection.toEntryMs = this.findArrivalMs(connection.toEntryMs);
-    const delayMs = connection.toEntryMs - this.time.nowMs;
-    const deliver = () => {
-      if (!connection.arrivesAtEntry) return;
-      this.dispatcher.post(
-        frame.hello === undefined
-          ? {kind: DispatcherMessageKind.AGENT_FRAME, stream: handle, frame}
-          : {
-              kind: DispatcherMessageKind.AGENT_HELLO,
-              stream: handle,
-              hello: frame.hello,
-            },
-      );
-    };
-    this.time.schedule(delayMs, deliver, this.entryHost);
-  }
-
-  private carryToAgent(connection: Connection, frame: EntryFrame): void {
-    if (!connection.isOpen) return;
-    connection.toAgentMs = this.findArrivalMs(connection.toAgentMs);
-    const delayMs = connection.toAgentMs - this.time.nowMs;
-    const deliver = () => {
-      if (connection.arrivesAtAgent) connection.listener.receive(frame);
-    };
-    this.time.schedule(delayMs, deliver, connection.agentHost);
-  }
-
-  private breakConnection(connection: Connection): void {
-    if (!connection.isOpen) return;
-    connection.isOpen = false;
-    connection.arrivesAtEntry = this.drawRandom() < 0.5;
-    connection.arrivesAtAgent = this.drawRandom() < 0.5;
-    this.time.schedule(
-      this.findArrivalMs(connection.toAgentMs) -
-        this.time.nowMs +
-        this.drawDelayMs() * 20,
-      () => connection.listener.fail('cut'),
-      connection.agentHost,
-    );
-    this.time.schedule(
-      this.findArrivalMs(connection.toEntryMs) -
-        this.time.nowMs +
-        this.drawDelayMs() * 20,
-      () =>
-        this.dispatcher.post({
-          kind: DispatcherMessageKind.AGENT_CLOSED,
-          stream: connection.handle,
-        }),
-      this.entryHost,
-    );
-  }
-
-  private findArrivalMs(lastMs: number): number {
-    return Math.max(lastMs, this.time.nowMs + this.drawDelayMs());
-  }
-
-  /** Mostly a few milliseconds; now and then a packet is sent again. */
-  private drawDelayMs(): number {
-    const delayMs = 0.5 + this.drawRandom() * 4;
-    return this.drawRandom() < 0.02
-      ? delayMs + this.drawRandom() * 1500
-      : delayMs;
-  }
-
   private confirmStore(): void {
     this.dispatcher.post({
       kind: DispatcherMessageKind.EVIDENCE,
--- a/tools/load/caller.ts
+++ b/tools/load/caller.ts
@@ -40,7 +40,6 @@
   ANSWERED = 'answered',
   SILENT = 'silent',
   CANCEL_SHARE = 'cancel-share',
-  CANCELLED = 'cancelled',
 }
 
 /** Messages that callers take. */
@@ -57,8 +56,7 @@
       readonly job: PlannedJob;
       readonly entry: number;
     }
-  | {readonly kind: CallerMessageKind.CANCEL_SHARE; readonly percent: number}
-  | {readonly kind: CallerMessageKind.CANCELLED};
+  | {readonly kind: CallerMessageKind.CANCEL_SHARE; readonly percent: number};
 
 const MAILBOX_CAPACITY = 100_000;
 const CONNECTIONS_PER_ENTRY = 1024;
@@ -154,8 +152,6 @@
       case CallerMessageKind.CANCEL_SHARE:
         this.cancel(message.percent);
         break;
-      case CallerMessageKind.CANCELLED:
-        break;
     }
   }
 
@@ -211,8 +207,9 @@
       body: JSON.stringify({team}),
     });
     const {session} = (await answer.body.json()) as {session?: string};
-    if (session === undefined)
+    if (session === undefined) {
       throw new RequestError('An entry opened no session.');
+    }
     return session;
   }
 
@@ -220,17 +217,15 @@
     const numbers = [...this.open.keys()];
     const count = Math.round((numbers.length * percent) / PERCENT);
     for (const number of numbers.slice(0, count)) {
-      void this.sendCancellation(number, this.open.get(number)!).finally(() =>
-        this.post({kind: CallerMessageKind.CANCELLED}),
+      this.sendCancellation(number, this.open.get(number)!).catch(
+        (failure: unknown) => process.emitWarning(String(failure)),
       );
     }
   }
 
   private async sendCancellation(number: number, entry: number) {
-    const names = [...this.sessions].filter(([name]) =>
-      name.endsWith(`@${entry}`),
-    );
-    for (const [, opened] of names) {
+    for (const [name, opened] of this.sessions) {
+      if (!name.endsWith(`@${entry}`)) continue;
       const key = `${await opened}.${nameJob(number)}`;
       const path = `/v1/jobs/${encodeURIComponent(key)}`;
       const pool = this.pools[entry];
