--- a/src/lib/observe/log.ts
+++ b/src/lib/observe/log.ts
@@ -22,14 +22,9 @@
   TARGET_PRESENT = 'target-present',
   TARGET_LEAVING = 'target-leaving',
   TARGET_ABSENT = 'target-absent',
-  TARGET_QUARANTINED = 'target-quarantined',
-  TARGET_RESTORED = 'target-restored',
   PERMISSION_GRANTED = 'permission-granted',
   PERMISSION_WITHHELD = 'permission-withheld',
-  JOB_TAKEN = 'job-taken',
   JOB_ENDED = 'job-ended',
-  JOB_REFUSED = 'job-refused',
-  OVERLOADED = 'overloaded',
   METRICS_FAILED = 'metrics-failed',
 }
 
--- a/src/lib/observe/metrics.ts
+++ b/src/lib/observe/metrics.ts
@@ -8,15 +8,8 @@
 
 /** Names of counters. */
 export enum Counter {
-  JOB_TAKEN = 'job.taken',
   JOB_ENDED = 'job.ended',
-  JOB_REFUSED = 'job.refused',
-  TASK_SENT = 'task.sent',
   TASK_ENDED = 'task.ended',
-  TASK_STARTED = 'task.started',
-  START_REFUSED = 'start.refused',
-  MESSAGE_WASTED = 'message.wasted',
-  STORE_CALL = 'store.call',
   STORE_CALL_FAILED = 'store.call.failed',
   RECORD_REJECTED = 'record.rejected',
 }
@@ -26,15 +19,11 @@
   JOB_DURATION = 'job.duration',
   TASK_WAIT = 'task.wait',
   TASK_RUN = 'task.run',
-  STORE_CALL_DURATION = 'store.call.duration',
-  CONFIGURATION_DELAY = 'configuration.delay',
 }
 
 /** Names of gauges. */
 export enum Gauge {
   TASKS_WAITING = 'tasks.waiting',
-  TASKS_OUT = 'tasks.out',
-  TASKS_RUNNING = 'tasks.running',
   JOBS = 'jobs',
   AGENTS = 'agents',
   CONFIGURATION_REVISION = 'configuration.revision',
@@ -110,8 +99,6 @@
   [Histogram.JOB_DURATION]: 1,
   [Histogram.TASK_WAIT]: 10,
   [Histogram.TASK_RUN]: 10,
-  [Histogram.STORE_CALL_DURATION]: 1,
-  [Histogram.CONFIGURATION_DELAY]: 1,
 };
 
 const NO_TAGS: MetricTags = {};
--- a/src/lib/observe/process_health.ts
+++ b/src/lib/observe/process_health.ts
@@ -1,6 +1,6 @@
 /** Health of a process's event loop and memory, reported as gauges. */
 import {monitorEventLoopDelay} from 'node:perf_hooks';
-import {repeatTimer} from '../core/clock.js';
+import {repeatTimer, startTimer} from '../core/clock.js';
 import type {StartTimer, StopTimer} from '../core/clock.js';
 import {Gauge} from './metrics.js';
 import type {ReportGauge} from './metrics.js';
@@ -47,13 +47,35 @@
   readonly monitor: LoopDelayMonitor;
   /** Reads the resident memory of the process in bytes. */
   readonly readResidentBytes: () => number;
+  /** Reads what else the process reports. */
+  readonly readGauges: ReadGauges;
+}
+
+/** Reads the present values of gauges. */
+export type ReadGauges = () => Partial<Record<Gauge, number>>;
+
+/** Reports the health of this process until the returned function is called. */
+export function watchProcessHealth(
+  reportGauge: ReportGauge,
+  readGauges: ReadGauges = () => ({}),
+): StopTimer {
+  return reportProcessHealth({
+    reportGauge,
+    readGauges,
+    startTimer,
+    monitor: createLoopDelayMonitor(),
+    readResidentBytes: () => process.memoryUsage.rss(),
+  });
 }
 
 /** Reports loop delay and memory by timer until the returned function is called. */
 export function reportProcessHealth(options: ProcessHealthOptions): StopTimer {
-  const {reportGauge, startTimer, monitor} = options;
-  const stopTimer = repeatTimer(startTimer, REPORT_PERIOD_MS, () => {
+  const {reportGauge, monitor} = options;
+  const stopTimer = repeatTimer(options.startTimer, REPORT_PERIOD_MS, () => {
     reportGauge(Gauge.RESIDENT_BYTES, options.readResidentBytes());
+    for (const [name, value] of Object.entries(options.readGauges())) {
+      reportGauge(name as Gauge, value);
+    }
     const delay = monitor.read();
     if (delay === undefined) return;
     reportGauge(Gauge.LOOP_DELAY_P50, delay.p50Ms);
--- a/test/observe/log_test.ts
+++ b/test/observe/log_test.ts
@@ -42,7 +42,7 @@
 
   it('drops lines below its level', async () => {
     const {log, readLine} = await createTestLog();
-    log.write(LogLevel.DEBUG, LogEvent.JOB_TAKEN, 'Not seen.');
+    log.write(LogLevel.DEBUG, LogEvent.TARGET_PRESENT, 'Not seen.');
     log.write(LogLevel.ERROR, LogEvent.FAILURE, 'Seen.', {
       err: new RangeError('boom'),
     });
--- a/test/observe/metrics_test.ts
+++ b/test/observe/metrics_test.ts
@@ -25,8 +25,8 @@
     });
     const packet = once(server, 'message');
     const tags = {team: 'search', class: 'quick'};
-    metrics.countEvent(Counter.JOB_TAKEN, tags);
-    metrics.countEvent(Counter.JOB_TAKEN, tags);
+    metrics.countEvent(Counter.JOB_ENDED, tags);
+    metrics.countEvent(Counter.JOB_ENDED, tags);
     metrics.recordDuration(Histogram.JOB_DURATION, 12.5, tags);
     metrics.reportGauge(Gauge.AGENTS, 4);
     await metrics.close();
@@ -39,7 +39,7 @@
     expect(lines[0]).to.contain('agents:4|g|#').and.contain('process:entry-1');
     expect(lines[1]).to.match(/^foxtailbay\.entry\.job\.duration:12\.5\|h\|#/);
     expect(lines[1]).to.contain('team:search').and.contain('class:quick');
-    expect(lines[2]).to.match(/^foxtailbay\.entry\.job\.taken:2\|c\|#/);
+    expect(lines[2]).to.match(/^foxtailbay\.entry\.job\.ended:2\|c\|#/);
   });
 
   it('is silent without settings', async () => {
--- a/test/observe/process_health_test.ts
+++ b/test/observe/process_health_test.ts
@@ -17,6 +17,7 @@
     startTimer,
     monitor: {read: () => delay, stop: () => stopped.push('monitor')},
     readResidentBytes: () => 1000,
+    readGauges: () => ({[Gauge.JOBS]: 3}),
   });
   return {gauges, stopped, stop, fireTimer: () => fire()};
 }
@@ -27,6 +28,7 @@
     report.fireTimer();
     expect([...report.gauges]).to.have.deep.members([
       [Gauge.RESIDENT_BYTES, 1000],
+      [Gauge.JOBS, 3],
       [Gauge.LOOP_DELAY_P50, 1],
       [Gauge.LOOP_DELAY_P99, 7],
       [Gauge.LOOP_DELAY_MAX, 9],
@@ -36,7 +38,10 @@
   it('reports no delay without samples', () => {
     const report = startReport(undefined);
     report.fireTimer();
-    expect([...report.gauges.keys()]).to.deep.equal([Gauge.RESIDENT_BYTES]);
+    expect([...report.gauges.keys()]).to.deep.equal([
+      Gauge.RESIDENT_BYTES,
+      Gauge.JOBS,
+    ]);
   });
 
   it('stops its timer and the monitor', () => {
