--- a/tools/house_style/module_rules.ts
+++ b/tools/house_style/module_rules.ts
@@ -10,7 +10,7 @@
 
 const DECISIONS_FOLDER = 'src/lib/decisions/';
 
-/** What decisions may import beside one another. */
+/** What decisions may import beside one another; charts are the shape's own. */
 const DECISIONS_MAY_IMPORT = [
   'src/lib/core/chart',
   'src/lib/core/chart_file',
