Prove 'not started' by whether the request was handed to a connection

Change: the target's client sends through sendOnce, which knows whether undici gave the request a connection; it moved from the store's client to the core.

--- a/src/lib/agent/agent_process.ts
+++ b/src/lib/agent/agent_process.ts
@@ -2,7 +2,7 @@
 import {defer, readMonotonicMs, startTimer} from '../core/clock.js';
 import {DisposableStore} from '../core/disposable_store.js';
 import type {HttpListener} from '../core/http_listener.js';
-import {drawIncarnation} from '../core/identity.js';
+import {drawIdentity} from '../core/identity.js';
 import type {ProcessIdentity} from '../core/identity.js';
 import {
   ProcessAction,
@@ -70,11 +70,8 @@
 
   /** Creates an agent from its settings; `start` opens its sockets. */
   static async create(settings: AgentSettings): Promise<AgentProcess> {
-    const identity: ProcessIdentity = {
-      id: settings.process.id,
-      incarnation: drawIncarnation(),
-      dataCentre: settings.process.dataCentre,
-    };
+    const {id, dataCentre} = settings.process;
+    const identity = drawIdentity(id, dataCentre);
     const log = await createLog({
       program: 'foxtailbay-agent',
       identity,
--- a/src/lib/agent/target_client.ts
+++ b/src/lib/agent/target_client.ts
@@ -1,6 +1,8 @@
 /** Runs tasks on a target over HTTP. */
 import {Pool} from 'undici';
-import type {Dispatcher} from 'undici';
+import {startTimer} from '../core/clock.js';
+import {SendOutcome, sendOnce} from '../core/send_once.js';
+import type {SendResult} from '../core/send_once.js';
 import {AgentTaskEvent} from '../decisions/agent_task.js';
 import type {AgentTask, RunEnd} from '../decisions/agent_task.js';
 import type {TargetAnnouncement} from './runner_messages.js';
@@ -11,21 +13,13 @@
 /** Statuses that count as proof of no start if the header says so as well. */
 const NOT_STARTED_STATUSES = new Set([409, 421, 503]);
 
-/** Failures before a byte of the request could have left. */
-const UNSENT_CODES = new Set([
-  'ECONNREFUSED',
-  'EHOSTUNREACH',
-  'ENETUNREACH',
-  'ENOTFOUND',
-  'UND_ERR_CONNECT_TIMEOUT',
-  'UND_ERR_CLOSED',
-]);
-
 const CONNECT_TIMEOUT_MS = 1000;
 const IDLE_CONNECTION_MS = 4000;
 const DETAIL_BYTES_AT_MOST = 1024;
 const NO_BYTES = new Uint8Array(0);
 
+type Reply = Extract<SendResult, {outcome: SendOutcome.REPLIED}>;
+
 /** Limits of one request. */
 export interface RunLimits {
   /** Host's monotonic time in milliseconds; the target must not start after it. */
@@ -71,20 +65,24 @@
   task: AgentTask,
   limits: RunLimits,
 ): Promise<RunEnd> {
-  const timeout = AbortSignal.timeout(task.order.runWithinMs);
-  try {
-    const response = await pool.request({
+  const result = await sendOnce(
+    pool,
+    {
       method: 'POST',
       path: '/v1/tasks',
       headers: listHeaders(instance, task, limits.startBeforeMs),
       body: task.order.payload,
-      signal: timeout,
-      headersTimeout: 0,
-      bodyTimeout: 0,
-    });
-    return await readEnd(response, limits.resultBytesAtMost);
-  } catch (failure) {
-    return describeFailure(failure);
+      timeoutMs: task.order.runWithinMs,
+    },
+    startTimer,
+  );
+  switch (result.outcome) {
+    case SendOutcome.REPLIED:
+      return readEnd(result, limits.resultBytesAtMost);
+    case SendOutcome.NOT_SENT:
+      return describeFailure(AgentTaskEvent.UNSENT, result.cause);
+    case SendOutcome.UNANSWERED:
+      return describeFailure(AgentTaskEvent.BROKEN, result.cause);
   }
 }
 
@@ -104,15 +102,12 @@
   return headers;
 }
 
-async function readEnd(
-  response: Dispatcher.ResponseData,
-  bytesAtMost: number,
-): Promise<RunEnd> {
-  const targetStatus = response.statusCode;
+function readEnd(reply: Reply, bytesAtMost: number): RunEnd {
+  const targetStatus = reply.status;
   const isUnstarted =
     NOT_STARTED_STATUSES.has(targetStatus) &&
-    response.headers[STARTED_HEADER] === 'no';
-  const body = new Uint8Array(await response.body.arrayBuffer());
+    reply.headers.get(STARTED_HEADER) === 'no';
+  const {body} = reply;
   if (isUnstarted) {
     return {event: AgentTaskEvent.UNSENT, result: NO_BYTES, targetStatus};
   }
@@ -144,11 +139,11 @@
   }
 }
 
-function describeFailure(failure: unknown): RunEnd {
-  const {code, message} = failure as {code?: string; message: string};
-  const event = UNSENT_CODES.has(code ?? '')
-    ? AgentTaskEvent.UNSENT
-    : AgentTaskEvent.BROKEN;
-  const result = new TextEncoder().encode(message);
+function describeFailure(
+  event: AgentTaskEvent.UNSENT | AgentTaskEvent.BROKEN,
+  cause: unknown,
+): RunEnd {
+  const text = cause instanceof Error ? cause.message : 'No answer in time.';
+  const result = new TextEncoder().encode(text);
   return {event, result, targetStatus: 0};
 }
--- a/src/lib/core/identity.ts
+++ b/src/lib/core/identity.ts
@@ -17,6 +17,11 @@
   return randomBytes(INCARNATION_BYTES).toString('base64url');
 }
 
+/** Draws the identity of a process that starts now. */
+export function drawIdentity(id: string, dataCentre: string): ProcessIdentity {
+  return {id, incarnation: drawIncarnation(), dataCentre};
+}
+
 /** Identifies one task: the job's run and the task's place in it. */
 export interface TaskIdentity {
   readonly job: string;
--- a/src/lib/platform/send_once.ts
+++ b/src/lib/core/send_once.ts
@@ -1,13 +1,13 @@
 /** Sends an HTTP request at most once and says what became of it. */
 import type {Dispatcher} from 'undici';
-import type {StartTimer, StopTimer} from '../core/clock.js';
+import type {StartTimer, StopTimer} from './clock.js';
 
 /** One request to send. */
 export interface OutgoingRequest {
   readonly method: Dispatcher.HttpMethod;
   readonly path: string;
   readonly headers?: Readonly<Record<string, string>>;
-  readonly body?: string;
+  readonly body?: string | Uint8Array;
   /** Time in milliseconds within which the whole reply must have arrived. */
   readonly timeoutMs: number;
 }
@@ -27,7 +27,9 @@
   | {
       readonly outcome: SendOutcome.REPLIED;
       readonly status: number;
-      readonly body: string;
+      /** Headers by their names in lower case. */
+      readonly headers: ReadonlyMap<string, string>;
+      readonly body: Buffer;
     }
   | {readonly outcome: SendOutcome.NOT_SENT; readonly cause: unknown}
   | {readonly outcome: SendOutcome.UNANSWERED; readonly cause: unknown};
@@ -67,6 +69,7 @@
   private abort: (() => void) | undefined;
   private isEnded = false;
   private status = 0;
+  private headers: ReadonlyMap<string, string> = new Map();
 
   private constructor(
     request: OutgoingRequest,
@@ -86,8 +89,9 @@
 
   readonly handlers: Dispatcher.DispatchHandlers = {
     onConnect: abort => this.begin(abort),
-    onHeaders: status => {
+    onHeaders: (status, headers) => {
       this.status = status;
+      this.headers = readHeaders(headers);
       return true;
     },
     onData: part => {
@@ -95,8 +99,9 @@
       return true;
     },
     onComplete: () => {
-      const body = Buffer.concat(this.parts).toString('utf8');
-      this.end({outcome: SendOutcome.REPLIED, status: this.status, body});
+      const {status, headers} = this;
+      const body = Buffer.concat(this.parts);
+      this.end({outcome: SendOutcome.REPLIED, status, headers, body});
     },
     onError: cause => this.fail(cause),
   };
@@ -128,3 +133,13 @@
     this.resolve(result);
   }
 }
+
+/** Reads what undici hands over: names and values in turn. */
+function readHeaders(fields: readonly Buffer[]): ReadonlyMap<string, string> {
+  const headers = new Map<string, string>();
+  for (let place = 0; place + 1 < fields.length; place += 2) {
+    const name = fields[place].toString('latin1').toLowerCase();
+    headers.set(name, fields[place + 1].toString('latin1'));
+  }
+  return headers;
+}
--- a/src/lib/entry/dispatcher.ts
+++ b/src/lib/entry/dispatcher.ts
@@ -1,7 +1,6 @@
 /** The task of an entry that owns its jobs and places their tasks. */
 import {repeatTimer} from '../core/clock.js';
 import {Problem} from '../core/job.js';
-import type {EntryPong} from '../core/link_messages.js';
 import {Task} from '../core/task.js';
 import type {Post} from '../core/task.js';
 import {AgentBoard} from '../decisions/agent_board.js';
@@ -73,7 +72,14 @@
       options.ledger,
       options.publishHeld,
     );
-    this.desk = this.createSubmissionDesk();
+    this.desk = SubmissionDesk.create({
+      incarnation: options.identity.incarnation,
+      ledgers: this.ledgers,
+      getJobs: () => this.jobs,
+      counters: this.counters,
+      readMonotonicMs: options.readMonotonicMs,
+      getView: () => this.view,
+    });
     this.jobs = this.createJobTable();
     this.agents = this.createAgentDesk();
     this.lastTargetAtMs = options.readMonotonicMs();
@@ -88,12 +94,11 @@
   /** Creates the dispatcher and starts its periodic checks. */
   static create(options: DispatcherOptions): Dispatcher {
     const dispatcher = new Dispatcher(options);
-    const stop = repeatTimer(options.startTimer, TICK_PERIOD_MS, () =>
-      dispatcher.post({kind: DispatcherMessageKind.TICK}),
-    );
-    dispatcher.task.store.add(() => dispatcher.agents.stopTimers());
-    dispatcher.task.store.add(() => dispatcher.jobs.stopTimers());
-    dispatcher.task.store.add(stop);
+    const {store, post} = dispatcher.task;
+    const tick = () => post({kind: DispatcherMessageKind.TICK});
+    store.add(() => dispatcher.agents.stopTimers());
+    store.add(() => dispatcher.jobs.stopTimers());
+    store.add(repeatTimer(options.startTimer, TICK_PERIOD_MS, tick));
     return dispatcher;
   }
 
@@ -109,11 +114,9 @@
 
   /** Describes how much is in hand. */
   describeHoldings(): DispatcherHoldings {
-    return {
-      jobsRunning: this.jobs.size,
-      tasksWaiting: this.planner.waiting,
-      keys: this.ledgers.keys,
-    };
+    const {size: jobsRunning} = this.jobs;
+    const {waiting: tasksWaiting} = this.planner;
+    return {jobsRunning, tasksWaiting, keys: this.ledgers.keys};
   }
 
   /** Lists the agents known. */
@@ -126,17 +129,6 @@
     return this.task.stop();
   }
 
-  private createSubmissionDesk(): SubmissionDesk {
-    return SubmissionDesk.create({
-      incarnation: this.options.identity.incarnation,
-      ledgers: this.ledgers,
-      getJobs: () => this.jobs,
-      counters: this.counters,
-      readMonotonicMs: this.options.readMonotonicMs,
-      getView: () => this.view,
-    });
-  }
-
   private createJobTable(): JobTable {
     const {options} = this;
     return JobTable.create({
@@ -171,7 +163,14 @@
         void this.post({kind: DispatcherMessageKind.AGENT_TIMER, agent, event}),
       endTask: (task, agent, report) => this.jobs.endTask(task, agent, report),
       describeConfiguration: () => selectAgentConfiguration(this.view),
-      describePong: pingSentAtMs => this.describePong(pingSentAtMs),
+      describePong: pingSentAtMs => ({
+        pingSentAtMs,
+        contact: this.evidence.contact,
+        confirmedAgeMs:
+          options.readMonotonicMs() - this.evidence.confirmedSentAtMs,
+        configurationRevision: this.view?.revision ?? 0,
+        isLeaving: this.isLeaving,
+      }),
       reportAgent: options.reportAgent,
     });
   }
@@ -295,15 +294,4 @@
     if (sequence === undefined) return;
     this.jobs.recordSent(job, task.index, {agent, sequence});
   }
-
-  private describePong(pingSentAtMs: number): EntryPong {
-    const {contact, confirmedSentAtMs} = this.evidence;
-    return {
-      pingSentAtMs,
-      contact,
-      confirmedAgeMs: this.options.readMonotonicMs() - confirmedSentAtMs,
-      configurationRevision: this.view?.revision ?? 0,
-      isLeaving: this.isLeaving,
-    };
-  }
 }
--- a/src/lib/entry/entry_process.ts
+++ b/src/lib/entry/entry_process.ts
@@ -2,7 +2,7 @@
 import {AdministrationTask} from '../admin/administration_task.js';
 import {readMonotonicMs, startTimer} from '../core/clock.js';
 import {DisposableStore} from '../core/disposable_store.js';
-import {drawIncarnation} from '../core/identity.js';
+import {drawIdentity} from '../core/identity.js';
 import type {ProcessIdentity} from '../core/identity.js';
 import {
   ProcessAction,
@@ -92,11 +92,8 @@
 
   /** Creates an entry from its settings; `start` opens its sockets. */
   static async create(settings: EntrySettings): Promise<EntryProcess> {
-    const identity: ProcessIdentity = {
-      id: settings.process.id,
-      incarnation: drawIncarnation(),
-      dataCentre: settings.process.dataCentre,
-    };
+    const {id, dataCentre} = settings.process;
+    const identity = drawIdentity(id, dataCentre);
     const log = await createLog({
       program: 'foxtailbay-entry',
       identity,
@@ -177,12 +174,7 @@
           kind: ConfigurationMessageKind.LEARN,
           learned,
         }),
-      recordHeld: (address, incarnations) =>
-        void this.peers.post({
-          kind: PeerMessageKind.PEER_HELD,
-          address,
-          incarnations,
-        }),
+      postToPeers: message => this.peers.post(message),
       isAdopting: () =>
         this.life.state === ProcessState.SERVING ||
         this.life.state === ProcessState.LEAVING,
@@ -265,7 +257,7 @@
         this.dispatcher.post({kind: DispatcherMessageKind.REFUSE_WORK});
         break;
       case ProcessAction.HAND_OVER:
-        this.handOver();
+        this.releaseSessions();
         break;
       case ProcessAction.REPORT_UNFINISHED:
         this.reports.reportUnfinished(this.settings.stop.drainMs);
@@ -273,7 +265,7 @@
     }
   }
 
-  private handOver(): void {
+  private releaseSessions(): void {
     this.dispatcher.post({
       kind: DispatcherMessageKind.LIST_LEDGERS,
       take: ledgers =>
--- a/src/lib/entry/peer_keeper.ts
+++ b/src/lib/entry/peer_keeper.ts
@@ -140,7 +140,7 @@
         }
         break;
       case PeerMessageKind.HAND_OVER:
-        void this.handOver(message.ledgers).then(message.reportEnd);
+        void this.sendLedgers(message.ledgers).then(message.reportEnd);
         break;
       case PeerMessageKind.AWAIT_MAJORITY:
         this.waiters.push(message.waiter);
@@ -193,11 +193,13 @@
 
   // Another peer is asked only after a refusal: if an answer is lost the first
   // may hold the sessions, and two holders could both run a new key.
-  private async handOver(ledgers: readonly KeptLedger[]): Promise<HandOverEnd> {
+  private async sendLedgers(
+    ledgers: readonly KeptLedger[],
+  ): Promise<HandOverEnd> {
     const peers = this.view === undefined ? [] : this.listPeers(this.view);
     for (const peer of peers) {
       const connection = this.open(peer.address);
-      const {end} = await connection.handOver(ledgers, HAND_OVER_WITHIN_MS);
+      const {end} = await connection.sendLedgers(ledgers, HAND_OVER_WITHIN_MS);
       if (end === PeerCallEnd.ANSWERED) return HandOverEnd.TAKEN;
       if (end === PeerCallEnd.LOST) return HandOverEnd.LOST;
     }
--- a/src/lib/entry/peer_port.ts
+++ b/src/lib/entry/peer_port.ts
@@ -9,6 +9,8 @@
 import type {LinkServer} from '../wire/link_server.js';
 import {DispatcherMessageKind} from './dispatcher_messages.js';
 import type {DispatcherMessage, KeptLedger} from './dispatcher_messages.js';
+import {PeerMessageKind} from './peer_messages.js';
+import type {PeerMessage} from './peer_messages.js';
 import {RequestOrigin} from './request_desk.js';
 import type {RequestDesk} from './request_desk.js';
 import type {RevisionWaiters} from './revision_waiters.js';
@@ -23,11 +25,7 @@
   readonly revisions: RevisionWaiters;
   /** Puts a configuration in force that a peer has told, if it is newer. */
   readonly learn: (view: ConfigurationView) => void;
-  /** Notes whose sessions a peer holds. */
-  readonly recordHeld: (
-    address: string,
-    incarnations: readonly string[],
-  ) => void;
+  readonly postToPeers: Post<PeerMessage>;
   /** Tells whether ledgers of others are still taken over. */
   readonly isAdopting: () => boolean;
   readonly getContact: () => StoreContact;
@@ -60,7 +58,11 @@
     // The answer says that the revision is in force here, so it waits for that.
     handleAnnouncement: (configuration, answer) => {
       const {view, senderAddress, heldIncarnations} = configuration;
-      options.recordHeld(senderAddress, heldIncarnations);
+      options.postToPeers({
+        kind: PeerMessageKind.PEER_HELD,
+        address: senderAddress,
+        incarnations: heldIncarnations,
+      });
       options.learn(view);
       revisions.add(view.revision, () =>
         answer({
--- a/src/lib/platform/http_platform_store.ts
+++ b/src/lib/platform/http_platform_store.ts
@@ -3,8 +3,8 @@
 import {startTimer} from '../core/clock.js';
 import type {StartTimer} from '../core/clock.js';
 import type {ConditionalWrite, PlatformStore} from './platform_store.js';
-import {sendOnce} from './send_once.js';
-import type {OutgoingRequest} from './send_once.js';
+import {sendOnce} from '../core/send_once.js';
+import type {OutgoingRequest} from '../core/send_once.js';
 import {
   CallEffect,
   readChanges,
--- a/src/lib/platform/store_reply.ts
+++ b/src/lib/platform/store_reply.ts
@@ -7,8 +7,8 @@
   StoreSnapshot,
   StoredValue,
 } from './platform_store.js';
-import {SendOutcome} from './send_once.js';
-import type {SendResult} from './send_once.js';
+import {SendOutcome} from '../core/send_once.js';
+import type {SendResult} from '../core/send_once.js';
 
 /** What a lost reply means for the caller. */
 export enum CallEffect {
@@ -44,7 +44,8 @@
   if (result.outcome === SendOutcome.UNANSWERED) {
     throw createLostError(call, effect, 'got no answer', result.cause);
   }
-  const {status, body} = result;
+  const {status} = result;
+  const body = result.body.toString('utf8');
   if (status >= 200 && status < 300) {
     return parseBody(call, effect, body, decode);
   }
--- a/src/lib/wire/hand_over_codec.ts
+++ b/src/lib/wire/hand_over_codec.ts
@@ -21,7 +21,7 @@
 ): Generator<wire.HandOverPart> {
   const {incarnation} = ledger;
   for (const session of ledger.sessions) {
-    for (const keys of splitKeys(session.keys)) {
+    for (const keys of planParts(session.keys)) {
       const {serial, unusedMs} = session;
       yield {
         incarnation,
@@ -31,8 +31,8 @@
   }
 }
 
-/** Gathers parts until the stream has ended. */
-export class LedgerGatherer {
+/** Collects parts until the stream has ended. */
+export class LedgerCollector {
   private readonly ledgers = new Map<
     string,
     Map<number, {unusedMs: number; keys: KeptKey<JobAnswer>[]}>
@@ -40,9 +40,9 @@
 
   private constructor() {}
 
-  /** Creates a gatherer without parts. */
-  static create(): LedgerGatherer {
-    return new LedgerGatherer();
+  /** Creates a collector without parts. */
+  static create(): LedgerCollector {
+    return new LedgerCollector();
   }
 
   /** Adds a part. */
@@ -71,7 +71,7 @@
 type Session = KeptSession<JobAnswer>;
 
 // A session without keys is handed over too: its next key is still new.
-function* splitKeys(
+function* planParts(
   keys: readonly KeptKey<JobAnswer>[],
 ): Generator<KeptKey<JobAnswer>[]> {
   let part: KeptKey<JobAnswer>[] = [];
--- a/src/lib/wire/link_server.ts
+++ b/src/lib/wire/link_server.ts
@@ -16,7 +16,7 @@
 } from './generated/foxtailbay.js';
 import type {HandOverReceipt} from './generated/foxtailbay.js';
 import type * as wire from './generated/foxtailbay.js';
-import {LedgerGatherer} from './hand_over_codec.js';
+import {LedgerCollector} from './hand_over_codec.js';
 import {decodeAgentFrame, encodeEntryFrame} from './link_codec.js';
 import {FRAME_BYTES_AT_MOST} from './link_client.js';
 import {
@@ -104,7 +104,7 @@
         done(null, encodeConfigurationState(state)),
       ),
     handOver: (call: HandOverCall, done: sendUnaryData<HandOverReceipt>) =>
-      gatherLedgers(options, call, done),
+      collectLedgers(options, call, done),
   });
   const port = await bind(server, options);
   return {port, close: () => stopServer(server)};
@@ -119,19 +119,19 @@
 
 type HandOverCall = ServerReadableStream<wire.HandOverPart, HandOverReceipt>;
 
-function gatherLedgers(
+function collectLedgers(
   options: LinkServerOptions,
   call: HandOverCall,
   done: sendUnaryData<HandOverReceipt>,
 ): void {
-  const gatherer = LedgerGatherer.create();
+  const collector = LedgerCollector.create();
   let isBroken = false;
-  call.on('data', (part: wire.HandOverPart) => gatherer.add(part));
+  call.on('data', (part: wire.HandOverPart) => collector.add(part));
   call.on('error', () => (isBroken = true));
   call.on('cancelled', () => (isBroken = true));
   call.on('end', () => {
     if (isBroken || call.cancelled) return;
-    const ledgers = gatherer.listLedgers();
+    const ledgers = collector.listLedgers();
     options.handleHandOver(ledgers, isTaken => {
       if (isTaken) return done(null, countLedgers(ledgers));
       const details = 'This entry is stopping.';
--- a/src/lib/wire/peer_client.ts
+++ b/src/lib/wire/peer_client.ts
@@ -46,7 +46,7 @@
     withinMs: number,
   ) => Promise<PeerCallResult<PeerConfigurationState>>;
   /** Hands ledgers over; resolves when the peer has taken all, or not. */
-  readonly handOver: (
+  readonly sendLedgers: (
     ledgers: readonly KeptLedger[],
     withinMs: number,
   ) => Promise<PeerCallResult<HandOverReceipt>>;
@@ -86,12 +86,12 @@
             ),
         );
       }),
-    handOver: (ledgers, withinMs) => handOver(client, ledgers, withinMs),
+    sendLedgers: (ledgers, withinMs) => sendLedgers(client, ledgers, withinMs),
     close: () => client.close(),
   };
 };
 
-function handOver(
+function sendLedgers(
   client: PeerLinkClient,
   ledgers: readonly KeptLedger[],
   withinMs: number,
--- a/stand_ins/balancer_server.ts
+++ b/stand_ins/balancer_server.ts
@@ -6,7 +6,7 @@
 import {repeatTimer, startTimer} from '../src/lib/core/clock.js';
 import {PostOutcome} from '../src/lib/core/task.js';
 import type {Task} from '../src/lib/core/task.js';
-import {SendOutcome, sendOnce} from '../src/lib/platform/send_once.js';
+import {SendOutcome, sendOnce} from '../src/lib/core/send_once.js';
 import {TcpListener} from './tcp_listener.js';
 import {createStandInTask, createUntimedRun} from './stand_in_task.js';
 
--- a/stand_ins/target_announcer.ts
+++ b/stand_ins/target_announcer.ts
@@ -1,8 +1,8 @@
 /** Announces the target stand-in to the agent beside it. */
 import {Client} from 'undici';
 import {startTimer} from '../src/lib/core/clock.js';
-import {SendOutcome, sendOnce} from '../src/lib/platform/send_once.js';
-import type {OutgoingRequest} from '../src/lib/platform/send_once.js';
+import {SendOutcome, sendOnce} from '../src/lib/core/send_once.js';
+import type {OutgoingRequest} from '../src/lib/core/send_once.js';
 
 /** What a target tells its agent. */
 export interface TargetAnnouncement {
--- a/test/tools/docs_test.ts
+++ b/test/tools/docs_test.ts
@@ -9,7 +9,7 @@
   it('draw every chart with its states', () => {
     const page = composeChartsPage();
     expect(page).to.contain('\n## process\n');
-    expect(page).to.contain('draining --> stopped: idle');
+    expect(page).to.contain('draining --> releasing: idle');
     expect(page).to.match(/\| `draining` \| Finishes what it has taken/);
   });
 
