Limit sending again; bound the classes that are told apart

A task that comes back not started costs one of 200 tokens, each send gives a tenth back; when they are gone nothing is sent for 100 ms, so that agents can report. Withdrawn tasks of ended jobs do not count. Class names come from callers: at most 1000 classes have estimates of their own.

--- a/src/lib/decisions/work_planner.ts
+++ b/src/lib/decisions/work_planner.ts
@@ -9,16 +9,17 @@
 } from './admission.js';
 import type {Admission, AdmissionRequest} from './admission.js';
 import type {AgentBoard} from './agent_board.js';
+import {ClassRunTimes} from './class_run_times.js';
 import {FairQueue} from './fair_queue.js';
 import type {QueuedTask} from './fair_queue.js';
 import {computeDensity} from './rank_job.js';
 import type {RankJob} from './rank_job.js';
 import {
-  estimateRunMs,
-  FIRST_ESTIMATE,
-  recordObservation,
-} from './run_time_estimate.js';
-import type {RunTimeEstimate} from './run_time_estimate.js';
+  FULL_BUDGET,
+  isPaused,
+  recordReturn,
+  recordSend,
+} from './retry_budget.js';
 import {TeamDesk} from './team_desk.js';
 import type {TeamLimits} from './team_desk.js';
 
@@ -97,11 +98,12 @@
 export class WorkPlanner {
   private readonly queue = FairQueue.create();
   private readonly teams = TeamDesk.create();
-  private readonly estimates = new Map<string, RunTimeEstimate>();
+  private readonly runTimes = ClassRunTimes.create();
   private readonly jobs = new Map<string, PlannedJob>();
   private entries = 1;
   /** When the head of the queue could first not be placed; undefined if it could. */
   private heldSinceMs: number | undefined;
+  private retryBudget = FULL_BUDGET;
 
   private constructor(private readonly options: WorkPlannerOptions) {}
 
@@ -128,8 +130,7 @@
 
   /** Decides on a job; one that is admitted waits from now on. */
   submit(job: SubmittedJob, nowMs: number): Submission {
-    const estimate = this.estimates.get(job.taskClass) ?? FIRST_ESTIMATE;
-    const expected = job.declaredMs.map(ms => estimateRunMs(estimate, ms));
+    const expected = this.runTimes.estimateAll(job.taskClass, job.declaredMs);
     const workMs = expected.reduce((sum, each) => sum + each, 0);
     const longestMs = expected.reduce((most, ms) => Math.max(most, ms), 0);
     const idealMs = computeIdealMs(workMs, longestMs, this.workPerMs);
@@ -166,6 +167,7 @@
       this.removeJob(head.job);
       return {kind: PlanStepKind.GIVE_UP, job: head.job};
     }
+    if (isPaused(this.retryBudget, nowMs)) return undefined;
     const agent = this.chooseAgent(head, nowMs);
     if (agent === undefined) {
       this.heldSinceMs ??= nowMs;
@@ -174,6 +176,7 @@
     this.heldSinceMs = undefined;
     job.hasStarted = true;
     this.queue.take();
+    this.retryBudget = recordSend(this.retryBudget);
     this.options.board.recordSent(agent);
     this.teams.count(head.team, 1);
     this.settleTeam(head.team);
@@ -192,11 +195,15 @@
     this.queue.chargeTeam(task.team, runMs - expectedMs);
     const job = this.jobs.get(task.job);
     // A failure may take any time; it says nothing of the class.
-    if (job !== undefined && isSuccess) this.learn(job, task.index, runMs);
+    if (job === undefined || !isSuccess) return;
+    this.runTimes.record(job.taskClass, job.declaredMs[task.index], runMs);
   }
 
   /** Lets a task wait again that was proven not started. */
-  recordReturned(task: QueuedTask, agent: string): void {
+  recordReturned(task: QueuedTask, agent: string, nowMs: number): void {
+    if (this.jobs.has(task.job)) {
+      this.retryBudget = recordReturn(this.retryBudget, nowMs);
+    }
     this.options.board.recordReturned(agent);
     this.teams.count(task.team, -1);
     this.queue.giveBack(task);
@@ -284,12 +291,6 @@
     return board.choose(need);
   }
 
-  private learn(job: PlannedJob, index: number, runMs: number): void {
-    const known = this.estimates.get(job.taskClass) ?? FIRST_ESTIMATE;
-    const learnt = recordObservation(known, job.declaredMs[index], runMs);
-    this.estimates.set(job.taskClass, learnt);
-  }
-
   private settleTeam(team: string): void {
     if (this.teams.isFull(team)) this.queue.blockTeam(team);
     else this.queue.unblockTeam(team);
--- a/src/lib/entry/job_table.ts
+++ b/src/lib/entry/job_table.ts
@@ -126,7 +126,7 @@
     const {planner} = this.options;
     const job = this.jobs.get(task.job);
     if (report.end === TaskEnd.NOT_STARTED) {
-      planner.recordReturned(task, agent);
+      planner.recordReturned(task, agent, nowMs);
     } else {
       const isSuccess = report.end === TaskEnd.SUCCEEDED;
       planner.recordEnd(task, {agent, isSuccess, runMs: report.runMs}, nowMs);
--- a/test/decisions/work_planner_test.ts
+++ b/test/decisions/work_planner_test.ts
@@ -127,7 +127,7 @@
             const {task, agent} = step;
             if (returns < 50 && isReturned.next().value) {
               returns += 1;
-              planner.recordReturned(task, agent);
+              planner.recordReturned(task, agent, START_MS);
               continue;
             }
             const name = `${task.job}/${task.index}`;
--- a/tools/load/child_program.ts
+++ b/tools/load/child_program.ts
@@ -21,6 +21,16 @@
 const READY_WITHIN_MS = 30_000;
 const STOP_WITHIN_MS = 10_000;
 
+/** Processes that run, which end with this one. */
+const running = new Set<ChildProcess>();
+
+process.once('exit', () => {
+  for (const child of running) child.kill('SIGKILL');
+});
+for (const signal of ['SIGTERM', 'SIGINT'] as const) {
+  process.once(signal, () => process.exit(1));
+}
+
 /** One process that was started here, known by its id alone. */
 export class ChildProgram {
   private constructor(
@@ -40,8 +50,12 @@
     child.stdout.pipe(log);
     child.stderr.pipe(log);
     const exited = new Promise<void>(resolve =>
-      child.once('exit', () => resolve()),
+      child.once('exit', () => {
+        running.delete(child);
+        resolve();
+      }),
     );
+    running.add(child);
     const ready = await awaitReady(child, start, exited);
     return new ChildProgram(child, exited, ready);
   }
--- a/tools/load/load_settings.ts
+++ b/tools/load/load_settings.ts
@@ -225,7 +225,10 @@
       {share: 3, from: 2000, to: 5000},
     ],
   },
-  teams: {...TEAMS_NODE, default: [{name: 'listings', share: 100}]},
+  teams: {
+    ...TEAMS_NODE,
+    default: [{name: 'listings', share: 1, weight: 1, value: 1}],
+  },
   phases: PHASES_NODE,
 });
 
