--- a/tools/scenario/caller_task.ts
+++ b/tools/scenario/caller_task.ts
@@ -111,7 +111,7 @@
     } catch (failure) {
       return this.createSubmission(order, sentAtMs, {
         failure: formatFailure(failure),
-        isCut: hasSent,
+        isCut: hasSent && !isRefusedConnection(failure),
       });
     }
   }
@@ -170,6 +170,11 @@
   }
 }
 
+/** Tells whether nobody listened at the address, so that nothing was sent. */
+function isRefusedConnection(failure: unknown): boolean {
+  return (failure as {code?: string}).code === 'ECONNREFUSED';
+}
+
 function formatFailure(failure: unknown): string {
   const {code, message} = failure as {code?: string; message?: string};
   return code ?? message ?? String(failure);
--- a/tools/scenario/conditions.ts
+++ b/tools/scenario/conditions.ts
@@ -17,9 +17,14 @@
 ): Promise<CheckCondition> {
   switch (step.condition) {
     case ConditionKind.READY:
-      return () => step.of.every(name => isInState(scene, name, 'serving'));
+      return async () => {
+        const ready = await Promise.all(
+          step.of.map(name => scene.checkReadiness(name)),
+        );
+        return ready.every(isReady => isReady);
+      };
     case ConditionKind.EXITED:
-      return () => step.of.every(name => isInState(scene, name, 'ended'));
+      return () => step.of.every(name => isEnded(scene, name));
     case ConditionKind.STARTED:
       return createStartCheck(scene, step, start =>
         listTaskIds(scene, step).has(start.taskId),
@@ -55,8 +60,8 @@
   }
 }
 
-function isInState(scene: Scene, name: string, state: string): boolean {
-  return scene.fleet.findProcess(name).state === (state as ProcessState);
+function isEnded(scene: Scene, name: string): boolean {
+  return scene.fleet.findProcess(name).state === ProcessState.ENDED;
 }
 
 function createStartCheck(
--- a/tools/scenario/scene.ts
+++ b/tools/scenario/scene.ts
@@ -144,6 +144,13 @@
     return counts.every(count => count >= expected);
   }
 
+  /** Tells whether an entry says that it is ready for callers. */
+  async checkReadiness(entry: string): Promise<boolean> {
+    const url = `${this.fleet.findCallersAddress(entry)}/readyz`;
+    const {status} = await this.http.call({method: 'GET', url});
+    return status === 200;
+  }
+
   /** Lets something go on beside the steps; a failure is left to the verdict. */
   follow(work: Promise<void>): void {
     void work.catch((failure: unknown) => this.writeLine(String(failure)));
--- a/tools/scenario/schema.ts
+++ b/tools/scenario/schema.ts
@@ -49,7 +49,7 @@
     dataCentres: {...NAMES, default: ['vn-south-a', 'vn-south-b']},
     entries: {...COUNT, default: 2},
     agents: {...COUNT, default: 2},
-    slots: {...COUNT, default: 4},
+    slots: {...COUNT, default: 8},
     speeds: {type: 'array', items: FRACTION, minItems: 1, default: [1]},
     hasBalancer: {type: 'boolean', default: false},
     relays: {type: 'array', items: RELAY, default: []},
