--- a/tools/scenario/operator_actions.ts
+++ b/tools/scenario/operator_actions.ts
@@ -89,9 +89,10 @@
     awaitCondition(
       `revision ${revision} is in force everywhere`,
       FORCE_TIMEOUT_MS,
-      async () => (await readState()).isEverywhere,
+      async () => scene.isEnded || (await readState()).isEverywhere,
       scene.clock,
     ).then(() => {
+      if (scene.isEnded) return;
       const inForceAtMs = scene.clock.readMs();
       scene.observer.setChange({...change, inForceAtMs});
       scene.writeLine(`change ${name} is in force everywhere`);
--- a/tools/scenario/scene.ts
+++ b/tools/scenario/scene.ts
@@ -91,6 +91,11 @@
     return this.options.fleet;
   }
 
+  /** Whether the run is over, so that nothing more is to be observed. */
+  get isEnded(): boolean {
+    return this.store.isDisposed;
+  }
+
   /** The clock. */
   get clock(): WaitingClock {
     return this.options.clock;
