--- a/test/interleavings/once_test.ts
+++ b/test/interleavings/once_test.ts
@@ -199,6 +199,27 @@
     );
   });
 
+  it('start nothing twice after an entry was given up by its agents', async () => {
+    const step = {agent: 0, lastsMs: 14_000, tasks: 8};
+    const trial = await runTrial(SEED, [
+      {...step, kind: Disturbance.SUBMIT, afterMs: 30},
+      {...step, kind: Disturbance.FREEZE_ENTRY, afterMs: 15_000},
+    ]);
+    checkTrial(trial);
+    expect(trial.fleet.starts.length).to.be.greaterThan(0);
+  });
+
+  it('start nothing at a thawed agent whose data centre is out', async () => {
+    const step = {agent: 0, lastsMs: 9000, tasks: 8, afterMs: 8};
+    const trial = await runTrial(SEED, [
+      ...Array.from({length: 12}, () => ({...step, kind: Disturbance.SUBMIT})),
+      {...step, kind: Disturbance.FREEZE_AGENT, afterMs: 0},
+      {...step, kind: Disturbance.FREEZE_AGENT, agent: 2, afterMs: 1500},
+      {...step, kind: Disturbance.TAKE_OUT, afterMs: 12_000},
+    ]);
+    checkTrial(trial);
+  });
+
   it('answer whole when nothing goes wrong', async () => {
     const submit = {agent: 0, afterMs: 50, lastsMs: 10, tasks: 8};
     const steps = Array.from({length: 20}, () => ({
