--- a/src/foxtailbay_agent.ts
+++ b/src/foxtailbay_agent.ts
@@ -1,4 +1,4 @@
-#!/usr/bin/env node
+#!/usr/bin/env -S node --max-semi-space-size=1 --single-threaded
 /** Starts the agent beside a target. */
 import {runServerProgram} from './lib/core/server_program.js';
 import {AGENT_SETTINGS_SCHEMA} from './lib/settings/agent_settings.js';
