--- a/src/lib/agent/agent_process.ts
+++ b/src/lib/agent/agent_process.ts
@@ -2,7 +2,7 @@
 import {defer, readMonotonicMs, startTimer} from '../core/clock.js';
 import {DisposableStore} from '../core/disposable_store.js';
 import type {HttpListener} from '../core/http_listener.js';
-import {drawIncarnation} from '../core/identity.js';
+import {drawIdentity} from '../core/identity.js';
 import type {ProcessIdentity} from '../core/identity.js';
 import {
   ProcessAction,
@@ -13,6 +13,9 @@
 import {DataCentreState} from '../decisions/start_permission.js';
 import {createLog, LogEvent} from '../observe/log.js';
 import type {Log} from '../observe/log.js';
+import {createMetrics} from '../observe/metrics.js';
+import type {Metrics} from '../observe/metrics.js';
+import {watchProcessHealth} from '../observe/process_health.js';
 import type {AgentSettings} from '../settings/agent_settings.js';
 import {LogLevel} from '../settings/settings_schema.js';
 import {openLinkStream} from '../wire/link_client.js';
@@ -51,7 +54,10 @@
     private readonly settings: AgentSettings,
     private readonly identity: ProcessIdentity,
     private readonly log: Log,
+    metrics: Metrics,
   ) {
+    this.store.add(() => metrics.close());
+    this.store.add(watchProcessHealth(metrics.reportGauge));
     this.stopped = new Promise(resolve => (this.resolveStopped = resolve));
     this.life = ProcessLife.create({
       noticeMs: NOTICE_MS,
@@ -70,17 +76,21 @@
 
   /** Creates an agent from its settings; `start` opens its sockets. */
   static async create(settings: AgentSettings): Promise<AgentProcess> {
-    const identity: ProcessIdentity = {
-      id: settings.process.id,
-      incarnation: drawIncarnation(),
-      dataCentre: settings.process.dataCentre,
-    };
+    const {id, dataCentre} = settings.process;
+    const identity = drawIdentity(id, dataCentre);
     const log = await createLog({
       program: 'foxtailbay-agent',
       identity,
       level: settings.log.level,
     });
-    return new AgentProcess(settings, identity, log);
+    const metrics = await createMetrics({
+      settings: settings.metrics,
+      prefix: 'foxtailbay.agent.',
+      identity,
+      reportFailure: failure =>
+        log.write(LogLevel.WARN, LogEvent.METRICS_FAILED, failure.message),
+    });
+    return new AgentProcess(settings, identity, log, metrics);
   }
 
   /**
@@ -175,6 +185,9 @@
       case ProcessAction.REFUSE_WORK:
         this.runner.post({kind: RunnerMessageKind.REFUSE_WORK});
         break;
+      case ProcessAction.HAND_OVER:
+        this.life.send(ProcessEvent.RELEASED);
+        break;
       case ProcessAction.REPORT_UNFINISHED:
         this.log.write(
           LogLevel.WARN,
@@ -196,6 +209,7 @@
         break;
       case ProcessState.LEAVING:
       case ProcessState.DRAINING:
+      case ProcessState.RELEASING:
         this.log.write(
           LogLevel.INFO,
           LogEvent.STOPPING,
@@ -230,7 +244,7 @@
   private reportLink(entry: string, state: LinkState): void {
     const isOpen = state === LinkState.OPEN;
     this.log.write(
-      isOpen ? LogLevel.INFO : LogLevel.DEBUG,
+      isOpen || state === LinkState.WAITING ? LogLevel.INFO : LogLevel.DEBUG,
       isOpen ? LogEvent.ENTRY_CONNECTED : LogEvent.ENTRY_MISSING,
       `The link to ${entry} is ${state}.`,
       {entry},
--- a/src/lib/entry/dispatcher.ts
+++ b/src/lib/entry/dispatcher.ts
@@ -1,7 +1,6 @@
 /** The task of an entry that owns its jobs and places their tasks. */
 import {repeatTimer} from '../core/clock.js';
 import {Problem} from '../core/job.js';
-import type {EntryPong} from '../core/link_messages.js';
 import {Task} from '../core/task.js';
 import type {Post} from '../core/task.js';
 import {AgentBoard} from '../decisions/agent_board.js';
@@ -18,10 +17,12 @@
 import {selectAgentConfiguration} from './agent_desk_options.js';
 import type {AgentStatus} from './agent_desk_options.js';
 import {createDispatcherCounters} from './dispatcher_counters.js';
+import type {DispatcherHoldings} from './dispatcher_counters.js';
 import {DispatcherMessageKind} from './dispatcher_messages.js';
 import type {DispatcherMessage} from './dispatcher_messages.js';
 import type {DispatcherOptions} from './dispatcher_options.js';
 import {JobTable} from './job_table.js';
+import {LedgerBook} from './ledger_book.js';
 import {SubmissionDesk} from './submission_desk.js';
 
 const MAILBOX_CAPACITY = 1_000_000;
@@ -40,6 +41,7 @@
   private readonly task: Task<DispatcherMessage>;
   private readonly board: AgentBoard;
   private readonly planner: WorkPlanner;
+  private readonly ledgers: LedgerBook;
   private readonly desk: SubmissionDesk;
   private readonly jobs: JobTable;
   private readonly agents: AgentDesk;
@@ -65,7 +67,19 @@
       rankJob: options.rankJob,
       limits: options.limits,
     });
-    this.desk = this.createSubmissionDesk();
+    this.ledgers = LedgerBook.create(
+      options.identity.incarnation,
+      options.ledger,
+      options.publishHeld,
+    );
+    this.desk = SubmissionDesk.create({
+      incarnation: options.identity.incarnation,
+      ledgers: this.ledgers,
+      getJobs: () => this.jobs,
+      counters: this.counters,
+      readMonotonicMs: options.readMonotonicMs,
+      getView: () => this.view,
+    });
     this.jobs = this.createJobTable();
     this.agents = this.createAgentDesk();
     this.lastTargetAtMs = options.readMonotonicMs();
@@ -80,12 +94,11 @@
   /** Creates the dispatcher and starts its periodic checks. */
   static create(options: DispatcherOptions): Dispatcher {
     const dispatcher = new Dispatcher(options);
-    const stop = repeatTimer(options.startTimer, TICK_PERIOD_MS, () =>
-      dispatcher.post({kind: DispatcherMessageKind.TICK}),
-    );
-    dispatcher.task.store.add(() => dispatcher.agents.stopTimers());
-    dispatcher.task.store.add(() => dispatcher.jobs.stopTimers());
-    dispatcher.task.store.add(stop);
+    const {store, post} = dispatcher.task;
+    const tick = () => post({kind: DispatcherMessageKind.TICK});
+    store.add(() => dispatcher.agents.stopTimers());
+    store.add(() => dispatcher.jobs.stopTimers());
+    store.add(repeatTimer(options.startTimer, TICK_PERIOD_MS, tick));
     return dispatcher;
   }
 
@@ -99,19 +112,11 @@
     return this.view !== undefined && !this.isLeaving;
   }
 
-  /** Number of tasks that wait for an agent. */
-  get waiting(): number {
-    return this.planner.waiting;
-  }
-
-  /** Number of jobs that are not answered. */
-  get running(): number {
-    return this.jobs.size;
-  }
-
-  /** Number of keys remembered. */
-  get keys(): number {
-    return this.desk.keys;
+  /** Describes how much is in hand. */
+  describeHoldings(): DispatcherHoldings {
+    const {size: jobsRunning} = this.jobs;
+    const {waiting: tasksWaiting} = this.planner;
+    return {jobsRunning, tasksWaiting, keys: this.ledgers.keys};
   }
 
   /** Lists the agents known. */
@@ -124,16 +129,6 @@
     return this.task.stop();
   }
 
-  private createSubmissionDesk(): SubmissionDesk {
-    return SubmissionDesk.create({
-      ledger: this.options.ledger,
-      getJobs: () => this.jobs,
-      counters: this.counters,
-      readMonotonicMs: this.options.readMonotonicMs,
-      getView: () => this.view,
-    });
-  }
-
   private createJobTable(): JobTable {
     const {options} = this;
     return JobTable.create({
@@ -168,7 +163,14 @@
         void this.post({kind: DispatcherMessageKind.AGENT_TIMER, agent, event}),
       endTask: (task, agent, report) => this.jobs.endTask(task, agent, report),
       describeConfiguration: () => selectAgentConfiguration(this.view),
-      describePong: pingSentAtMs => this.describePong(pingSentAtMs),
+      describePong: pingSentAtMs => ({
+        pingSentAtMs,
+        contact: this.evidence.contact,
+        confirmedAgeMs:
+          options.readMonotonicMs() - this.evidence.confirmedSentAtMs,
+        configurationRevision: this.view?.revision ?? 0,
+        isLeaving: this.isLeaving,
+      }),
       reportAgent: options.reportAgent,
     });
   }
@@ -224,6 +226,13 @@
         this.isRefusing = true;
         this.desk.refuseWork();
         break;
+      case DispatcherMessageKind.LIST_LEDGERS:
+        message.take(this.ledgers.listLedgers(this.options.readMonotonicMs()));
+        break;
+      case DispatcherMessageKind.ADOPT_LEDGER:
+        this.ledgers.adopt(message.ledger, this.options.readMonotonicMs());
+        message.confirm();
+        break;
     }
   }
 
@@ -238,7 +247,7 @@
     this.agents.checkSilence(nowMs);
     this.board.refreshAll(nowMs);
     if (this.board.slots > 0) this.lastTargetAtMs = nowMs;
-    this.desk.expire(nowMs);
+    this.ledgers.expire(nowMs);
     this.jobs.check(nowMs);
   }
 
@@ -285,15 +294,4 @@
     if (sequence === undefined) return;
     this.jobs.recordSent(job, task.index, {agent, sequence});
   }
-
-  private describePong(pingSentAtMs: number): EntryPong {
-    const {contact, confirmedSentAtMs} = this.evidence;
-    return {
-      pingSentAtMs,
-      contact,
-      confirmedAgeMs: this.options.readMonotonicMs() - confirmedSentAtMs,
-      configurationRevision: this.view?.revision ?? 0,
-      isLeaving: this.isLeaving,
-    };
-  }
 }
--- a/src/lib/entry/entry_process.ts
+++ b/src/lib/entry/entry_process.ts
@@ -2,7 +2,7 @@
 import {AdministrationTask} from '../admin/administration_task.js';
 import {readMonotonicMs, startTimer} from '../core/clock.js';
 import {DisposableStore} from '../core/disposable_store.js';
-import {drawIncarnation} from '../core/identity.js';
+import {drawIdentity} from '../core/identity.js';
 import type {ProcessIdentity} from '../core/identity.js';
 import {
   ProcessAction,
@@ -14,6 +14,7 @@
 import type {Log} from '../observe/log.js';
 import {createMetrics} from '../observe/metrics.js';
 import type {Metrics} from '../observe/metrics.js';
+import {watchProcessHealth} from '../observe/process_health.js';
 import {HttpPlatformStore} from '../platform/http_platform_store.js';
 import {StoreContact} from '../records/configuration_view.js';
 import type {
@@ -26,20 +27,25 @@
 import {openCallerFront} from './caller_front.js';
 import type {CallerFront} from './caller_front.js';
 import {ConfigurationMessageKind} from './configuration_message.js';
-import {ConfigurationTask} from './configuration_task.js';
+import {createConfigurationTask} from './configuration_settings.js';
+import type {ConfigurationTask} from './configuration_task.js';
 import type {Dispatcher} from './dispatcher.js';
 import {createDispatcherOf} from './dispatcher_settings.js';
 import {DispatcherMessageKind} from './dispatcher_messages.js';
 import {EntryReports} from './entry_reports.js';
-import {describeEntryStatus} from './entry_status.js';
+import {describeEntryStatus, listGauges} from './entry_status.js';
 import {openPeerPort} from './peer_port.js';
-import {PeerKeeper, PeerMessageKind} from './peer_keeper.js';
+import {PeerKeeper} from './peer_keeper.js';
+import {PeerMessageKind} from './peer_messages.js';
 import {RequestDesk} from './request_desk.js';
 import {RevisionWaiters} from './revision_waiters.js';
 
 /** Longest time in milliseconds for the owner of a key to answer another entry. */
 const FORWARD_WITHIN_MS = 900_000;
 
+/** States in which the sessions of a stopping peer are taken over. */
+const ADOPTING_STATES = new Set([ProcessState.SERVING, ProcessState.LEAVING]);
+
 /** One running entry. */
 export class EntryProcess {
   private readonly store = DisposableStore.create();
@@ -75,6 +81,7 @@
     this.dispatcher = this.createDispatcher();
     this.peers = PeerKeeper.create({
       identity,
+      address: settings.advertise.peers,
       connect: connectPeer,
       forwardWithinMs: FORWARD_WITHIN_MS,
       readMonotonicMs,
@@ -83,17 +90,16 @@
     });
     this.desk = this.createDesk();
     this.store.add(() => metrics.close());
+    const readGauges = () => listGauges(this.dispatcher);
+    this.store.add(watchProcessHealth(metrics.reportGauge, readGauges));
     this.store.add(() => this.dispatcher.stop());
     this.store.add(() => this.peers.stop());
   }
 
   /** Creates an entry from its settings; `start` opens its sockets. */
   static async create(settings: EntrySettings): Promise<EntryProcess> {
-    const identity: ProcessIdentity = {
-      id: settings.process.id,
-      incarnation: drawIncarnation(),
-      dataCentre: settings.process.dataCentre,
-    };
+    const {id, dataCentre} = settings.process;
+    const identity = drawIdentity(id, dataCentre);
     const log = await createLog({
       program: 'foxtailbay-entry',
       identity,
@@ -136,6 +142,8 @@
     return createDispatcherOf(this.settings, {
       identity: this.identity,
       reports: this.reports,
+      publishHeld: incarnations =>
+        void this.peers.post({kind: PeerMessageKind.OWN_HELD, incarnations}),
       reportIdle: () => this.reportIfIdle(),
     });
   }
@@ -147,6 +155,7 @@
       secret: this.settings.sessions.secret,
       sessionLifetimeMs: this.settings.sessions.lifetimeMs,
       postToDispatcher: message => this.dispatcher.post(message),
+      findHolder: incarnation => this.peers.findHolder(incarnation),
       forward: (address, request, answer) =>
         void this.peers.post({
           kind: PeerMessageKind.FORWARD,
@@ -158,10 +167,8 @@
   }
 
   private async openPeerPort(): Promise<void> {
-    const {host, port} = this.settings.listen.peers;
     const server = await openPeerPort({
-      host,
-      port,
+      ...this.settings.listen.peers,
       identity: this.identity,
       postToDispatcher: message => this.dispatcher.post(message),
       desk: this.desk,
@@ -171,16 +178,16 @@
           kind: ConfigurationMessageKind.LEARN,
           learned,
         }),
+      postToPeers: message => this.peers.post(message),
+      isAdopting: () => ADOPTING_STATES.has(this.life.state),
       getContact: () => this.contact,
     });
     this.store.add(() => server.close());
   }
 
   private async openCallerPort(): Promise<void> {
-    const {host, port} = this.settings.listen.callers;
     const front = await openCallerFront({
-      host,
-      port,
+      ...this.settings.listen.callers,
       bodyBytesAtMost: this.settings.limits.bodyBytes,
       desk: this.desk,
       isReady: () =>
@@ -193,8 +200,7 @@
   private async openAdministration(): Promise<void> {
     const {store, listen, administration} = this.settings;
     const task = await AdministrationTask.create({
-      host: listen.administration.host,
-      port: listen.administration.port,
+      ...listen.administration,
       key: administration.key,
       store: HttpPlatformStore.create(store),
       prefix: store.prefix,
@@ -215,23 +221,11 @@
   }
 
   private followConfiguration(): void {
-    const {store, advertise} = this.settings;
-    const configuration = ConfigurationTask.create({
-      store: HttpPlatformStore.create(store),
+    const configuration = createConfigurationTask(this.settings, {
       identity: this.identity,
-      address: advertise.peers,
-      prefix: store.prefix,
-      watchWaitMs: store.watchWaitMs,
-      callTimeoutMs: store.callTimeoutMs,
-      leaseMs: store.leaseMs,
+      reports: this.reports,
       publishView: view => this.publishView(view),
       publishEvidence: evidence => this.publishEvidence(evidence),
-      reportRecord: this.reports.reportRecord,
-      reportRegistration: () => undefined,
-      reportFailure: this.reports.reportStoreFailure,
-      readMonotonicMs,
-      startTimer,
-      drawRandom: Math.random,
     });
     this.configuration = configuration;
     this.store.add(() => configuration.stop());
@@ -261,12 +255,30 @@
         this.configuration?.post({kind: ConfigurationMessageKind.LEAVE});
         this.dispatcher.post({kind: DispatcherMessageKind.REFUSE_WORK});
         break;
+      case ProcessAction.HAND_OVER:
+        this.releaseSessions();
+        break;
       case ProcessAction.REPORT_UNFINISHED:
         this.reports.reportUnfinished(this.settings.stop.drainMs);
         break;
     }
   }
 
+  private releaseSessions(): void {
+    this.dispatcher.post({
+      kind: DispatcherMessageKind.LIST_LEDGERS,
+      take: ledgers =>
+        this.peers.post({
+          kind: PeerMessageKind.HAND_OVER,
+          ledgers,
+          reportEnd: end => {
+            this.reports.reportHandOver(end);
+            this.life.send(ProcessEvent.RELEASED);
+          },
+        }),
+    });
+  }
+
   private reportIfIdle(): void {
     if (this.front?.countOpen() === 0) this.life.send(ProcessEvent.IDLE);
   }
--- a/src/lib/entry/entry_status.ts
+++ b/src/lib/entry/entry_status.ts
@@ -6,6 +6,7 @@
   StatusReport,
   TargetStatus,
 } from '../admin/status_report.js';
+import {Gauge} from '../observe/metrics.js';
 import type {
   ConfigurationView,
   StoreContact,
@@ -39,13 +40,23 @@
     targets: agents.flatMap(describeTarget),
     counters: {
       ...dispatcher.counters,
-      jobsRunning: dispatcher.running,
-      tasksWaiting: dispatcher.waiting,
-      keys: dispatcher.keys,
+      ...dispatcher.describeHoldings(),
     },
   };
 }
 
+/** Lists the gauges of what an entry holds. */
+export function listGauges(
+  dispatcher: Dispatcher,
+): Partial<Record<Gauge, number>> {
+  const {tasksWaiting, jobsRunning} = dispatcher.describeHoldings();
+  return {
+    [Gauge.TASKS_WAITING]: tasksWaiting,
+    [Gauge.JOBS]: jobsRunning,
+    [Gauge.AGENTS]: dispatcher.listAgents().length,
+  };
+}
+
 function describeEntries(sources: EntryStatusSources): ProcessStatus[] {
   const {identity, view, contact, peers, nowMs} = sources;
   const own: ProcessStatus = {
--- a/stand_ins/target_announcer.ts
+++ b/stand_ins/target_announcer.ts
@@ -1,8 +1,8 @@
 /** Announces the target stand-in to the agent beside it. */
 import {Client} from 'undici';
 import {startTimer} from '../src/lib/core/clock.js';
-import {SendOutcome, sendOnce} from '../src/lib/platform/send_once.js';
-import type {OutgoingRequest} from '../src/lib/platform/send_once.js';
+import {SendOutcome, sendOnce} from '../src/lib/core/send_once.js';
+import type {OutgoingRequest} from '../src/lib/core/send_once.js';
 
 /** What a target tells its agent. */
 export interface TargetAnnouncement {
@@ -38,7 +38,7 @@
   }
 
   /** Says that the target takes no more tasks; returns the agent's status. */
-  sayGoodbye(instance: string): Promise<number> {
+  sendGoodbye(instance: string): Promise<number> {
     return this.send('DELETE', {instance});
   }
 
--- a/tools/scenario/scene.ts
+++ b/tools/scenario/scene.ts
@@ -144,6 +144,13 @@
     return counts.every(count => count >= expected);
   }
 
+  /** Tells whether an entry says that it is ready for callers. */
+  async checkReadiness(entry: string): Promise<boolean> {
+    const url = `${this.fleet.findCallersAddress(entry)}/readyz`;
+    const {status} = await this.http.call({method: 'GET', url});
+    return status === 200;
+  }
+
   /** Lets something go on beside the steps; a failure is left to the verdict. */
   follow(work: Promise<void>): void {
     void work.catch((failure: unknown) => this.writeLine(String(failure)));
@@ -175,7 +182,7 @@
     const address = this.fleet.findAddress(target, Listener.MAIN);
     const record = await readTargetRecord(this.http.call, address, plan);
     const life = `${target}/${this.fleet.findProcess(target).pid}`;
-    this.observer.setStarts(life, record.starts, record.violations);
+    this.observer.setRecord(life, record);
   }
 
   /** Reads the records of all targets that serve. */
