Make a server's identity, log and metrics in one place; share the status types

Cause: duplicates showed the same lines in both servers, and the status report's types again at the command line.

--- a/src/lib/agent/agent_process.ts
+++ b/src/lib/agent/agent_process.ts
@@ -2,7 +2,6 @@
 import {defer, readMonotonicMs, startTimer} from '../core/clock.js';
 import {DisposableStore} from '../core/disposable_store.js';
 import type {HttpListener} from '../core/http_listener.js';
-import {drawIdentity} from '../core/identity.js';
 import type {ProcessIdentity} from '../core/identity.js';
 import {
   ProcessAction,
@@ -11,11 +10,11 @@
   ProcessState,
 } from '../core/process_life.js';
 import {DataCentreState} from '../decisions/start_permission.js';
-import {createLog, LogEvent} from '../observe/log.js';
+import {LogEvent} from '../observe/log.js';
 import type {Log} from '../observe/log.js';
-import {createMetrics} from '../observe/metrics.js';
-import type {Metrics} from '../observe/metrics.js';
 import {watchProcessHealth} from '../observe/process_health.js';
+import {createProcessParts} from '../observe/process_parts.js';
+import type {ProcessParts} from '../observe/process_parts.js';
 import type {AgentSettings} from '../settings/agent_settings.js';
 import {LogLevel} from '../settings/settings_schema.js';
 import {openLinkStream} from '../wire/link_client.js';
@@ -41,6 +40,8 @@
 /** One running agent. */
 export class AgentProcess {
   private readonly store = DisposableStore.create();
+  private readonly identity: ProcessIdentity;
+  private readonly log: Log;
   private readonly life: ProcessLife;
   private readonly runner: Runner;
   private readonly target: TargetKeeper;
@@ -52,10 +53,11 @@
 
   private constructor(
     private readonly settings: AgentSettings,
-    private readonly identity: ProcessIdentity,
-    private readonly log: Log,
-    metrics: Metrics,
+    parts: ProcessParts,
   ) {
+    const {identity, log, metrics} = parts;
+    this.identity = identity;
+    this.log = log;
     this.store.add(() => metrics.close());
     this.store.add(watchProcessHealth(metrics.reportGauge));
     this.stopped = new Promise(resolve => (this.resolveStopped = resolve));
@@ -76,21 +78,10 @@
 
   /** Creates an agent from its settings; `start` opens its sockets. */
   static async create(settings: AgentSettings): Promise<AgentProcess> {
-    const {id, dataCentre} = settings.process;
-    const identity = drawIdentity(id, dataCentre);
-    const log = await createLog({
-      program: 'foxtailbay-agent',
-      identity,
-      level: settings.log.level,
-    });
-    const metrics = await createMetrics({
-      settings: settings.metrics,
-      prefix: 'foxtailbay.agent.',
-      identity,
-      reportFailure: failure =>
-        log.write(LogLevel.WARN, LogEvent.METRICS_FAILED, failure.message),
-    });
-    return new AgentProcess(settings, identity, log, metrics);
+    return new AgentProcess(
+      settings,
+      await createProcessParts('agent', settings),
+    );
   }
 
   /**
--- a/src/lib/cli/revision_wait.ts
+++ b/src/lib/cli/revision_wait.ts
@@ -1,5 +1,5 @@
 /** Waiting until a change is in force at every process. */
-import type {RevisionStatus} from './administration_documents.js';
+import type {RevisionStatus} from '../admin/status_report.js';
 import type {AdministrationClient} from './administration_client.js';
 import {getRevision} from './administration_client.js';
 import {MS_PER_S} from './entry_options.js';
--- a/src/lib/cli/verdicts/change_verdict.ts
+++ b/src/lib/cli/verdicts/change_verdict.ts
@@ -1,8 +1,8 @@
 /** Verdicts on changes of the configuration. */
 import type {PastRecordVersion} from '../../records/record_body.js';
+import type {RevisionStatus} from '../../admin/status_report.js';
 import type {
   ChangeDocument,
-  RevisionStatus,
   StoredRecord,
 } from '../administration_documents.js';
 import {chooseExitCode, ExitCode} from '../exit_code.js';
--- a/src/lib/cli/verdicts/status_verdict.ts
+++ b/src/lib/cli/verdicts/status_verdict.ts
@@ -1,8 +1,6 @@
 /** Verdicts on questions about the fleet. */
-import type {
-  DataCentreDocument,
-  StatusReport,
-} from '../administration_documents.js';
+import type {StatusReport} from '../../admin/status_report.js';
+import type {DataCentreDocument} from '../administration_documents.js';
 import {isSuccess} from '../http_exchange.js';
 import type {HttpReply} from '../http_exchange.js';
 import {formatTable} from '../table.js';
--- a/src/lib/entry/entry_process.ts
+++ b/src/lib/entry/entry_process.ts
@@ -2,7 +2,6 @@
 import {AdministrationTask} from '../admin/administration_task.js';
 import {readMonotonicMs, startTimer} from '../core/clock.js';
 import {DisposableStore} from '../core/disposable_store.js';
-import {drawIdentity} from '../core/identity.js';
 import type {ProcessIdentity} from '../core/identity.js';
 import {
   ProcessAction,
@@ -10,11 +9,9 @@
   ProcessLife,
   ProcessState,
 } from '../core/process_life.js';
-import {createLog, LogEvent} from '../observe/log.js';
-import type {Log} from '../observe/log.js';
-import {createMetrics} from '../observe/metrics.js';
-import type {Metrics} from '../observe/metrics.js';
 import {watchProcessHealth} from '../observe/process_health.js';
+import {createProcessParts} from '../observe/process_parts.js';
+import type {ProcessParts} from '../observe/process_parts.js';
 import {HttpPlatformStore} from '../platform/http_platform_store.js';
 import {StoreContact} from '../records/configuration_view.js';
 import type {
@@ -22,7 +19,6 @@
   ConfigurationView,
 } from '../records/configuration_view.js';
 import type {EntrySettings} from '../settings/entry_settings.js';
-import {LogLevel} from '../settings/settings_schema.js';
 import {connectPeer} from '../wire/peer_client.js';
 import {openCallerFront} from './caller_front.js';
 import type {CallerFront} from './caller_front.js';
@@ -49,6 +45,7 @@
 /** One running entry. */
 export class EntryProcess {
   private readonly store = DisposableStore.create();
+  private readonly identity: ProcessIdentity;
   private readonly life: ProcessLife;
   private readonly reports: EntryReports;
   private readonly dispatcher: Dispatcher;
@@ -65,10 +62,10 @@
 
   private constructor(
     private readonly settings: EntrySettings,
-    private readonly identity: ProcessIdentity,
-    log: Log,
-    metrics: Metrics,
+    parts: ProcessParts,
   ) {
+    const {identity, log, metrics} = parts;
+    this.identity = identity;
     this.reports = EntryReports.create(log, metrics);
     this.stopped = new Promise(resolve => (this.resolveStopped = resolve));
     this.life = ProcessLife.create({
@@ -98,21 +95,10 @@
 
   /** Creates an entry from its settings; `start` opens its sockets. */
   static async create(settings: EntrySettings): Promise<EntryProcess> {
-    const {id, dataCentre} = settings.process;
-    const identity = drawIdentity(id, dataCentre);
-    const log = await createLog({
-      program: 'foxtailbay-entry',
-      identity,
-      level: settings.log.level,
-    });
-    const metrics = await createMetrics({
-      settings: settings.metrics,
-      prefix: 'foxtailbay.entry.',
-      identity,
-      reportFailure: failure =>
-        log.write(LogLevel.WARN, LogEvent.METRICS_FAILED, failure.message),
-    });
-    return new EntryProcess(settings, identity, log, metrics);
+    return new EntryProcess(
+      settings,
+      await createProcessParts('entry', settings),
+    );
   }
 
   /**
