--- a/src/lib/decisions/agent_board.ts
+++ b/src/lib/decisions/agent_board.ts
@@ -279,7 +279,7 @@
   private refreshLimits(agent: AgentRecord, nowMs: number): void {
     agent.health = resumeHealth(agent.health, nowMs);
     agent.concurrencyLimit = Math.min(
-      limitConcurrency(agent.health, agent.slots),
+      limitConcurrency(agent.health),
       limitByRamp(nowMs - agent.usableSinceMs, agent.slots),
     );
     agent.reportAgeMs = nowMs - agent.reportedAtMs;
--- a/src/lib/decisions/outcome_limit.ts
+++ b/src/lib/decisions/outcome_limit.ts
@@ -1,11 +1,12 @@
-/** Limits on concurrent tasks at one agent, learnt from how its tasks ended. */
+/** Evidence against one agent's target, learnt from how its tasks ended. */
 
 /**
- * Backoff of one agent: 0 is full speed, 1 is fully backed off.
+ * Backoff of one agent: 0 is trusted, 1 is fully backed off.
  *
  * The idea is that of "Worker Backpressure (Part 1)", Canva engineering: a
  * controller moves one number after each outcome, against a share of failures
- * that counts as background noise, and concurrency is scaled by it.
+ * that counts as background noise. Concurrency is not scaled by it between the
+ * two ends: measured with and without, that saved no job.
  */
 export interface OutcomeLimit {
   readonly backoff: number;
@@ -51,8 +52,3 @@
 export function computeSetPoint(failingShare: number): number {
   return Math.min(1, Math.max(LEAST_SET_POINT, 2 * failingShare));
 }
-
-/** Scales a number of slots by the backoff; 0 when fully backed off. */
-export function scaleSlots(limit: OutcomeLimit, slots: number): number {
-  return Math.ceil(slots * (1 - limit.backoff));
-}
--- a/src/lib/decisions/quarantine.ts
+++ b/src/lib/decisions/quarantine.ts
@@ -1,7 +1,7 @@
 /** Keeps work from targets that fail what they start, and probes them. */
 import {Chart} from '../core/chart.js';
 import {readChart} from '../core/chart_file.js';
-import {NO_BACKOFF, recordOutcome, scaleSlots} from './outcome_limit.js';
+import {NO_BACKOFF, recordOutcome} from './outcome_limit.js';
 import type {OutcomeLimit} from './outcome_limit.js';
 
 /** States of the chart `agent_health`. */
@@ -105,12 +105,10 @@
 }
 
 /** Returns the number of tasks the target may have at once. */
-export function limitConcurrency(health: AgentHealth, slots: number): number {
+export function limitConcurrency(health: AgentHealth): number {
   switch (health.state) {
     case HealthState.TRUSTED:
-      return health.limit.backoff === 0
-        ? Infinity
-        : Math.max(1, scaleSlots(health.limit, slots));
+      return Infinity;
     case HealthState.QUARANTINED:
       return 0;
     case HealthState.PROBING:
