--- a/src/lib/entry/dispatcher.ts
+++ b/src/lib/entry/dispatcher.ts
@@ -95,10 +95,10 @@
   static create(options: DispatcherOptions): Dispatcher {
     const dispatcher = new Dispatcher(options);
     const {store, post} = dispatcher.task;
-    const tick = () => post({kind: DispatcherMessageKind.TICK});
+    const check = () => post({kind: DispatcherMessageKind.TICK});
     store.add(() => dispatcher.agents.stopTimers());
     store.add(() => dispatcher.jobs.stopTimers());
-    store.add(repeatTimer(options.startTimer, TICK_PERIOD_MS, tick));
+    store.add(repeatTimer(options.startTimer, TICK_PERIOD_MS, check));
     return dispatcher;
   }
 
