--- a/src/lib/decisions/work_planner.ts
+++ b/src/lib/decisions/work_planner.ts
@@ -20,7 +20,6 @@
   recordReturn,
   recordSend,
 } from './retry_budget.js';
-import {SlotReserve} from './slot_reserve.js';
 import {TeamDesk} from './team_desk.js';
 import type {TeamLimits} from './team_desk.js';
 
@@ -101,7 +100,6 @@
   private readonly teams = TeamDesk.create();
   private readonly runTimes = ClassRunTimes.create();
   private readonly jobs = new Map<string, PlannedJob>();
-  private readonly reserve = SlotReserve.create();
   private entries = 1;
   /** When the head of the queue could first not be placed; undefined if it could. */
   private heldSinceMs: number | undefined;
@@ -170,8 +168,6 @@
       return {kind: PlanStepKind.GIVE_UP, job: head.job};
     }
     if (isPaused(this.retryBudget, nowMs)) return undefined;
-    const slots = this.options.board.slots / this.entries;
-    if (this.reserve.isKept(head.job, slots, nowMs)) return undefined;
     const agent = this.chooseAgent(head, nowMs);
     if (agent === undefined) {
       this.heldSinceMs ??= nowMs;
@@ -183,7 +179,6 @@
     this.retryBudget = recordSend(this.retryBudget);
     this.options.board.recordSent(agent);
     this.teams.count(head.team, 1);
-    this.reserve.count(head.job, 1);
     this.settleTeam(head.team);
     return {kind: PlanStepKind.SEND, task: head, agent};
   }
@@ -195,7 +190,6 @@
     const {expectedMs} = task;
     board.recordEnd(end.agent, {isSuccess, runMs, expectedMs}, nowMs);
     this.teams.count(task.team, -1);
-    this.reserve.count(task.job, -1);
     this.settleTeam(task.team);
     if (runMs <= 0) return;
     this.queue.chargeTeam(task.team, runMs - expectedMs);
@@ -212,7 +206,6 @@
     }
     this.options.board.recordReturned(agent);
     this.teams.count(task.team, -1);
-    this.reserve.count(task.job, -1);
     this.queue.giveBack(task);
     this.settleTeam(task.team);
   }
