Say unknown, not 'did not run', when a crowded entry cannot look a key up

Cause: a full mailbox was answered 'did not run' under a key that may be running or have run; a caller that believed it would book twice. A full mailbox of the peers' keeper was not answered at all. Change: under a key the answer is unknown, with the advice to ask again; both mailboxes are answered.

--- a/src/lib/entry/entry_process.ts
+++ b/src/lib/entry/entry_process.ts
@@ -143,7 +143,7 @@
       postToDispatcher: message => this.dispatcher.post(message),
       findHolder: incarnation => this.peers.findHolder(incarnation),
       forward: (address, request, answer) =>
-        void this.peers.post({
+        this.peers.post({
           kind: PeerMessageKind.FORWARD,
           address,
           request,
--- a/src/lib/entry/request_desk.ts
+++ b/src/lib/entry/request_desk.ts
@@ -37,12 +37,12 @@
 /** Takes the encoded answer to a request. */
 export type Answer = (answer: EncodedAnswer) => void;
 
-/** Hands a request to the entry that owns its key. */
+/** Hands a request to the entry that owns its key, unless too many wait. */
 export type ForwardRequest = (
   ownerAddress: string,
   request: CallerRequest,
   answer: Answer,
-) => void;
+) => PostOutcome;
 
 /** What the desk needs. */
 export interface RequestDeskOptions {
@@ -80,6 +80,9 @@
   PEER = 'peer',
 }
 
+/** Advice in milliseconds on when to ask a crowded entry again. */
+const CROWDED_RETRY_MS = 1000;
+
 const STATUS_ACCEPTED = 202;
 const STATUS_OK = 200;
 
@@ -101,7 +104,7 @@
     if (team instanceof DraftMistake) {
       return answer(refuseInvalid(team.detail));
     }
-    this.post(answer, {
+    this.post(answer, undefined, {
       kind: DispatcherMessageKind.OPEN_SESSION,
       team,
       reply: reply => answer(this.encodeSession(reply)),
@@ -132,7 +135,8 @@
     if (isHere || origin === RequestOrigin.PEER) {
       return answer(refuseEndedOwner(request.key));
     }
-    this.options.forward(address, request, answer);
+    const outcome = this.options.forward(address, request, answer);
+    if (outcome !== PostOutcome.QUEUED) answer(refuseCrowded(request.key));
   }
 
   private handleOwn(
@@ -145,7 +149,7 @@
     if (request.kind === RequestKind.SUBMIT) {
       return this.submit(request, key, answer, sendReply);
     }
-    this.post(answer, {
+    this.post(answer, request.key, {
       kind:
         request.kind === RequestKind.LOOK_UP
           ? DispatcherMessageKind.LOOK_UP
@@ -171,7 +175,7 @@
     }
     const {isDetached} = request;
     const digest = key === undefined ? '' : computeDigest(request.body);
-    this.post(answer, {
+    this.post(answer, request.key, {
       kind: DispatcherMessageKind.SUBMIT,
       key,
       digest,
@@ -225,20 +229,28 @@
     }
   }
 
-  // A full mailbox is told to the caller: nothing has been taken.
-  private post(answer: Answer, message: DispatcherMessage): void {
-    if (this.options.postToDispatcher(message) === PostOutcome.QUEUED) return;
-    answer(
-      encodeProblem({
-        problem: Problem.OVERLOADED,
-        outcome: Outcome.DID_NOT_RUN,
-        detail: 'The entry takes no more requests at present.',
-        retryAfterMs: 1000,
-      }),
-    );
+  private post(
+    answer: Answer,
+    key: string | undefined,
+    message: DispatcherMessage,
+  ): void {
+    const outcome = this.options.postToDispatcher(message);
+    if (outcome !== PostOutcome.QUEUED) answer(refuseCrowded(key));
   }
 }
 
+// A full mailbox is told to the caller. Nothing of this request was taken; but
+// whether its key has run is known only to the ledger, which was not asked.
+function refuseCrowded(key: string | undefined): EncodedAnswer {
+  return encodeProblem({
+    problem: Problem.OVERLOADED,
+    outcome: key === undefined ? Outcome.DID_NOT_RUN : Outcome.UNKNOWN,
+    detail: 'The entry takes no more requests at present.',
+    key,
+    retryAfterMs: CROWDED_RETRY_MS,
+  });
+}
+
 function computeDigest(body: Uint8Array): string {
   return createHash('sha256').update(body).digest('base64url').slice(0, 22);
 }
