--- a/src/lib/entry/peer_keeper.ts
+++ b/src/lib/entry/peer_keeper.ts
@@ -38,7 +38,7 @@
 }
 
 const MAILBOX_CAPACITY = 100_000;
-const ANNOUNCE_WITHIN_MS = 2000;
+const ANNOUNCE_WITHIN_MS = 5000;
 const ANNOUNCE_AGAIN_AFTER_MS = 1000;
 const HAND_OVER_WITHIN_MS = 4000;
 
