Let a test's process stand its signal handler before it says ready

Cause: 'reports how a graceful stop ended' failed once in three whole runs: the test's program printed its ready line before it handled SIGTERM, and a signal sent on that word ended it by default. Ruled out: the owner of the process (it reports what the system said); the products, which stand their handlers before they start. Change: the handler comes first. The expectation is as it was.

--- a/test/scenarios/child_process_task_test.ts
+++ b/test/scenarios/child_process_task_test.ts
@@ -11,7 +11,9 @@
 import {ScenarioError} from '../../tools/scenario/scenario_error.js';
 
 const READY = `console.log(JSON.stringify({event: 'ready'}));`;
-const WAITS = `${READY} process.on('SIGTERM', () => process.exit(0)); setInterval(() => 0, 1000);`;
+// The handler stands before the process says that it is ready: a signal sent
+// on that word would end it otherwise.
+const WAITS = `process.on('SIGTERM', () => process.exit(0)); setInterval(() => 0, 1000); ${READY}`;
 
 function createProcess(program: string): [ChildProcessTask, string] {
   const folder = mkdtempSync(join(tmpdir(), 'foxtailbay-test-'));
