--- a/src/lib/cli/http_client.ts
+++ b/src/lib/cli/http_client.ts
@@ -88,8 +88,20 @@
 function describeFailure(url: string, failure: unknown): HttpReply {
   const {code, name, message} = failure as NodeJS.ErrnoException;
   const reason = message || code || name;
-  const isSent = !NOT_SENT_CODES.has(code ?? '');
-  return {kind: isSent ? ReplyKind.LOST : ReplyKind.NOT_SENT, url, reason};
+  const isUnsent = isProvenUnsent(failure as NodeJS.ErrnoException);
+  return {kind: isUnsent ? ReplyKind.NOT_SENT : ReplyKind.LOST, url, reason};
+}
+
+/**
+ * Tells whether a failure proves that no byte of the request has left. The
+ * system also reports an unreachable host on a connection that stands already.
+ */
+export function isProvenUnsent(
+  failure: Pick<NodeJS.ErrnoException, 'code' | 'syscall'>,
+): boolean {
+  const {code = '', syscall} = failure;
+  const isConnected = syscall === 'read' || syscall === 'write';
+  return !isConnected && NOT_SENT_CODES.has(code);
 }
 
 function convertHeaders(
--- a/test/cli/http_client_test.ts
+++ b/test/cli/http_client_test.ts
@@ -2,7 +2,10 @@
 import {createServer} from 'node:net';
 import type {AddressInfo, Socket} from 'node:net';
 import {expect} from 'chai';
-import {createHttpClient} from '../../src/lib/cli/http_client.js';
+import {
+  createHttpClient,
+  isProvenUnsent,
+} from '../../src/lib/cli/http_client.js';
 import {Method, ReplyKind} from '../../src/lib/cli/http_exchange.js';
 import type {HttpReply} from '../../src/lib/cli/http_exchange.js';
 
@@ -89,3 +92,22 @@
     expect(reply.kind).to.equal(ReplyKind.NOT_SENT);
   });
 });
+
+describe('The proof that a request was not sent', () => {
+  it('holds for a host that could not be connected to', () => {
+    const failure = {code: 'EHOSTUNREACH', syscall: 'connect'};
+    expect(isProvenUnsent(failure)).to.equal(true);
+  });
+
+  it('does not hold for a host lost after the connection stood', () => {
+    for (const syscall of ['read', 'write']) {
+      const failure = {code: 'EHOSTUNREACH', syscall};
+      expect(isProvenUnsent(failure)).to.equal(false);
+    }
+  });
+
+  it('does not hold for a connection that was reset', () => {
+    const failure = {code: 'ECONNRESET', syscall: 'connect'};
+    expect(isProvenUnsent(failure)).to.equal(false);
+  });
+});
