--- /dev/null
+++ b/src/lib/decisions/admit_work.ts
@@ -0,0 +1,60 @@
+/** Decides whether a job can be served in time, before anything of it runs. */
+import {JobReason} from '../work/work_job.js';
+
+/** What the decision rests on. */
+export interface AdmissionInput {
+  /** Processor time of the job by its estimates, in core-milliseconds. */
+  readonly workMs: number;
+  /** Processor time waiting ahead of it, here and at peers, in core-milliseconds. */
+  readonly aheadMs: number;
+  /** Cores of all targets that take work. */
+  readonly cores: number;
+  /** Cores that are free now. */
+  readonly freeCores: number;
+  /** Time in milliseconds by which its tasks may be delayed. */
+  readonly slackMs: number;
+  /** Whether some target could hold its largest task. */
+  readonly isPlaceable: boolean;
+  /** Whether any target takes work. */
+  readonly hasTargets: boolean;
+}
+
+/** The decision and what it rests on. */
+export interface AdmissionVerdict {
+  /** `JobReason.NONE` admits. */
+  readonly reason: JobReason;
+  /** Expected time in milliseconds until its tasks begin. */
+  readonly waitMs: number;
+  /** When the caller may come again, in milliseconds. */
+  readonly retryAfterMs: number;
+}
+
+/** Share of the slack that the expected wait may take up. */
+const WAIT_SHARE = 1;
+
+/** When to come again while no target takes work, in milliseconds. */
+const NO_TARGET_RETRY_MS = 2000;
+
+/** Judges a job by the work ahead of it. */
+export function judgeAdmission(input: AdmissionInput): AdmissionVerdict {
+  if (!input.hasTargets) {
+    return {
+      reason: JobReason.NO_TARGET,
+      waitMs: 0,
+      retryAfterMs: NO_TARGET_RETRY_MS,
+    };
+  }
+  if (!input.isPlaceable) {
+    return {reason: JobReason.TOO_LARGE, waitMs: 0, retryAfterMs: 0};
+  }
+  const waitMs = input.aheadMs / Math.max(1, input.cores);
+  const isInTime = waitMs <= Math.max(0, input.slackMs) * WAIT_SHARE;
+  if (isInTime || input.freeCores * waitMs >= input.workMs + input.aheadMs) {
+    return {reason: JobReason.NONE, waitMs, retryAfterMs: 0};
+  }
+  return {
+    reason: JobReason.OVERLOADED,
+    waitMs,
+    retryAfterMs: Math.ceil(waitMs),
+  };
+}
--- /dev/null
+++ b/src/lib/decisions/held_run.ts
@@ -0,0 +1,84 @@
+/** One run of a task at the agent, and the chart of its life. */
+import {Chart} from '../core/chart.js';
+import {readChart} from '../core/chart_file.js';
+import type {NotStartedCause, RunOrder} from '../work/frames.js';
+
+/** States of `charts/target_run.yaml`. */
+export enum RunState {
+  QUEUED = 'queued',
+  STARTING = 'starting',
+  RUNNING = 'running',
+  REVOKING = 'revoking',
+  STOPPING = 'stopping',
+  ENDED = 'ended',
+}
+
+/** Events of `charts/target_run.yaml`. */
+export enum RunEvent {
+  ROOM = 'room',
+  ACCEPTED = 'accepted',
+  REJECTED = 'rejected',
+  UNANSWERED = 'unanswered',
+  LISTED = 'listed',
+  END_LISTED = 'endListed',
+  ABSENT = 'absent',
+  STOP = 'stop',
+  STOP_ANSWERED = 'stopAnswered',
+  STOP_UNANSWERED = 'stopUnanswered',
+  EXPIRED = 'expired',
+  TARGET_LOST = 'targetLost',
+}
+
+/** Actions of `charts/target_run.yaml`. */
+export enum RunAction {
+  SEND_START = 'sendStart',
+  SEND_STOP = 'sendStop',
+  REPORT_STARTED = 'reportStarted',
+  REPORT_NOT_STARTED = 'reportNotStarted',
+  REPORT_STOPPED = 'reportStopped',
+  REPORT_LOST = 'reportLost',
+  REPORT_END = 'reportEnd',
+}
+
+/** The chart of a run. */
+export const RUN_CHART = Chart.create<RunState, RunEvent>(
+  readChart('target_run'),
+  {
+    states: RunState,
+    events: RunEvent,
+    actions: Object.values(RunAction),
+  },
+);
+
+/** A run that the agent holds. Owned and changed by the run book alone. */
+export interface HeldRun {
+  readonly order: RunOrder;
+  /** Life of the entry that is told of it; empty for an orphan. */
+  owner: string;
+  state: RunState;
+  /** Monotonic time in milliseconds by which it should begin; orders the queue. */
+  readonly startByMs: number;
+  /** Monotonic time in milliseconds at which it is given up if still queued. */
+  readonly expiresAtMs: number;
+  /** Why it was stopped or not started. */
+  cause: NotStartedCause;
+  /** Times in milliseconds; 0 before the event. */
+  startSentAtMs: number;
+  acceptedAtMs: number;
+  stopAnsweredAtMs: number;
+  /** Share done in percent as last listed, and when it last rose. */
+  percent: number;
+  advancedAtMs: number;
+  /** Since when it has had no owner, in milliseconds; 0 with an owner. */
+  orphanedAtMs: number;
+}
+
+/** Identifies a run of the book. */
+export function formatRunKey(task: string, run: number): string {
+  return `${task}#${run}`;
+}
+
+/** Tells whether the run takes room on the target. */
+export function hasRoom(run: HeldRun): boolean {
+  return run.state !== RunState.QUEUED && run.state !== RunState.ENDED;
+}
--- /dev/null
+++ b/src/lib/decisions/place_task.ts
@@ -0,0 +1,122 @@
+/** Chooses the target for a task. */
+import {isFitting} from '../work/work_job.js';
+import type {Resources, StepSpec} from '../work/work_job.js';
+
+/** A target as placement sees it. */
+export interface PlacementTarget {
+  /** Life of the agent beside it. */
+  readonly agent: string;
+  /** One life of the target. */
+  readonly life: string;
+  readonly labels: readonly string[];
+  /** Room that is free, orders on their way taken off. */
+  readonly free: Resources;
+  readonly capacity: Resources;
+  /** Run time over estimate, averaged. */
+  readonly slowness: number;
+  readonly isSuspect: boolean;
+}
+
+/** What a task asks of its place. */
+export interface PlacementNeed {
+  readonly spec: StepSpec;
+  /** Time in milliseconds that is left for the run to meet the objective. */
+  readonly timeLeftMs: number;
+  /** Lives of targets on which a run of it went wrong. */
+  readonly avoided: ReadonlySet<string>;
+  /** Runs of the same step on an agent's target now. */
+  readonly countOn: (agent: string) => number;
+  /** Run time on another rack than the preferred one, as a multiple. */
+  readonly farFactor: number;
+}
+
+/** Chooses among targets that can take the task; undefined if none can. */
+export type ChooseTarget = (
+  need: PlacementNeed,
+  targets: readonly PlacementTarget[],
+) => PlacementTarget | undefined;
+
+/** Tells whether the target could ever run the step. */
+export function isEligible(spec: StepSpec, target: PlacementTarget): boolean {
+  const {requiredLabel} = spec;
+  const hasLabel =
+    requiredLabel === '' || target.labels.includes(requiredLabel);
+  return hasLabel && isFitting(spec.need, target.capacity);
+}
+
+/** Estimates the run time of a step on a target in milliseconds. */
+export function estimateRun(
+  spec: StepSpec,
+  target: PlacementTarget,
+  farFactor: number,
+): number {
+  const isFar =
+    spec.preferredRack !== '' && !target.labels.includes(spec.preferredRack);
+  return spec.estimateMs * target.slowness * (isFar ? farFactor : 1);
+}
+
+function listOpen(
+  need: PlacementNeed,
+  targets: readonly PlacementTarget[],
+): PlacementTarget[] {
+  const {spec} = need;
+  return targets.filter(
+    target =>
+      isEligible(spec, target) &&
+      isFitting(spec.need, target.free) &&
+      !need.avoided.has(target.life) &&
+      (spec.perTargetAtMost === 0 ||
+        need.countOn(target.agent) < spec.perTargetAtMost),
+  );
+}
+
+/** Takes the target on which the run is expected to end first. */
+export const chooseFastest: ChooseTarget = (need, targets) => {
+  const trusted = listOpen(need, targets).filter(target => !target.isSuspect);
+  return pickLeast(
+    trusted,
+    target =>
+      estimateRun(need.spec, target, need.farFactor) -
+      target.free.cpuMilli * 1e-6,
+  );
+};
+
+/** Share of the time left that an expected run may take up. */
+const SAFE_SHARE = 0.8;
+
+/**
+ * Takes the slowest target that is still expected to meet the objective, so
+ * that fast ones stay free for work that needs them; the fastest if none is.
+ */
+export const chooseSlowestInTime: ChooseTarget = (need, targets) => {
+  const trusted = listOpen(need, targets).filter(target => !target.isSuspect);
+  const inTime = trusted.filter(
+    target =>
+      estimateRun(need.spec, target, need.farFactor) <=
+      need.timeLeftMs * SAFE_SHARE,
+  );
+  if (inTime.length === 0) return chooseFastest(need, targets);
+  return pickLeast(
+    inTime,
+    target =>
+      -estimateRun(need.spec, target, need.farFactor) -
+      target.free.cpuMilli * 1e-6,
+  );
+};
+
+function pickLeast(
+  targets: readonly PlacementTarget[],
+  rate: (target: PlacementTarget) => number,
+): PlacementTarget | undefined {
+  let best: PlacementTarget | undefined;
+  let least = Infinity;
+  for (const target of targets) {
+    const rated = rate(target);
+    if (rated < least) [best, least] = [target, rated];
+  }
+  return best;
+}
+
+/** Takes a suspect target that asks for one run to prove itself. */
+export const chooseProbe: ChooseTarget = (need, targets) =>
+  listOpen(need, targets).find(target => target.isSuspect);
--- /dev/null
+++ b/src/lib/decisions/run_book.ts
@@ -0,0 +1,311 @@
+/** The runs of one target: room, queue, orders, ends. Decides, sends nothing. */
+import {isFitting, NO_RESOURCES, subtractResources} from '../work/work_job.js';
+import type {Resources} from '../work/work_job.js';
+import {NotStartedCause, RunEnd} from '../work/frames.js';
+import type {RunEndReport, RunOrder} from '../work/frames.js';
+import {
+  formatRunKey,
+  hasRoom,
+  RUN_CHART,
+  RunAction,
+  RunEvent,
+  RunState,
+} from './held_run.js';
+import type {HeldRun} from './held_run.js';
+
+/** Kinds of command that the book gives. */
+export enum RunCommandKind {
+  SEND_START = 'send-start',
+  SEND_STOP = 'send-stop',
+  REPORT_STARTED = 'report-started',
+  REPORT_END = 'report-end',
+}
+
+/** What the owner of the book must do next. */
+export type RunCommand =
+  | {
+      readonly kind:
+        | RunCommandKind.SEND_START
+        | RunCommandKind.SEND_STOP
+        | RunCommandKind.REPORT_STARTED;
+      readonly run: HeldRun;
+    }
+  | {
+      readonly kind: RunCommandKind.REPORT_END;
+      readonly run: HeldRun;
+      readonly report: RunEndReport;
+    };
+
+/** One row of a target's list of what runs. */
+export interface ListedRun {
+  readonly task: string;
+  readonly run: number;
+  readonly percent: number;
+}
+
+/** One row of a target's list of what has ended. */
+export interface ListedEnd {
+  /** Counts the ends of one life of the target from 1. */
+  readonly number: number;
+  readonly task: string;
+  readonly run: number;
+  readonly end: RunEnd;
+}
+
+/** Ends that a target lists at most; a list of this length may lack some. */
+const ENDS_LISTED_AT_MOST = 500;
+
+/** Keeps what runs and waits on one life of a target within its capacity. */
+export class RunBook {
+  private readonly runs = new Map<string, HeldRun>();
+  private used: Resources = NO_RESOURCES;
+  private ackedThrough = 0;
+
+  private constructor(
+    private capacity: Resources,
+    private readonly emit: (command: RunCommand) => void,
+  ) {}
+
+  /** Creates an empty book; `emit` is handed each command as it arises. */
+  static create(emit: (command: RunCommand) => void): RunBook {
+    return new RunBook(NO_RESOURCES, emit);
+  }
+
+  /** Number of the last end that was taken. */
+  get through(): number {
+    return this.ackedThrough;
+  }
+
+  /** What the target has in all. */
+  get room(): Resources {
+    return this.capacity;
+  }
+
+  /** What no run takes; stops in progress still count. */
+  get free(): Resources {
+    return subtractResources(this.capacity, this.used);
+  }
+
+  /** Lists all runs held. */
+  listRuns(): HeldRun[] {
+    return [...this.runs.values()];
+  }
+
+  /** Finds a run. */
+  findRun(task: string, run: number): HeldRun | undefined {
+    return this.runs.get(formatRunKey(task, run));
+  }
+
+  /** Finds a run of the task that has not ended, whatever its number. */
+  findActive(task: string): HeldRun | undefined {
+    return this.listRuns().find(run => run.order.task === task);
+  }
+
+  /** Sets what the target has in all. */
+  setCapacity(capacity: Resources): void {
+    this.capacity = capacity;
+  }
+
+  /** Queues an order. The run is started by `startNext`. */
+  addOrder(order: RunOrder, owner: string, nowMs: number): HeldRun {
+    const run: HeldRun = {
+      order,
+      owner,
+      state: RUN_CHART.initial,
+      startByMs: nowMs + order.slackMs,
+      expiresAtMs: nowMs + order.patienceMs,
+      cause: NotStartedCause.NONE,
+      startSentAtMs: 0,
+      acceptedAtMs: 0,
+      stopAnsweredAtMs: 0,
+      percent: 0,
+      advancedAtMs: nowMs,
+      orphanedAtMs: 0,
+    };
+    this.runs.set(formatRunKey(order.task, order.run), run);
+    return run;
+  }
+
+  /** Starts what has room, the most pressing first; nothing overtakes it. */
+  startNext(nowMs: number): void {
+    const queued = this.listRuns()
+      .filter(run => run.state === RunState.QUEUED)
+      .sort((a, b) => a.startByMs - b.startByMs);
+    for (const run of queued) {
+      if (!isFitting(run.order.need, this.free)) return;
+      run.startSentAtMs = nowMs;
+      run.advancedAtMs = nowMs;
+      this.change(run, RunEvent.ROOM, nowMs);
+    }
+  }
+
+  /** Gives up queued runs that have waited for too long. */
+  expire(nowMs: number): void {
+    for (const run of this.listRuns()) {
+      if (run.state !== RunState.QUEUED || nowMs < run.expiresAtMs) continue;
+      run.cause = NotStartedCause.NO_ROOM;
+      this.change(run, RunEvent.EXPIRED, nowMs);
+    }
+  }
+
+  /** Takes an event of one run. */
+  takeEvent(
+    run: HeldRun,
+    event: RunEvent,
+    nowMs: number,
+    cause: NotStartedCause = run.cause,
+  ): void {
+    if (run.state === RunState.ENDED) return;
+    run.cause = cause;
+    if (event === RunEvent.ACCEPTED) run.acceptedAtMs = nowMs;
+    if (event === RunEvent.STOP_ANSWERED) run.stopAnsweredAtMs = nowMs;
+    this.change(run, event, nowMs);
+  }
+
+  /**
+   * Takes the target's lists.
+   *
+   * @param requestedAtMs When they were asked for: a run that was accepted or
+   *     stopped before that and is in neither list has gone.
+   */
+  takeLists(
+    running: readonly ListedRun[],
+    ended: readonly ListedEnd[],
+    requestedAtMs: number,
+    nowMs: number,
+  ): void {
+    for (const row of ended) this.takeEnd(row, nowMs);
+    const present = new Set<string>();
+    for (const row of running) {
+      present.add(formatRunKey(row.task, row.run));
+      this.takeProgress(row, nowMs);
+    }
+    if (ended.length >= ENDS_LISTED_AT_MOST) return;
+    for (const [key, run] of this.runs) {
+      if (!present.has(key)) this.takeAbsence(run, requestedAtMs, nowMs);
+    }
+  }
+
+  /** Ends all runs: the target's life or its lease is over. */
+  loseAll(nowMs: number): void {
+    for (const run of this.listRuns()) {
+      run.cause = NotStartedCause.TARGET_AWAY;
+      this.change(run, RunEvent.TARGET_LOST, nowMs);
+    }
+  }
+
+  /** Begins to count the ends of another life of the target. */
+  resetEnds(): void {
+    this.ackedThrough = 0;
+  }
+
+  private takeEnd(row: ListedEnd, nowMs: number): void {
+    if (row.number <= this.ackedThrough) return;
+    this.ackedThrough = row.number;
+    const run = this.findRun(row.task, row.run);
+    if (run !== undefined)
+      this.change(run, RunEvent.END_LISTED, nowMs, row.end);
+  }
+
+  private takeProgress(row: ListedRun, nowMs: number): void {
+    const run = this.findRun(row.task, row.run);
+    if (run === undefined) return;
+    if (run.state === RunState.STARTING) {
+      run.acceptedAtMs = nowMs;
+      this.change(run, RunEvent.LISTED, nowMs);
+    }
+    if (row.percent > run.percent) {
+      run.percent = row.percent;
+      run.advancedAtMs = nowMs;
+    }
+  }
+
+  private takeAbsence(
+    run: HeldRun,
+    requestedAtMs: number,
+    nowMs: number,
+  ): void {
+    const isOld =
+      run.state === RunState.RUNNING
+        ? requestedAtMs > run.acceptedAtMs
+        : run.state === RunState.STOPPING &&
+          requestedAtMs > run.stopAnsweredAtMs;
+    if (isOld) this.change(run, RunEvent.ABSENT, nowMs);
+  }
+
+  private change(
+    run: HeldRun,
+    event: RunEvent,
+    nowMs: number,
+    end: RunEnd = RunEnd.LOST,
+  ): void {
+    const hadRoom = hasRoom(run);
+    const step = RUN_CHART.step(run.state, event);
+    run.state = step.state;
+    this.charge(run, hadRoom);
+    if (run.state === RunState.ENDED) {
+      this.runs.delete(formatRunKey(run.order.task, run.order.run));
+    }
+    for (const action of step.actions) {
+      this.perform(action as RunAction, run, nowMs, end);
+    }
+  }
+
+  private charge(run: HeldRun, hadRoom: boolean): void {
+    const {need} = run.order;
+    if (hadRoom === hasRoom(run)) return;
+    if (hadRoom) this.used = subtractResources(this.used, need);
+    else this.used = addResources(this.used, need);
+  }
+
+  private perform(
+    action: RunAction,
+    run: HeldRun,
+    nowMs: number,
+    end: RunEnd,
+  ): void {
+    switch (action) {
+      case RunAction.SEND_START:
+        this.emit({kind: RunCommandKind.SEND_START, run});
+        break;
+      case RunAction.SEND_STOP:
+        this.emit({kind: RunCommandKind.SEND_STOP, run});
+        break;
+      case RunAction.REPORT_STARTED:
+        this.emit({kind: RunCommandKind.REPORT_STARTED, run});
+        break;
+      case RunAction.REPORT_NOT_STARTED:
+        this.report(run, RunEnd.NOT_STARTED, nowMs);
+        break;
+      case RunAction.REPORT_STOPPED:
+        this.report(run, RunEnd.STOPPED, nowMs);
+        break;
+      case RunAction.REPORT_LOST:
+        this.report(run, RunEnd.LOST, nowMs);
+        break;
+      case RunAction.REPORT_END:
+        this.report(run, end, nowMs);
+        break;
+    }
+  }
+
+  private report(run: HeldRun, end: RunEnd, nowMs: number): void {
+    const {task, run: number, job} = run.order;
+    const durationMs =
+      run.startSentAtMs === 0 ? 0 : Math.round(nowMs - run.startSentAtMs);
+    const {cause} = run;
+    this.emit({
+      kind: RunCommandKind.REPORT_END,
+      run,
+      report: {task, run: number, job, end, cause, durationMs},
+    });
+  }
+}
+
+function addResources(sum: Resources, need: Resources): Resources {
+  return {
+    cpuMilli: sum.cpuMilli + need.cpuMilli,
+    memoryMb: sum.memoryMb + need.memoryMb,
+    accelerators: sum.accelerators + need.accelerators,
+  };
+}
--- /dev/null
+++ b/src/lib/decisions/run_progress.ts
@@ -0,0 +1,57 @@
+/** How fast runs get on, and which of them stand still. */
+import {RunState} from './held_run.js';
+import type {HeldRun} from './held_run.js';
+
+/** Weight of the newest run in the average of a target's slowness. */
+const NEWEST_WEIGHT = 0.08;
+
+/** Runs that count as average before the first one has ended. */
+const LEAST_FACTOR = 0.2;
+const GREATEST_FACTOR = 20;
+
+/** Averages run time over estimate; estimates are rough, so many are needed. */
+export class SlownessMeter {
+  private logarithm = 0;
+
+  private constructor() {}
+
+  /** Creates a meter that takes the target for an average one. */
+  static create(): SlownessMeter {
+    return new SlownessMeter();
+  }
+
+  /** Run time over estimate, averaged geometrically. */
+  get factor(): number {
+    return Math.round(Math.exp(this.logarithm) * 100) / 100;
+  }
+
+  /** Takes the time of a run that was done. */
+  record(durationMs: number, estimateMs: number): void {
+    const ratio = durationMs / Math.max(1, estimateMs);
+    const bounded = Math.min(GREATEST_FACTOR, Math.max(LEAST_FACTOR, ratio));
+    this.logarithm += NEWEST_WEIGHT * (Math.log(bounded) - this.logarithm);
+  }
+
+  /** Forgets everything: another target has begun. */
+  reset(): void {
+    this.logarithm = 0;
+  }
+}
+
+/** Time in milliseconds without progress that is ordinary for any run. */
+const STALL_FLOOR_MS = 150;
+
+/** Share of the expected run time without progress that is ordinary. */
+const STALL_SHARE = 0.15;
+
+/** Tells whether a run has stood still between two lists that are far apart. */
+export function isStalled(
+  run: HeldRun,
+  listedAtMs: number,
+  slowness: number,
+): boolean {
+  if (run.state !== RunState.RUNNING) return false;
+  const expectedMs = run.order.estimateMs * slowness;
+  const limitMs = STALL_FLOOR_MS + expectedMs * STALL_SHARE;
+  return listedAtMs - run.advancedAtMs > limitMs;
+}
--- /dev/null
+++ b/src/lib/observe/fleet_log.ts
@@ -0,0 +1,50 @@
+/** The log of the processes that run work on a platform's fleet. */
+import {LogLevel} from '../settings/settings_schema.js';
+
+/** Names what a line reports; stands in its field `event`. */
+export enum FleetEvent {
+  STARTED = 'started',
+  STOPPING = 'stopping',
+  STOPPED = 'stopped',
+  FAILURE = 'failure',
+  SETTINGS_RELOADED = 'settings-reloaded',
+  CONFIGURATION_TAKEN = 'configuration-taken',
+  CONFIGURATION_REJECTED = 'configuration-rejected',
+  STORE_LOST = 'store-lost',
+  STORE_REGAINED = 'store-regained',
+  ENTRY_CONNECTED = 'entry-connected',
+  ENTRY_LOST = 'entry-lost',
+  AGENT_CONNECTED = 'agent-connected',
+  AGENT_AWAY = 'agent-away',
+  TARGET_FOUND = 'target-found',
+  TARGET_READY = 'target-ready',
+  TARGET_DRAINING = 'target-draining',
+  TARGET_LOST = 'target-lost',
+  TARGET_TRUST = 'target-trust',
+  BEAT_REJECTED = 'beat-rejected',
+  REQUEST_REJECTED = 'request-rejected',
+  JOB_ADMITTED = 'job-admitted',
+  JOB_REFUSED = 'job-refused',
+  JOB_ENDED = 'job-ended',
+  CALLER_GONE = 'caller-gone',
+  TASK_PLACED = 'task-placed',
+  ORDER_FAILED = 'order-failed',
+  RUN_STARTED = 'run-started',
+  RUN_STOPPED = 'run-stopped',
+  RUN_ENDED = 'run-ended',
+}
+
+/** Writes one line. */
+export type FleetLog = (
+  event: FleetEvent,
+  message: string,
+  fields?: Readonly<Record<string, unknown>>,
+) => void;
+
+/** The level of each event. */
+export const FLEET_LEVELS: Readonly<Partial<Record<FleetEvent, LogLevel>>> = {
+  [FleetEvent.FAILURE]: LogLevel.ERROR,
+  [FleetEvent.STORE_LOST]: LogLevel.WARN,
+  [FleetEvent.AGENT_AWAY]: LogLevel.WARN,
+  [FleetEvent.TARGET_LOST]: LogLevel.WARN,
+};
--- /dev/null
+++ b/src/lib/work/agent/entry_book.ts
@@ -0,0 +1,88 @@
+/** What an agent keeps of each entry: contact, orders taken, ends to confirm. */
+import {formatRunKey} from '../../decisions/held_run.js';
+import type {RunEndReport} from '../frames.js';
+
+/** One life of an entry, as the agent knows it. */
+export interface KnownEntry {
+  readonly life: string;
+  /** Number of the open link; undefined while there is none. */
+  link: number | undefined;
+  /** Our time of the latest ping that this life has answered. */
+  contactMs: number;
+  /** Highest sequence of its orders that was taken. */
+  through: number;
+  /** Ends that it has not acknowledged. */
+  readonly ends: Map<string, RunEndReport>;
+  /** Processor time waiting there, in thousandths of core-seconds. */
+  backlog: number;
+}
+
+/** Time in milliseconds after which an entry without contact is forgotten. */
+const FORGET_AFTER_MS = 30_000;
+
+/** Keeps the entries of an agent. */
+export class EntryBook {
+  private readonly entries = new Map<string, KnownEntry>();
+
+  private constructor() {}
+
+  /** Creates an empty book. */
+  static create(): EntryBook {
+    return new EntryBook();
+  }
+
+  /** Finds a life of an entry. */
+  find(life: string): KnownEntry | undefined {
+    return this.entries.get(life);
+  }
+
+  /** Lists all lives known. */
+  listEntries(): KnownEntry[] {
+    return [...this.entries.values()];
+  }
+
+  /** Takes an opened link; returns the entry's record. */
+  open(life: string, link: number, nowMs: number): KnownEntry {
+    const known = this.entries.get(life);
+    if (known !== undefined) {
+      known.link = link;
+      known.contactMs = nowMs;
+      return known;
+    }
+    const entry: KnownEntry = {
+      life,
+      link,
+      contactMs: nowMs,
+      through: 0,
+      ends: new Map(),
+      backlog: 0,
+    };
+    this.entries.set(life, entry);
+    return entry;
+  }
+
+  /** Takes a closed link. */
+  close(life: string, link: number): void {
+    const entry = this.entries.get(life);
+    if (entry?.link === link) entry.link = undefined;
+  }
+
+  /** Keeps an end until its entry acknowledges it. */
+  addEnd(life: string, report: RunEndReport): void {
+    const key = formatRunKey(report.task, report.run);
+    this.entries.get(life)?.ends.set(key, report);
+  }
+
+  /** Drops an end that its entry has. */
+  removeEnd(life: string, task: string, run: number): void {
+    this.entries.get(life)?.ends.delete(formatRunKey(task, run));
+  }
+
+  /** Forgets lives that have long been without contact. */
+  forgetOld(nowMs: number): void {
+    for (const [life, entry] of this.entries) {
+      if (entry.link !== undefined) continue;
+      if (nowMs - entry.contactMs > FORGET_AFTER_MS) this.entries.delete(life);
+    }
+  }
+}
--- /dev/null
+++ b/src/lib/work/agent/target_port.ts
@@ -0,0 +1,89 @@
+/** What an agent asks of the target beside it, whatever protocol it speaks. */
+import type {ListedEnd, ListedRun} from '../../decisions/run_book.js';
+import type {Resources} from '../work_job.js';
+import type {TargetPhase} from '../frames.js';
+
+/** What a target says of itself. */
+export interface TargetBeat {
+  /** One life of the target: differs after each restart. */
+  readonly life: string;
+  /** When that life began, in milliseconds since 1970; orders the lives. */
+  readonly bornMs: number;
+  /** The target's own id, expected by it in orders. */
+  readonly id: string;
+  readonly service: string;
+  readonly dataCentre: string;
+  readonly phase: TargetPhase.READY | TargetPhase.DRAINING;
+  readonly capacity: Resources;
+  readonly labels: readonly string[];
+  /** Rises with each beat of one life; an older one is ignored. */
+  readonly sequence: number;
+}
+
+/** What became of an order to a target. */
+export enum OrderOutcome {
+  /** The target carried it out. */
+  TAKEN = 'taken',
+  /** The target has refused it and did nothing. */
+  REFUSED = 'refused',
+  /** The target's life that was meant is over. */
+  OTHER_LIFE = 'other-life',
+  /** Nothing listens at the target's address. */
+  NOBODY = 'nobody',
+  /** Nothing was sent. */
+  NOT_SENT = 'not-sent',
+  /** No answer came; the order may be carried out, now or later. */
+  UNANSWERED = 'unanswered',
+}
+
+/** The answer to an order. */
+export interface OrderAnswer {
+  readonly outcome: OrderOutcome;
+  /** The target's word for its refusal; empty without one. */
+  readonly reason: string;
+  /** The target's steady clock; 0 if it was not told. */
+  readonly clockMs: number;
+}
+
+/** The answer to a hold. */
+export interface HoldAnswer extends OrderAnswer {
+  readonly running: readonly ListedRun[];
+  readonly ended: readonly ListedEnd[];
+}
+
+/** An order to start a run. */
+export interface StartCall {
+  readonly task: string;
+  readonly run: number;
+  readonly payload: string;
+  readonly deadlineMs: number;
+  readonly fence: number;
+}
+
+/** An order to stop a run. */
+export interface StopCall {
+  readonly task: string;
+  readonly run: number;
+  readonly fence: number;
+}
+
+/** Renews the lease of all that runs, acknowledges ends, asks for the lists. */
+export interface HoldCall {
+  readonly fence: number;
+  /** 0 renews nothing. */
+  readonly deadlineMs: number;
+  readonly ackedThrough: number;
+  /** How long the target may wait for an end, in milliseconds. */
+  readonly waitMs: number;
+}
+
+/** The calls to one life of a target; each is sent at most once. */
+export interface TargetPort {
+  readonly start: (call: StartCall) => Promise<OrderAnswer>;
+  readonly stop: (call: StopCall) => Promise<OrderAnswer>;
+  readonly hold: (call: HoldCall) => Promise<HoldAnswer>;
+  readonly close: () => void;
+}
+
+/** Prepares the calls to the life of a target that sent a beat. */
+export type ConnectTarget = (beat: TargetBeat) => TargetPort;
--- /dev/null
+++ b/src/lib/work/entry/active_job.ts
@@ -0,0 +1,91 @@
+/** A job in progress at the entry that owns it. */
+import {computeObjective} from '../../decisions/job_timing.js';
+import type {JobTiming} from '../../decisions/job_timing.js';
+import type {QueueRule} from '../fleet_configuration.js';
+import {formatTaskName} from '../work_job.js';
+import type {JobAnswer, JobRequest, StepSpec} from '../work_job.js';
+import {JOB_CHART, JobState, TASK_CHART, TaskState} from './work_charts.js';
+
+/** Gives a caller its answer. */
+export type AnswerCaller = (answer: JobAnswer) => void;
+
+/** A task of a job in progress. Owned and changed by the scheduler alone. */
+export interface ActiveTask {
+  readonly job: ActiveJob;
+  readonly name: string;
+  readonly step: number;
+  readonly spec: StepSpec;
+  state: TaskState;
+  /** Number of the latest run. */
+  run: number;
+  /** Runs that ended as failed. */
+  failures: number;
+  /** Life of the agent that holds the latest run. */
+  agent: string;
+  /** Sequence of the latest order. */
+  sequence: number;
+  /** Lives of targets on which a run went wrong. */
+  readonly avoided: Set<string>;
+}
+
+/** A job in progress. Owned and changed by the scheduler alone. */
+export interface ActiveJob {
+  readonly request: JobRequest;
+  readonly rule: QueueRule;
+  readonly timing: JobTiming;
+  readonly tasks: ActiveTask[];
+  /** Callers that wait for the answer, by number. */
+  readonly callers: Map<number, AnswerCaller>;
+  state: JobState;
+  /** Tasks that are not done. */
+  left: number;
+}
+
+/** Makes a job of a request. */
+export function createActiveJob(
+  request: JobRequest,
+  rule: QueueRule,
+  nowMs: number,
+): ActiveJob {
+  const job: ActiveJob = {
+    request,
+    rule,
+    timing: computeObjective(request.steps, rule, nowMs, request.deadlineMs),
+    tasks: [],
+    callers: new Map(),
+    state: JOB_CHART.initial,
+    left: 0,
+  };
+  request.steps.forEach((spec, step) => {
+    for (let index = 0; index < spec.count; index += 1) {
+      job.tasks.push({
+        job,
+        name: formatTaskName(request.job, step, index),
+        step,
+        spec,
+        state: TASK_CHART.initial,
+        run: 0,
+        failures: 0,
+        agent: '',
+        sequence: 0,
+        avoided: new Set(),
+      });
+    }
+  });
+  job.left = job.tasks.length;
+  return job;
+}
+
+/** Lists the blocked tasks whose earlier steps are all done. */
+export function listUnblocked(job: ActiveJob): ActiveTask[] {
+  const open = new Set(
+    job.tasks
+      .filter(task => task.state !== TaskState.DONE)
+      .map(task => task.step),
+  );
+  return job.tasks.filter(
+    task =>
+      task.state === TaskState.BLOCKED &&
+      task.spec.after.every(step => !open.has(step)),
+  );
+}
--- /dev/null
+++ b/src/lib/work/entry/fleet_configuration_task.ts
@@ -0,0 +1,193 @@
+/** The task of an entry that owns the store's client. */
+import type {DrawRandom, StartTimer} from '../../core/clock.js';
+import type {ProcessIdentity} from '../../core/identity.js';
+import {Task} from '../../core/task.js';
+import {EntryRegistration} from '../../entry/entry_registration.js';
+import type {RegistrationMessage} from '../../entry/configuration_message.js';
+import {FleetEvent} from '../../observe/fleet_log.js';
+import type {FleetLog} from '../../observe/fleet_log.js';
+import type {PlatformStore} from '../../platform/platform_store.js';
+import {parseEntryAddress} from '../../records/build_view.js';
+import {ENTRIES_FOLDER} from '../../records/record.js';
+import type {FleetConfiguration} from '../fleet_configuration.js';
+import {StoreWatch} from './store_watch.js';
+import type {StoreMirror} from './store_watch.js';
+
+/** Reads the operators' configuration out of the store's values. */
+export type DecodeConfiguration = (
+  mirror: StoreMirror,
+) => FleetConfiguration | ConfigurationProblem;
+
+/** Why the store's values cannot be used. */
+export interface ConfigurationProblem {
+  readonly problem: string;
+}
+
+/** What the task needs to be created. */
+export interface FleetConfigurationTaskOptions {
+  /** The task owns this client and closes it when it stops. */
+  readonly store: PlatformStore;
+  readonly identity: ProcessIdentity;
+  /** Address by which agents reach this entry, `host:port`. */
+  readonly address: string;
+  /** Prefix of the operators' keys. */
+  readonly operatorsPrefix: string;
+  readonly decode: DecodeConfiguration;
+  readonly publishConfiguration: (configuration: FleetConfiguration) => void;
+  readonly publishEntries: (addresses: readonly string[]) => void;
+  readonly log: FleetLog;
+  readonly reportFailure: (failure: unknown) => void;
+  readonly startTimer: StartTimer;
+  readonly drawRandom: DrawRandom;
+}
+
+/** Prefix of our own keys in the store. */
+export const OWN_PREFIX = 'foxtailbay/';
+
+/** Lease in milliseconds of an entry's registration; renewed three times in it. */
+const REGISTRATION_LEASE_MS = 6000;
+
+/**
+ * Longest wait in milliseconds of a call for the operators' changes. An open
+ * connection may fall silent, so this and the grace bound how late a change is
+ * seen then.
+ */
+const OPERATORS_WAIT_MS = 1000;
+
+/** Longest wait in milliseconds of a call for the entries' addresses. */
+const ENTRIES_WAIT_MS = 3000;
+
+/** Time in milliseconds beyond its wait after which a call counts as lost. */
+const GRACE_MS = 300;
+
+const MAILBOX_CAPACITY = 1024;
+
+type Turn = () => void;
+
+/** Lists the addresses of the entries registered in the store. */
+export async function listRegisteredEntries(
+  store: Pick<PlatformStore, 'list'>,
+): Promise<readonly string[]> {
+  const {values} = await store.list(OWN_PREFIX + ENTRIES_FOLDER);
+  return readAddresses(values.map(({value}) => value));
+}
+
+/** Follows the configuration and the entries, and keeps this one registered. */
+export class FleetConfigurationTask {
+  private readonly task: Task<Turn>;
+  private readonly registration: EntryRegistration;
+  private hasContact: boolean | undefined;
+
+  private constructor(private readonly options: FleetConfigurationTaskOptions) {
+    this.task = Task.create<Turn>({
+      name: 'fleet configuration',
+      capacity: MAILBOX_CAPACITY,
+      handle: turn => turn(),
+      reportFailure: options.reportFailure,
+    });
+    const {store, startTimer, drawRandom, identity} = options;
+    const runInTask = (turn: Turn) => void this.task.post(turn);
+    const common = {
+      store,
+      startTimer,
+      drawRandom,
+      runInTask,
+      graceMs: GRACE_MS,
+    };
+    this.task.store.add(() => store.close());
+    const operators = StoreWatch.create({
+      ...common,
+      prefix: options.operatorsPrefix,
+      waitMs: OPERATORS_WAIT_MS,
+      publish: mirror => this.takeConfiguration(mirror),
+      reportContact: (hasContact, detail) =>
+        this.reportContact(hasContact, detail),
+    });
+    const entries = StoreWatch.create({
+      ...common,
+      prefix: OWN_PREFIX + ENTRIES_FOLDER,
+      waitMs: ENTRIES_WAIT_MS,
+      publish: mirror => this.takeEntries(mirror),
+      reportContact: () => undefined,
+    });
+    this.task.store.add(() => operators.stop());
+    this.task.store.add(() => entries.stop());
+    this.registration = EntryRegistration.create({
+      store,
+      startTimer,
+      drawRandom,
+      prefix: OWN_PREFIX,
+      entry: {
+        id: identity.id,
+        incarnation: identity.incarnation,
+        address: options.address,
+      },
+      leaseMs: REGISTRATION_LEASE_MS,
+      post: (message: RegistrationMessage) =>
+        runInTask(() => this.registration.handle(message)),
+      reportState: () => undefined,
+      reportFailure: () => undefined,
+    });
+    this.task.store.add(() => this.registration.stop());
+  }
+
+  /** Creates the task; its first calls go out at once. */
+  static create(
+    options: FleetConfigurationTaskOptions,
+  ): FleetConfigurationTask {
+    return new FleetConfigurationTask(options);
+  }
+
+  /** Withdraws the registration; the process serves on but is not found. */
+  leave(): void {
+    this.task.post(() => this.registration.leave());
+  }
+
+  /** Stops the watches, ends the lease and closes the client. */
+  stop(): Promise<void> {
+    return this.task.stop();
+  }
+
+  private takeConfiguration(mirror: StoreMirror): void {
+    const decoded = this.options.decode(mirror);
+    if ('problem' in decoded) {
+      this.options.log(
+        FleetEvent.CONFIGURATION_REJECTED,
+        `The configuration is not used: ${decoded.problem}.`,
+        {revision: mirror.revision},
+      );
+      return;
+    }
+    this.options.publishConfiguration(decoded);
+  }
+
+  private takeEntries(mirror: StoreMirror): void {
+    this.options.publishEntries(readAddresses([...mirror.values.values()]));
+    const {id, incarnation} = this.options.identity;
+    const own = mirror.values.get(`${OWN_PREFIX}${ENTRIES_FOLDER}${id}`);
+    const entries = new Map();
+    if (own !== undefined) {
+      entries.set(id, parseEntryAddress(own) ?? {incarnation});
+    }
+    this.registration.observe({entries, revision: mirror.revision} as never);
+  }
+
+  private reportContact(hasContact: boolean, detail: string): void {
+    if (this.hasContact === hasContact) return;
+    this.hasContact = hasContact;
+    const event = hasContact
+      ? FleetEvent.STORE_REGAINED
+      : FleetEvent.STORE_LOST;
+    const text = hasContact
+      ? 'The store answers.'
+      : `The store is lost: ${detail}.`;
+    this.options.log(event, text);
+  }
+}
+
+function readAddresses(texts: readonly string[]): readonly string[] {
+  return texts.flatMap(text => {
+    const entry = parseEntryAddress(text);
+    return entry === undefined ? [] : [entry.address];
+  });
+}
--- /dev/null
+++ b/src/lib/work/entry/scheduler_messages.ts
@@ -0,0 +1,74 @@
+/** Messages to the scheduler of an entry. */
+import type {AgentFrame, EntryFrame} from '../frames.js';
+import type {FleetConfiguration, QueueRule} from '../fleet_configuration.js';
+import type {FrameStream} from '../link/frame_stream.js';
+import type {JobRequest} from '../work_job.js';
+import type {AnswerCaller} from './active_job.js';
+import type {JobState} from './work_charts.js';
+
+/** Kinds of message to the scheduler. */
+export enum SchedulerMessageKind {
+  SUBMIT = 'submit',
+  CALLER_GONE = 'caller-gone',
+  CANCEL = 'cancel',
+  QUERY = 'query',
+  COUNT = 'count',
+  AGENT_FRAMES = 'agent-frames',
+  AGENT_CLOSED = 'agent-closed',
+  CONFIGURATION = 'configuration',
+  ENTRIES = 'entries',
+  TICK = 'tick',
+  LEAVE = 'leave',
+}
+
+/** A message to the scheduler. */
+export type SchedulerMessage =
+  | {
+      readonly kind: SchedulerMessageKind.SUBMIT;
+      readonly request: JobRequest;
+      readonly rule: QueueRule;
+      /** Number of the caller's request in this process. */
+      readonly caller: number;
+      readonly answer: AnswerCaller;
+    }
+  | {
+      readonly kind: SchedulerMessageKind.CALLER_GONE;
+      readonly job: string;
+      readonly caller: number;
+    }
+  | {
+      readonly kind: SchedulerMessageKind.CANCEL;
+      readonly job: string;
+      /** Is told whether there was such a job. */
+      readonly answer: (isKnown: boolean) => void;
+    }
+  | {
+      readonly kind: SchedulerMessageKind.QUERY;
+      readonly job: string;
+      readonly answer: (state: JobState | undefined) => void;
+    }
+  | {
+      readonly kind: SchedulerMessageKind.COUNT;
+      readonly queue: string;
+      readonly answer: (waiting: number) => void;
+    }
+  | {
+      readonly kind: SchedulerMessageKind.AGENT_FRAMES;
+      readonly stream: FrameStream<EntryFrame>;
+      readonly frames: readonly AgentFrame[];
+    }
+  | {
+      readonly kind: SchedulerMessageKind.AGENT_CLOSED;
+      readonly stream: FrameStream<EntryFrame>;
+      readonly detail: string;
+    }
+  | {
+      readonly kind: SchedulerMessageKind.CONFIGURATION;
+      readonly configuration: FleetConfiguration;
+    }
+  | {
+      readonly kind: SchedulerMessageKind.ENTRIES;
+      readonly addresses: readonly string[];
+    }
+  | {readonly kind: SchedulerMessageKind.TICK}
+  | {readonly kind: SchedulerMessageKind.LEAVE};
--- /dev/null
+++ b/src/lib/work/entry/work_charts.ts
@@ -0,0 +1,105 @@
+/** The life cycles of jobs, tasks and agents at an entry. */
+import {Chart} from '../../core/chart.js';
+import {readChart} from '../../core/chart_file.js';
+
+/** States of `charts/work_task.yaml`. */
+export enum TaskState {
+  BLOCKED = 'blocked',
+  WAITING = 'waiting',
+  PLACED = 'placed',
+  UNPROVEN = 'unproven',
+  DONE = 'done',
+  FAILED = 'failed',
+  DROPPED = 'dropped',
+}
+
+/** Events of `charts/work_task.yaml`. */
+export enum TaskEvent {
+  UNBLOCK = 'unblock',
+  PLACE = 'place',
+  DONE = 'done',
+  FAILED = 'failed',
+  RETURNED = 'returned',
+  AGENT_AWAY = 'agentAway',
+  AGENT_BACK = 'agentBack',
+  DROP = 'drop',
+}
+
+/** Actions of `charts/work_task.yaml`. */
+export enum TaskAction {
+  SEND_STOP = 'sendStop',
+}
+
+/** Guard of `charts/work_task.yaml`. */
+export const HAS_ATTEMPTS = 'hasAttempts';
+
+/** The chart of a task. */
+export const TASK_CHART = Chart.create<TaskState, TaskEvent>(
+  readChart('work_task'),
+  {
+    states: TaskState,
+    events: TaskEvent,
+    guards: [HAS_ATTEMPTS],
+    actions: Object.values(TaskAction),
+  },
+);
+
+/** States of `charts/work_job.yaml`. */
+export enum JobState {
+  WAITING = 'waiting',
+  RUNNING = 'running',
+  COMPLETED = 'completed',
+  FAILED = 'failed',
+  REFUSED = 'refused',
+  ABANDONED = 'abandoned',
+  CANCELLED = 'cancelled',
+}
+
+/** Events of `charts/work_job.yaml`. */
+export enum JobEvent {
+  PLACE = 'place',
+  COMPLETE = 'complete',
+  REFUSE = 'refuse',
+  FAIL = 'fail',
+  ABANDON = 'abandon',
+  CANCEL = 'cancel',
+}
+
+/** The chart of a job. */
+export const JOB_CHART = Chart.create<JobState, JobEvent>(
+  readChart('work_job'),
+  {states: JobState, events: JobEvent},
+);
+
+/** States of `charts/work_agent.yaml`. */
+export enum AgentState {
+  PRESENT = 'present',
+  AWAY = 'away',
+  LAPSED = 'lapsed',
+  GONE = 'gone',
+}
+
+/** Events of `charts/work_agent.yaml`. */
+export enum AgentEvent {
+  DISCONNECT = 'disconnect',
+  RECONNECT = 'reconnect',
+  PROVEN = 'proven',
+  REPLACED = 'replaced',
+  FORGOTTEN = 'forgotten',
+}
+
+/** Actions of `charts/work_agent.yaml`. */
+export enum AgentAction {
+  DOUBT_RUNS = 'doubtRuns',
+  RETURN_RUNS = 'returnRuns',
+}
+
+/** The chart of an agent. */
+export const AGENT_CHART = Chart.create<AgentState, AgentEvent>(
+  readChart('work_agent'),
+  {
+    states: AgentState,
+    events: AgentEvent,
+    actions: Object.values(AgentAction),
+  },
+);
--- /dev/null
+++ b/src/lib/work/entry/work_entry.ts
@@ -0,0 +1,223 @@
+/** An entry that runs work on a fleet: its tasks and its life. */
+import type {
+  DrawRandom,
+  ReadMonotonicMs,
+  StartTimer,
+} from '../../core/clock.js';
+import {DisposableStore} from '../../core/disposable_store.js';
+import type {ProcessIdentity} from '../../core/identity.js';
+import {
+  ProcessAction,
+  ProcessEvent,
+  ProcessLife,
+  ProcessState,
+} from '../../core/process_life.js';
+import type {Post} from '../../core/task.js';
+import {chooseSlowestInTime} from '../../decisions/place_task.js';
+import type {ChooseTarget} from '../../decisions/place_task.js';
+import {FleetEvent} from '../../observe/fleet_log.js';
+import type {FleetLog} from '../../observe/fleet_log.js';
+import type {PlatformStore} from '../../platform/platform_store.js';
+import type {FleetConfiguration} from '../fleet_configuration.js';
+import type {AgentFrame, EntryFrame} from '../frames.js';
+import type {AcceptFrameStream, FrameServer} from '../link/frame_stream.js';
+import {FleetConfigurationTask} from './fleet_configuration_task.js';
+import type {DecodeConfiguration} from './fleet_configuration_task.js';
+import {Scheduler} from './scheduler.js';
+import {SchedulerMessageKind} from './scheduler_messages.js';
+import type {SchedulerMessage} from './scheduler_messages.js';
+
+/** An open listener that can be closed. */
+export interface Door {
+  readonly close: () => Promise<void>;
+}
+
+/** What the fronts of an entry are given. */
+export interface EntryPorts {
+  readonly post: Post<SchedulerMessage>;
+  readonly getConfiguration: () => FleetConfiguration | undefined;
+  readonly isLeaving: () => boolean;
+  readonly isReady: () => boolean;
+}
+
+/** What an entry needs to be created. */
+export interface WorkEntryOptions {
+  readonly identity: ProcessIdentity;
+  /** Address by which agents reach this entry, `host:port`. */
+  readonly linkAddress: string;
+  readonly farFactor: number;
+  readonly stopWithinMs: number;
+  readonly chooseTarget?: ChooseTarget;
+  readonly store: PlatformStore;
+  readonly operatorsPrefix: string;
+  readonly decodeConfiguration: DecodeConfiguration;
+  /** Opens the listeners for callers and the balancer. */
+  readonly openDoors: (ports: EntryPorts) => Promise<readonly Door[]>;
+  readonly openLinkServer: (
+    address: string,
+    accept: AcceptFrameStream<EntryFrame, AgentFrame>,
+  ) => Promise<FrameServer>;
+  readonly readMonotonicMs: ReadMonotonicMs;
+  readonly startTimer: StartTimer;
+  readonly drawRandom: DrawRandom;
+  readonly log: FleetLog;
+}
+
+/**
+ * How long a stopping entry still takes new jobs, in milliseconds: the balancer
+ * takes it out after two missed questions, one a second.
+ */
+const NOTICE_MS = 2500;
+
+/** Time in milliseconds kept for the last answers before the kill. */
+const STOP_MARGIN_MS = 800;
+
+/** Runs an entry. */
+export class WorkEntry {
+  /** Settles when the entry has stopped. */
+  readonly stopped: Promise<void>;
+
+  private readonly store = DisposableStore.create();
+  private readonly life: ProcessLife;
+  private readonly scheduler: Scheduler;
+  private configuration: FleetConfiguration | undefined;
+  private isReady = false;
+  private resolveStopped: () => void = () => undefined;
+
+  private constructor(private readonly options: WorkEntryOptions) {
+    const {identity, log} = options;
+    this.stopped = new Promise(resolve => (this.resolveStopped = resolve));
+    this.life = ProcessLife.create({
+      noticeMs: NOTICE_MS,
+      drainMs: options.stopWithinMs - NOTICE_MS - STOP_MARGIN_MS,
+      startTimer: options.startTimer,
+      perform: action => this.perform(action),
+      reportState: state => this.followState(state),
+    });
+    this.scheduler = Scheduler.create({
+      ...options,
+      life: identity.incarnation,
+      address: options.linkAddress,
+      dataCentre: identity.dataCentre,
+      chooseTarget: options.chooseTarget ?? chooseSlowestInTime,
+      reportFailure: this.reportFailure,
+      reportReady: isReady => (this.isReady = isReady),
+      applyConfiguration: configuration => {
+        this.configuration = configuration;
+        log(FleetEvent.CONFIGURATION_TAKEN, 'A configuration is in force.', {
+          version: configuration.version,
+          revision: configuration.revision,
+          dataCentresOut: configuration.dataCentresOut,
+        });
+      },
+      reportIdle: () => this.life.send(ProcessEvent.IDLE),
+    });
+    this.store.add(() => this.scheduler.stop());
+  }
+
+  /** Creates an entry that does not listen yet. */
+  static create(options: WorkEntryOptions): WorkEntry {
+    return new WorkEntry(options);
+  }
+
+  /**
+   * Opens the sockets and begins to serve.
+   *
+   * @throws AddressError if an address cannot be listened on.
+   */
+  async start(): Promise<void> {
+    const {options, scheduler} = this;
+    const configurationTask = FleetConfigurationTask.create({
+      ...options,
+      address: options.linkAddress,
+      decode: options.decodeConfiguration,
+      publishConfiguration: configuration =>
+        scheduler.post({
+          kind: SchedulerMessageKind.CONFIGURATION,
+          configuration,
+        }),
+      publishEntries: addresses =>
+        scheduler.post({kind: SchedulerMessageKind.ENTRIES, addresses}),
+      reportFailure: this.reportFailure,
+    });
+    this.store.add(() => configurationTask.stop());
+    const links = await options.openLinkServer(options.linkAddress, stream => {
+      scheduler.greet(stream);
+      return {
+        receive: frames =>
+          scheduler.post({
+            kind: SchedulerMessageKind.AGENT_FRAMES,
+            stream,
+            frames,
+          }),
+        fail: detail =>
+          scheduler.post({
+            kind: SchedulerMessageKind.AGENT_CLOSED,
+            stream,
+            detail,
+          }),
+      };
+    });
+    this.store.add(() => links.close());
+    const doors = await options.openDoors({
+      post: scheduler.post,
+      getConfiguration: () => this.configuration,
+      isLeaving: () => this.life.state !== ProcessState.SERVING,
+      isReady: () => this.isReady && this.life.state === ProcessState.SERVING,
+    });
+    for (const door of doors) this.store.add(() => door.close());
+    this.life.send(ProcessEvent.READY);
+  }
+
+  /** Begins a graceful stop; a second call changes nothing. */
+  requestStop(): void {
+    this.life.send(ProcessEvent.STOP);
+  }
+
+  private perform(action: ProcessAction): void {
+    switch (action) {
+      case ProcessAction.REFUSE_READINESS:
+        break;
+      case ProcessAction.REFUSE_WORK:
+        this.scheduler.post({kind: SchedulerMessageKind.LEAVE});
+        break;
+      case ProcessAction.HAND_OVER:
+        this.life.send(ProcessEvent.RELEASED);
+        break;
+      case ProcessAction.REPORT_UNFINISHED:
+        this.scheduler.post({kind: SchedulerMessageKind.LEAVE});
+        break;
+    }
+  }
+
+  private followState(state: ProcessState): void {
+    const {log} = this.options;
+    switch (state) {
+      case ProcessState.STARTING:
+      case ProcessState.SERVING:
+        log(FleetEvent.STARTED, `The entry is ${state}.`);
+        break;
+      case ProcessState.LEAVING:
+      case ProcessState.DRAINING:
+      case ProcessState.RELEASING:
+        log(FleetEvent.STOPPING, `The entry is ${state}.`);
+        break;
+      case ProcessState.STOPPED:
+        void this.release();
+        break;
+    }
+  }
+
+  private async release(): Promise<void> {
+    try {
+      await this.store.dispose();
+    } catch (failure) {
+      this.reportFailure(failure);
+    }
+    this.options.log(FleetEvent.STOPPED, 'The entry has stopped.');
+    this.resolveStopped();
+  }
+
+  private readonly reportFailure = (failure: unknown): void =>
+    this.options.log(FleetEvent.FAILURE, 'A task failed.', {err: failure});
+}
