--- a/src/lib/core/chart_file.ts
+++ b/src/lib/core/chart_file.ts
@@ -1,7 +1,7 @@
 /** Chart files: their shape and how they are read. */
-import {readFileSync} from 'node:fs';
-import {parse} from 'yaml';
+import {existsSync, readFileSync} from 'node:fs';
 import {ChartError} from './errors.js';
+import {parseDocument} from './parse_document.js';
 
 /** One way out of a state. */
 export interface ChartTransition {
@@ -38,7 +38,7 @@
 export function readChartFile(path: URL | string): ChartDefinition {
   let document: unknown;
   try {
-    document = parse(readFileSync(path, 'utf8'));
+    document = parseDocument(readFileSync(path, 'utf8'));
   } catch (cause) {
     throw new ChartError(`State chart file ${path} cannot be read.`, {cause});
   }
@@ -52,9 +52,24 @@
 
 /** Reads the chart file of that name from the project's `charts` folder. */
 export function readChart(name: string): ChartDefinition {
-  return readChartFile(
-    new URL(`../../../../charts/${name}.yaml`, import.meta.url),
-  );
+  chartsFolder ??= findChartsFolder();
+  return readChartFile(new URL(`${name}.yaml`, chartsFolder));
+}
+
+let chartsFolder: URL | undefined;
+
+/** Levels between a compiled module and the package's folder at most. */
+const FOLDER_LEVELS = 6;
+
+// Modules are compiled one by one or bundled, at different depths.
+function findChartsFolder(): URL {
+  let folder = new URL('./', import.meta.url);
+  for (let level = 0; level < FOLDER_LEVELS; level += 1) {
+    const charts = new URL('charts/', folder);
+    if (existsSync(charts)) return charts;
+    folder = new URL('../', folder);
+  }
+  throw new ChartError('The folder of the state charts cannot be found.');
 }
 
 function isChartDefinition(document: unknown): document is ChartDefinition {
--- a/src/lib/core/clock.ts
+++ b/src/lib/core/clock.ts
@@ -38,6 +38,19 @@
   return () => clearTimeout(handle);
 };
 
+/**
+ * Starts a timer that fires after the sockets that are ready have been read: a
+ * late timer then does not overrule an answer that is already there.
+ */
+export const startPatientTimer: StartTimer = (delayMs, fire) => {
+  let immediate: NodeJS.Immediate | undefined;
+  const handle = setTimeout(() => (immediate = setImmediate(fire)), delayMs);
+  return () => {
+    clearTimeout(handle);
+    clearImmediate(immediate);
+  };
+};
+
 /** Defers to the next turn, after the sockets that are ready have been read. */
 export const defer: Defer = run => void setImmediate(run);
 
--- a/src/lib/observe/fleet_log.ts
+++ b/src/lib/observe/fleet_log.ts
@@ -32,6 +32,7 @@
   RUN_STARTED = 'run-started',
   RUN_STOPPED = 'run-stopped',
   RUN_ENDED = 'run-ended',
+  LINES_LEFT_OUT = 'lines-left-out',
 }
 
 /** Writes one line. */
--- a/src/lib/work/agent/target_link.ts
+++ b/src/lib/work/agent/target_link.ts
@@ -1,6 +1,7 @@
 /** The calls of an agent to the present life of its target. */
 import type {ReadMonotonicMs} from '../../core/clock.js';
 import type {Post} from '../../core/task.js';
+import {AnswerTime} from '../../decisions/answer_time.js';
 import {LeaseClock} from '../../decisions/lease_clock.js';
 import type {HeldRun} from '../../decisions/held_run.js';
 import {WorkMessageKind} from './runner_messages.js';
@@ -39,6 +40,7 @@
  */
 export class TargetLink {
   private readonly clock = LeaseClock.create();
+  private readonly answerTime = AnswerTime.create();
   private port: TargetPort | undefined;
   private beat: TargetBeat | undefined;
   private fence = 0;
@@ -114,16 +116,25 @@
   sendStart(run: HeldRun): void {
     const {task, run: number, payload} = run.order;
     const deadlineMs = this.extendLease();
-    const call = {task, run: number, payload, deadlineMs, fence: this.fence};
-    this.send(WorkMessageKind.START_ANSWER, task, number, port =>
-      port.start(call),
+    const {fence} = this;
+    this.send(WorkMessageKind.START_ANSWER, task, number, (port, limitMs) =>
+      port.start({
+        task,
+        run: number,
+        payload,
+        deadlineMs,
+        fence,
+        answerWithinMs: limitMs,
+      }),
     );
   }
 
   /** Orders a stop. */
   sendStop(task: string, run: number): void {
-    const call = {task, run, fence: this.fence};
-    this.send(WorkMessageKind.STOP_ANSWER, task, run, port => port.stop(call));
+    const {fence} = this;
+    this.send(WorkMessageKind.STOP_ANSWER, task, run, (port, limitMs) =>
+      port.stop({task, run, fence, answerWithinMs: limitMs}),
+    );
   }
 
   /** Renews the lease and asks for the lists at once. */
@@ -178,14 +189,24 @@
     kind: WorkMessageKind.START_ANSWER | WorkMessageKind.STOP_ANSWER,
     task: string,
     run: number,
-    call: (port: TargetPort) => Promise<OrderAnswer>,
+    call: (port: TargetPort, limitMs: number) => Promise<OrderAnswer>,
   ): void {
     const life = this.beat?.life ?? '';
+    const {port} = this;
+    const sentAtMs = this.options.readMonotonicMs();
     const answered =
-      this.port === undefined ? Promise.resolve(NOT_SENT) : call(this.port);
-    void answered.then(answer =>
-      this.options.post({kind, life, task, run, answer}),
-    );
+      port === undefined
+        ? Promise.resolve(NOT_SENT)
+        : call(port, this.answerTime.limitMs);
+    void answered.then(answer => {
+      const isAnswered =
+        answer.outcome === OrderOutcome.TAKEN ||
+        answer.outcome === OrderOutcome.REFUSED;
+      if (isAnswered) {
+        this.answerTime.record(this.options.readMonotonicMs() - sentAtMs);
+      }
+      this.options.post({kind, life, task, run, answer});
+    });
   }
 }
 
--- a/src/lib/work/agent/target_port.ts
+++ b/src/lib/work/agent/target_port.ts
@@ -58,6 +58,8 @@
   readonly payload: string;
   readonly deadlineMs: number;
   readonly fence: number;
+  /** Time in milliseconds within which the answer must come. */
+  readonly answerWithinMs: number;
 }
 
 /** An order to stop a run. */
@@ -65,6 +67,8 @@
   readonly task: string;
   readonly run: number;
   readonly fence: number;
+  /** Time in milliseconds within which the answer must come. */
+  readonly answerWithinMs: number;
 }
 
 /** Renews the lease of all that runs, acknowledges ends, asks for the lists. */
--- a/src/lib/work/agent/work_runner.ts
+++ b/src/lib/work/agent/work_runner.ts
@@ -27,6 +27,7 @@
 } from '../frames.js';
 import type {FleetLog} from '../../observe/fleet_log.js';
 import {FleetEvent} from '../../observe/fleet_log.js';
+import {RequestLog} from '../../observe/request_log.js';
 import {NO_RESOURCES} from '../work_job.js';
 import {EntryBook} from './entry_book.js';
 import type {KnownEntry} from './entry_book.js';
@@ -66,6 +67,9 @@
  */
 export const OWNER_SILENCE_MS = 600;
 
+/** Lines of runs that may be written each second. */
+const LINES_PER_SECOND = 100;
+
 const MAILBOX_CAPACITY = 100_000;
 
 /**
@@ -80,6 +84,7 @@
   private readonly trust = TargetTrust.create();
   private readonly slowness = SlownessMeter.create();
   private readonly target: TargetLink;
+  private readonly requests: RequestLog;
   private configuration: FleetConfiguration | undefined;
   private isSynced = false;
   private isLeaving = false;
@@ -95,6 +100,10 @@
       handle: message => this.handle(message),
       reportFailure: options.reportFailure,
     });
+    this.requests = RequestLog.create({
+      ...options,
+      linesPerSecond: LINES_PER_SECOND,
+    });
     this.book = RunBook.create(command => this.perform(command));
     this.target = TargetLink.create({
       connect: options.connectTarget,
@@ -541,6 +550,8 @@
         percent: run.percent,
       },
     );
+    const key = `${report.task}#${report.run}`;
+    this.requests.finish(key, report.job, report.end !== RunEnd.DONE);
     this.deliverEnd(run.owner, report);
   }
 
@@ -634,7 +645,7 @@
     fields: Readonly<Record<string, unknown>> = {},
   ): void {
     const {task, run: number, job, request} = run.order;
-    this.options.log(event, message, {
+    this.requests.note(`${task}#${number}`, event, message, {
       job,
       request,
       task,
--- a/src/lib/work/entry/fleet_configuration_task.ts
+++ b/src/lib/work/entry/fleet_configuration_task.ts
@@ -8,8 +8,12 @@
 import type {FleetLog} from '../../observe/fleet_log.js';
 import type {PlatformStore} from '../../platform/platform_store.js';
 import {parseEntryAddress} from '../../records/build_view.js';
-import {ENTRIES_FOLDER} from '../../records/record.js';
 import type {FleetConfiguration} from '../fleet_configuration.js';
+import {
+  ENTRIES_PREFIX,
+  OWN_PREFIX,
+  readAddresses,
+} from '../registered_entries.js';
 import {StoreWatch} from './store_watch.js';
 import type {StoreMirror} from './store_watch.js';
 
@@ -41,9 +45,6 @@
   readonly drawRandom: DrawRandom;
 }
 
-/** Prefix of our own keys in the store. */
-export const OWN_PREFIX = 'foxtailbay/';
-
 /** Lease in milliseconds of an entry's registration; renewed three times in it. */
 const REGISTRATION_LEASE_MS = 6000;
 
@@ -64,14 +65,6 @@
 
 type Turn = () => void;
 
-/** Lists the addresses of the entries registered in the store. */
-export async function listRegisteredEntries(
-  store: Pick<PlatformStore, 'list'>,
-): Promise<readonly string[]> {
-  const {values} = await store.list(OWN_PREFIX + ENTRIES_FOLDER);
-  return readAddresses(values.map(({value}) => value));
-}
-
 /** Follows the configuration and the entries, and keeps this one registered. */
 export class FleetConfigurationTask {
   private readonly task: Task<Turn>;
@@ -105,7 +98,7 @@
     });
     const entries = StoreWatch.create({
       ...common,
-      prefix: OWN_PREFIX + ENTRIES_FOLDER,
+      prefix: ENTRIES_PREFIX,
       waitMs: ENTRIES_WAIT_MS,
       publish: mirror => this.takeEntries(mirror),
       reportContact: () => undefined,
@@ -164,7 +157,7 @@
   private takeEntries(mirror: StoreMirror): void {
     this.options.publishEntries(readAddresses([...mirror.values.values()]));
     const {id, incarnation} = this.options.identity;
-    const own = mirror.values.get(`${OWN_PREFIX}${ENTRIES_FOLDER}${id}`);
+    const own = mirror.values.get(ENTRIES_PREFIX + id);
     const entries = new Map();
     if (own !== undefined) {
       entries.set(id, parseEntryAddress(own) ?? {incarnation});
@@ -184,10 +177,3 @@
     this.options.log(event, text);
   }
 }
-
-function readAddresses(texts: readonly string[]): readonly string[] {
-  return texts.flatMap(text => {
-    const entry = parseEntryAddress(text);
-    return entry === undefined ? [] : [entry.address];
-  });
-}
--- a/src/lib/work/entry/scheduler.ts
+++ b/src/lib/work/entry/scheduler.ts
@@ -12,6 +12,7 @@
 import {rankJob} from '../../decisions/rank_work.js';
 import type {FleetLog} from '../../observe/fleet_log.js';
 import {FleetEvent} from '../../observe/fleet_log.js';
+import {RequestLog} from '../../observe/request_log.js';
 import type {FleetConfiguration} from '../fleet_configuration.js';
 import {EntryFrameKind, NotStartedCause, RunEnd} from '../frames.js';
 import type {EntryFrame, RunEndReport} from '../frames.js';
@@ -62,6 +63,16 @@
 /** Time in milliseconds that an order may wait at an agent that has no room. */
 const PATIENCE_MS = 25;
 
+/**
+ * Time in milliseconds after its start in which an entry that has not met its
+ * agents yet lets jobs wait: they reconnect within a second or two, and a job
+ * that is refused then is lost.
+ */
+const WARM_UP_MS = 3000;
+
+/** Lines of requests that may be written each second. */
+const LINES_PER_SECOND = 200;
+
 const MAILBOX_CAPACITY = 100_000;
 
 /** Times that the end of a job is remembered for questions, in milliseconds. */
@@ -75,20 +86,27 @@
   private readonly pending = new Set<ActiveJob>();
   private readonly ended = new Map<string, EndedJob>();
   private readonly fleet: AgentFleet;
+  private readonly requests: RequestLog;
   private configuration: FleetConfiguration | undefined;
   private entries: readonly string[];
   private isLeaving = false;
   private isPlacementDue = false;
   private nowMs = 0;
+  private readonly createdAtMs: number;
 
   private constructor(private readonly options: SchedulerOptions) {
     this.entries = [options.address];
+    this.createdAtMs = options.readMonotonicMs();
     this.task = Task.create<SchedulerMessage>({
       name: 'scheduler',
       capacity: MAILBOX_CAPACITY,
       handle: message => this.handle(message),
       reportFailure: options.reportFailure,
     });
+    this.requests = RequestLog.create({
+      ...options,
+      linesPerSecond: LINES_PER_SECOND,
+    });
     this.fleet = AgentFleet.create({
       ...options,
       takeEnd: (view, report) => this.takeEnd(view, report),
@@ -190,6 +208,7 @@
       this.logJob(job, FleetEvent.JOB_REFUSED, `Refused: ${refusal.reason}.`, {
         retryAfterMs: refusal.retryAfterMs,
       });
+      this.requests.finish(request.job, request.job, true);
       answer(refusal);
       return;
     }
@@ -204,6 +223,7 @@
 
   private judge(job: ActiveJob): JobAnswer | undefined {
     const {service} = job.rule;
+    if (this.nowMs - this.createdAtMs < WARM_UP_MS) return undefined;
     const targets = this.listTargets(service);
     const {startByMs} = job.timing;
     const verdict = judgeAdmission({
@@ -419,6 +439,10 @@
       tookMs: Math.round(this.nowMs - job.timing.receivedAtMs),
       objectiveMs: Math.round(job.timing.objectiveMs),
     });
+    const isLate =
+      this.nowMs > job.timing.receivedAtMs + job.timing.objectiveMs;
+    const isNotable = state !== JobState.COMPLETED || isLate;
+    this.requests.finish(job.request.job, job.request.job, isNotable);
     if (answer === undefined) return;
     for (const tell of job.callers.values()) tell(answer);
   }
@@ -522,7 +546,7 @@
     fields: Readonly<Record<string, unknown>> = {},
   ): void {
     const {request, rule} = job;
-    this.options.log(event, message, {
+    this.requests.note(request.job, event, message, {
       job: request.job,
       request: request.request,
       queue: rule.name,
