--- a/src/lib/decisions/admit_work.ts
+++ b/src/lib/decisions/admit_work.ts
@@ -3,8 +3,8 @@
 
 /** What the decision rests on. */
 export interface AdmissionInput {
-  /** Processor time of the job by its estimates, in core-milliseconds. */
-  readonly workMs: number;
+  /** Cores that the tasks of the job that can begin at once ask for. */
+  readonly width: number;
   /** Processor time waiting ahead of it, here and at peers, in core-milliseconds. */
   readonly aheadMs: number;
   /** Cores of all targets that take work. */
@@ -29,9 +29,6 @@
   readonly retryAfterMs: number;
 }
 
-/** Share of the slack that the expected wait may take up. */
-const WAIT_SHARE = 1;
-
 /** When to come again while no target takes work, in milliseconds. */
 const NO_TARGET_RETRY_MS = 2000;
 
@@ -48,8 +45,8 @@
     return {reason: JobReason.TOO_LARGE, waitMs: 0, retryAfterMs: 0};
   }
   const waitMs = input.aheadMs / Math.max(1, input.cores);
-  const isInTime = waitMs <= Math.max(0, input.slackMs) * WAIT_SHARE;
-  if (isInTime || input.freeCores * waitMs >= input.workMs + input.aheadMs) {
+  const hasRoom = input.freeCores >= Math.min(input.width, input.cores / 2);
+  if (hasRoom || waitMs <= input.slackMs) {
     return {reason: JobReason.NONE, waitMs, retryAfterMs: 0};
   }
   return {
--- a/src/lib/decisions/job_timing.ts
+++ b/src/lib/decisions/job_timing.ts
@@ -48,3 +48,13 @@
   }
   return Math.max(0, ...ends);
 }
+
+/** Share of the objective that a job may wait for however slow the targets are. */
+const LEAST_SLACK_SHARE = 0.15;
+
+/** Returns how long a job may wait in milliseconds and still be in time. */
+export function computeSlack(timing: JobTiming, slowness: number): number {
+  const {objectiveMs, chainMs} = timing;
+  const slackMs = objectiveMs - chainMs * slowness;
+  return Math.max(slackMs, objectiveMs * LEAST_SLACK_SHARE);
+}
--- a/src/lib/decisions/rank_work.ts
+++ b/src/lib/decisions/rank_work.ts
@@ -4,23 +4,55 @@
 /** What the rank of a job rests on. */
 export interface RankedWork {
   readonly timing: JobTiming;
-  /** Tasks that are not done, and all tasks. */
-  readonly left: number;
-  readonly tasks: readonly unknown[];
 }
 
+/** How likely it is that a job's answer is in time if it begins now. */
+export enum Prospect {
+  IN_TIME = 'in-time',
+  LATE = 'late',
+  /** So late that the answer has no worth to the caller any more. */
+  USELESS = 'useless',
+}
+
+/** Share by which a run may take longer than expected and still be in time. */
+const RUN_MARGIN = 1.1;
+
 /** Puts whole groups of jobs behind one another, in milliseconds. */
-const GROUP_MS = 1e7;
+const GROUP_MS: Readonly<Record<Prospect, number>> = {
+  [Prospect.IN_TIME]: 0,
+  [Prospect.LATE]: 1e6,
+  [Prospect.USELESS]: 2e6,
+};
+
+/**
+ * Judges a job's prospect.
+ *
+ * @param slowness Run time over estimate on the targets there are, averaged.
+ */
+export function judgeProspect(
+  {timing}: RankedWork,
+  nowMs: number,
+  slowness: number,
+): Prospect {
+  const endsAtMs = nowMs + timing.chainMs * slowness * RUN_MARGIN;
+  if (endsAtMs <= timing.receivedAtMs + timing.objectiveMs) {
+    return Prospect.IN_TIME;
+  }
+  return nowMs + timing.chainMs > timing.uselessAtMs
+    ? Prospect.USELESS
+    : Prospect.LATE;
+}
 
 /**
  * Ranks a job; the lowest goes first. Jobs that can be in time come by their
  * latest begin, then those that are late already, then those whose answer has
- * no worth any more.
+ * no worth any more. Pattern: after an outage a second's worth of late jobs
+ * stands before the doors, and served first it makes every later job late.
  */
-export function rankJob(job: RankedWork, nowMs: number): number {
-  const {timing} = job;
-  const {startByMs} = timing;
-  if (nowMs <= startByMs) return startByMs;
-  const isUseless = nowMs + timing.chainMs > timing.uselessAtMs;
-  return startByMs + (isUseless ? 2 : 1) * GROUP_MS;
+export function rankJob(
+  job: RankedWork,
+  nowMs: number,
+  slowness: number,
+): number {
+  return job.timing.startByMs + GROUP_MS[judgeProspect(job, nowMs, slowness)];
 }
--- a/src/lib/work/entry/agent_fleet.ts
+++ b/src/lib/work/entry/agent_fleet.ts
@@ -60,6 +60,12 @@
 export const PROOF_MS =
   OWNER_SILENCE_MS + LEASE_MS * (1 + CLOCK_ERROR) + STOP_MARGIN_MS;
 
+/** Thousandths in a core. */
+const MILLI = 1000;
+
+/** Run time in milliseconds of a task in an agent's queue, of which only the need is known. */
+const USUAL_RUN_MS = 250;
+
 /** Time in milliseconds after which a lapsed agent is forgotten. */
 const FORGET_AFTER_MS = 30_000;
 
@@ -110,6 +116,24 @@
     return sum;
   }
 
+  /** Run time over estimate on the median target: a few that hang count little. */
+  medianSlowness(): number {
+    const sorted = this.listViews()
+      .filter(view => view.state === AgentState.PRESENT)
+      .map(view => view.report.slowness)
+      .sort((a, b) => a - b);
+    return sorted[Math.floor(sorted.length / 2)] ?? 1;
+  }
+
+  /** Work that waits in the agents' queues, in core-milliseconds. */
+  sumQueued(): number {
+    const milli = this.listViews().reduce(
+      (sum, view) => sum + Math.max(0, -view.free.cpuMilli),
+      0,
+    );
+    return (milli / MILLI) * USUAL_RUN_MS;
+  }
+
   /** Takes the frames of one message. */
   takeFrames(
     stream: FrameStream<EntryFrame>,
--- a/src/lib/work/entry/scheduler.ts
+++ b/src/lib/work/entry/scheduler.ts
@@ -13,7 +13,8 @@
   ChooseTarget,
   PlacementTarget,
 } from '../../decisions/place_task.js';
-import {rankJob} from '../../decisions/rank_work.js';
+import {judgeProspect, Prospect, rankJob} from '../../decisions/rank_work.js';
+import {computeSlack} from '../../decisions/job_timing.js';
 import type {FleetLog} from '../../observe/fleet_log.js';
 import {FleetEvent} from '../../observe/fleet_log.js';
 import {RequestLog} from '../../observe/request_log.js';
@@ -235,11 +236,15 @@
     const targets = this.listTargets(service);
     const {startByMs} = job.timing;
     const verdict = judgeAdmission({
-      workMs: sumWork(job.tasks),
-      aheadMs: this.estimateAhead(startByMs),
+      width: sumCores(
+        job.tasks
+          .filter(task => task.spec.after.length === 0)
+          .map(task => task.spec.need.cpuMilli),
+      ),
+      aheadMs: this.estimateAhead(startByMs) + this.fleet.sumQueued(),
       cores: sumCores(targets.map(target => target.capacity.cpuMilli)),
       freeCores: sumCores(targets.map(target => target.free.cpuMilli)),
-      slackMs: startByMs - this.nowMs,
+      slackMs: computeSlack(job.timing, this.fleet.medianSlowness()),
       hasTargets: targets.length > 0,
       isPlaceable: job.request.steps.every(step =>
         targets.some(target => isEligible(step, target)),
@@ -260,10 +265,11 @@
     return ahead + this.fleet.sumPeerBacklog(this.nowMs) * share;
   }
 
+  /** Sums the work that waits and can be in time; late work gives way to it. */
   private sumBacklog(startByMs: number): number {
     let sum = 0;
     for (const job of this.pending) {
-      if (job.timing.startByMs > startByMs) continue;
+      if (job.timing.startByMs > startByMs || !this.isInTime(job)) continue;
       sum += sumWork(
         job.tasks.filter(task => task.state === TaskState.WAITING),
       );
@@ -486,26 +492,31 @@
 
   private place(): void {
     if (this.pending.size === 0) return;
-    const jobs = [...this.pending].sort(
-      (a, b) => rankJob(a, this.nowMs) - rankJob(b, this.nowMs),
-    );
+    const slowness = this.fleet.medianSlowness();
+    const jobs = [...this.pending]
+      .map(job => ({job, rank: rankJob(job, this.nowMs, slowness)}))
+      .sort((a, b) => a.rank - b.rank);
     const full = new Set<string>();
-    for (const job of jobs) {
+    for (const {job, rank} of jobs) {
       const {service} = job.rule;
       if (full.has(service)) continue;
       const views = this.listViews(service);
-      if (!this.placeJob(job, views)) full.add(service);
+      if (!this.placeJob(job, rank, views)) full.add(service);
     }
   }
 
   /** Places what can be placed; tells whether nothing was left for want of room. */
-  private placeJob(job: ActiveJob, views: readonly AgentView[]): boolean {
+  private placeJob(
+    job: ActiveJob,
+    rank: number,
+    views: readonly AgentView[],
+  ): boolean {
     for (const task of job.tasks) {
       if (task.state !== TaskState.WAITING) continue;
       if (task.avoided.size >= views.length) task.avoided.clear();
       const view = this.chooseView(task, views);
       if (view === undefined) return false;
-      this.order(task, view);
+      this.order(task, view, rank);
     }
     this.pending.delete(job);
     return true;
@@ -528,13 +539,18 @@
     const target =
       (canProbe ? chooseProbe(need, targets) : undefined) ??
       this.options.chooseTarget(need, targets) ??
-      chooseQueue(need, targets);
+      (this.isInTime(task.job) ? chooseQueue(need, targets) : undefined);
     return views.find(view => view.life === target?.agent);
   }
 
-  private order(task: ActiveTask, view: AgentView): void {
+  private isInTime(job: ActiveJob): boolean {
+    const slowness = this.fleet.medianSlowness();
+    return judgeProspect(job, this.nowMs, slowness) === Prospect.IN_TIME;
+  }
+
+  private order(task: ActiveTask, view: AgentView, rank: number): void {
     const {job, spec} = task;
-    const {request, rule, timing} = job;
+    const {request, rule} = job;
     task.run += 1;
     this.change(task, TaskEvent.PLACE);
     job.state = JOB_CHART.step(job.state, JobEvent.PLACE).state;
@@ -547,7 +563,7 @@
       payload: request.payload,
       need: spec.need,
       estimateMs: spec.estimateMs,
-      slackMs: Math.round(timing.startByMs - this.nowMs),
+      slackMs: Math.round(rank - this.nowMs),
       patienceMs: PATIENCE_MS,
     });
     this.logJob(job, FleetEvent.TASK_PLACED, 'A task is placed.', {
