Split the work's tasks into desks, move its types to core, name the store's port for what it is

The house rules' list of modules that decisions may import gains the three modules of pure types (fleet_configuration, work_frames, work_job), as it had link_messages.

--- a/src/lib/admin/read_back.ts
+++ b/src/lib/admin/read_back.ts
@@ -1,6 +1,6 @@
 /** Decides what became of a write whose reply was lost. */
-import {ABSENT_REVISION} from '../platform/platform_store.js';
-import type {StoredValue} from '../platform/platform_store.js';
+import {ABSENT_REVISION} from '../store/platform_store.js';
+import type {StoredValue} from '../store/platform_store.js';
 import {findWrite, listVersions} from './write_plan.js';
 
 /** What the store shows of a write. */
--- a/src/lib/admin/record_reader.ts
+++ b/src/lib/admin/record_reader.ts
@@ -1,5 +1,5 @@
 /** Answers what operators ask about records in the store. */
-import type {PlatformStore, StoredValue} from '../platform/platform_store.js';
+import type {PlatformStore, StoredValue} from '../store/platform_store.js';
 import {
   RECORDS_FOLDER,
   RecordKind,
--- a/src/lib/admin/record_writer.ts
+++ b/src/lib/admin/record_writer.ts
@@ -2,8 +2,8 @@
 import {computeBackoffMs} from '../core/backoff.js';
 import type {DrawRandom, StartTimer} from '../core/clock.js';
 import {ErrorCode, FoxtailbayError} from '../core/errors.js';
-import {ABSENT_REVISION} from '../platform/platform_store.js';
-import type {PlatformStore, StoredValue} from '../platform/platform_store.js';
+import {ABSENT_REVISION} from '../store/platform_store.js';
+import type {PlatformStore, StoredValue} from '../store/platform_store.js';
 import {formatRecordKey} from '../records/record.js';
 import {
   AdministrationProblem,
--- a/src/lib/admin/request_executor.ts
+++ b/src/lib/admin/request_executor.ts
@@ -1,6 +1,6 @@
 /** Carries out the requests of operators, whatever front end they came by. */
 import type {DrawRandom, StartTimer} from '../core/clock.js';
-import type {PlatformStore} from '../platform/platform_store.js';
+import type {PlatformStore} from '../store/platform_store.js';
 import {NEWEST_SCHEMA_VERSION, RecordKind} from '../records/record.js';
 import type {RecordIdentity} from '../records/record.js';
 import {AnswerKind} from './administration_answer.js';
--- a/src/lib/admin/write_plan.ts
+++ b/src/lib/admin/write_plan.ts
@@ -1,7 +1,7 @@
 /** Decides what a change of a record asks of the store. */
 import {isDeepStrictEqual} from 'node:util';
-import {ABSENT_REVISION} from '../platform/platform_store.js';
-import type {StoredValue} from '../platform/platform_store.js';
+import {ABSENT_REVISION} from '../store/platform_store.js';
+import type {StoredValue} from '../store/platform_store.js';
 import {parseEnvelope, parseVersion} from '../records/record_body.js';
 import type {
   PastRecordVersion,
--- a/src/lib/work/frames.ts
+++ b/src/lib/core/work_frames.ts
@@ -125,8 +125,6 @@
       readonly entries: readonly string[];
       /** Processor time that waits at this entry, in thousandths of core-seconds. */
       readonly backlog: number;
-      /** Jobs accepted here of which nothing has started, by queue. */
-      readonly waitingJobs: Readonly<Record<string, number>>;
     }
   | {readonly kind: EntryFrameKind.ORDER; readonly order: RunOrder}
   | ({readonly kind: EntryFrameKind.STOP} & RunName)
--- a/src/lib/work/work_job.ts
+++ b/src/lib/core/work_job.ts
@@ -107,6 +107,15 @@
   };
 }
 
+/** Returns the sum of both. */
+export function addResources(sum: Resources, more: Resources): Resources {
+  return {
+    cpuMilli: sum.cpuMilli + more.cpuMilli,
+    memoryMb: sum.memoryMb + more.memoryMb,
+    accelerators: sum.accelerators + more.accelerators,
+  };
+}
+
 /** No resources at all. */
 export const NO_RESOURCES: Resources = {
   cpuMilli: 0,
--- a/src/lib/decisions/admit_work.ts
+++ b/src/lib/decisions/admit_work.ts
@@ -1,5 +1,5 @@
 /** Decides whether a job can be served in time, before anything of it runs. */
-import {JobReason} from '../work/work_job.js';
+import {JobReason} from '../core/work_job.js';
 
 /** What the decision rests on. */
 export interface AdmissionInput {
--- a/src/lib/decisions/held_run.ts
+++ b/src/lib/decisions/held_run.ts
@@ -1,7 +1,7 @@
 /** One run of a task at the agent, and the chart of its life. */
 import {Chart} from '../core/chart.js';
 import {readChart} from '../core/chart_file.js';
-import type {NotStartedCause, RunOrder} from '../work/frames.js';
+import type {NotStartedCause, RunOrder} from '../core/work_frames.js';
 
 /** States of `charts/target_run.yaml`. */
 export enum RunState {
--- a/src/lib/decisions/job_timing.ts
+++ b/src/lib/decisions/job_timing.ts
@@ -1,6 +1,6 @@
 /** When a job should be done, and when its tasks must begin for that. */
-import type {QueueRule} from '../work/fleet_configuration.js';
-import type {StepSpec} from '../work/work_job.js';
+import type {QueueRule} from '../core/fleet_configuration.js';
+import type {StepSpec} from '../core/work_job.js';
 
 /** The times of a job, in milliseconds of the entry's monotonic clock. */
 export interface JobTiming {
--- a/src/lib/decisions/place_task.ts
+++ b/src/lib/decisions/place_task.ts
@@ -1,6 +1,6 @@
 /** Chooses the target for a task. */
-import {isFitting} from '../work/work_job.js';
-import type {Resources, StepSpec} from '../work/work_job.js';
+import {isFitting} from '../core/work_job.js';
+import type {Resources, StepSpec} from '../core/work_job.js';
 
 /** A target as placement sees it. */
 export interface PlacementTarget {
@@ -113,18 +113,18 @@
  * followed by a pause of several messages between entry and agent.
  */
 export const chooseQueue: ChooseTarget = (need, targets) => {
-  const behind = (target: PlacementTarget) =>
+  const computeLag = (target: PlacementTarget) =>
     -target.free.cpuMilli / Math.max(1, target.capacity.cpuMilli);
   const open = targets.filter(
     target =>
       !target.isSuspect &&
       isEligible(need.spec, target) &&
       !need.avoided.has(target.life) &&
-      behind(target) < QUEUE_SHARE &&
+      computeLag(target) < QUEUE_SHARE &&
       (need.spec.perTargetAtMost === 0 ||
         need.countOn(target.agent) < need.spec.perTargetAtMost),
   );
-  return pickLeast(open, target => behind(target) * target.slowness);
+  return pickLeast(open, target => computeLag(target) * target.slowness);
 };
 
 function pickLeast(
--- a/src/lib/decisions/run_book.ts
+++ b/src/lib/decisions/run_book.ts
@@ -1,8 +1,13 @@
 /** The runs of one target: room, queue, orders, ends. Decides, sends nothing. */
-import {isFitting, NO_RESOURCES, subtractResources} from '../work/work_job.js';
-import type {Resources} from '../work/work_job.js';
-import {NotStartedCause, RunEnd} from '../work/frames.js';
-import type {RunEndReport, RunOrder} from '../work/frames.js';
+import {
+  addResources,
+  isFitting,
+  NO_RESOURCES,
+  subtractResources,
+} from '../core/work_job.js';
+import type {Resources} from '../core/work_job.js';
+import {NotStartedCause, RunEnd} from '../core/work_frames.js';
+import type {RunOrder} from '../core/work_frames.js';
 import {
   formatRunKey,
   hasRoom,
@@ -12,45 +17,8 @@
   RunState,
 } from './held_run.js';
 import type {HeldRun} from './held_run.js';
-
-/** Kinds of command that the book gives. */
-export enum RunCommandKind {
-  SEND_START = 'send-start',
-  SEND_STOP = 'send-stop',
-  REPORT_STARTED = 'report-started',
-  REPORT_END = 'report-end',
-}
-
-/** What the owner of the book must do next. */
-export type RunCommand =
-  | {
-      readonly kind:
-        | RunCommandKind.SEND_START
-        | RunCommandKind.SEND_STOP
-        | RunCommandKind.REPORT_STARTED;
-      readonly run: HeldRun;
-    }
-  | {
-      readonly kind: RunCommandKind.REPORT_END;
-      readonly run: HeldRun;
-      readonly report: RunEndReport;
-    };
-
-/** One row of a target's list of what runs. */
-export interface ListedRun {
-  readonly task: string;
-  readonly run: number;
-  readonly percent: number;
-}
-
-/** One row of a target's list of what has ended. */
-export interface ListedEnd {
-  /** Counts the ends of one life of the target from 1. */
-  readonly number: number;
-  readonly task: string;
-  readonly run: number;
-  readonly end: RunEnd;
-}
+import {RunCommandKind} from './run_command.js';
+import type {ListedEnd, ListedRun, RunCommand} from './run_command.js';
 
 /** Ends that a target lists at most; a list of this length may lack some. */
 const ENDS_LISTED_AT_MOST = 500;
@@ -101,6 +69,11 @@
     return [...this.runs.values()];
   }
 
+  /** Number of orders that wait for room. */
+  countQueued(): number {
+    return this.listRuns().filter(run => run.state === RunState.QUEUED).length;
+  }
+
   /** Finds a run. */
   findRun(task: string, run: number): HeldRun | undefined {
     return this.runs.get(formatRunKey(task, run));
@@ -158,6 +131,14 @@
     }
   }
 
+  /** Gives back what has not been started. */
+  returnQueued(cause: NotStartedCause, nowMs: number): void {
+    for (const run of this.listRuns()) {
+      if (run.state !== RunState.QUEUED) continue;
+      this.takeEvent(run, RunEvent.STOP, nowMs, cause);
+    }
+  }
+
   /** Takes an event of one run. */
   takeEvent(
     run: HeldRun,
@@ -213,8 +194,9 @@
     if (row.number <= this.ackedThrough) return;
     this.ackedThrough = row.number;
     const run = this.findRun(row.task, row.run);
-    if (run !== undefined)
+    if (run !== undefined) {
       this.change(run, RunEvent.END_LISTED, nowMs, row.end);
+    }
   }
 
   private takeProgress(row: ListedRun, nowMs: number): void {
@@ -311,11 +293,3 @@
     });
   }
 }
-
-function addResources(sum: Resources, need: Resources): Resources {
-  return {
-    cpuMilli: sum.cpuMilli + need.cpuMilli,
-    memoryMb: sum.memoryMb + need.memoryMb,
-    accelerators: sum.accelerators + need.accelerators,
-  };
-}
--- a/src/lib/entry/configuration_message.ts
+++ b/src/lib/entry/configuration_message.ts
@@ -1,6 +1,6 @@
 /** The messages that the configuration task takes. */
 import type {LearnedConfiguration} from '../records/configuration_mirror.js';
-import type {StoreChanges, StoreSnapshot} from '../platform/platform_store.js';
+import type {StoreChanges, StoreSnapshot} from '../store/platform_store.js';
 import type {EntryRegistrationEvent} from './entry_registration_chart.js';
 import type {ConfigurationWatchEvent} from './configuration_watch_chart.js';
 
--- a/src/lib/entry/configuration_settings.ts
+++ b/src/lib/entry/configuration_settings.ts
@@ -1,7 +1,7 @@
 /** Creates the configuration task of an entry from its settings. */
 import {readMonotonicMs, startTimer} from '../core/clock.js';
 import type {ProcessIdentity} from '../core/identity.js';
-import {HttpPlatformStore} from '../platform/http_platform_store.js';
+import {HttpPlatformStore} from '../store/http_platform_store.js';
 import type {
   ConfigurationEvidence,
   ConfigurationView,
--- a/src/lib/entry/configuration_task.ts
+++ b/src/lib/entry/configuration_task.ts
@@ -3,7 +3,7 @@
 import type {ProcessIdentity} from '../core/identity.js';
 import {PostOutcome, Task} from '../core/task.js';
 import type {Post} from '../core/task.js';
-import type {PlatformStore} from '../platform/platform_store.js';
+import type {PlatformStore} from '../store/platform_store.js';
 import type {RecordReport} from '../records/apply_records.js';
 import type {
   ConfigurationEvidence,
--- a/src/lib/entry/configuration_watch.ts
+++ b/src/lib/entry/configuration_watch.ts
@@ -2,7 +2,7 @@
 import {ChartRun} from '../core/chart_run.js';
 import {computeBackoffMs} from '../core/backoff.js';
 import type {DrawRandom, ReadMonotonicMs, StartTimer} from '../core/clock.js';
-import type {PlatformStore} from '../platform/platform_store.js';
+import type {PlatformStore} from '../store/platform_store.js';
 import type {RecordReport} from '../records/apply_records.js';
 import {
   ReplyStanding,
--- a/src/lib/entry/entry_process.ts
+++ b/src/lib/entry/entry_process.ts
@@ -12,7 +12,7 @@
 import {watchProcessHealth} from '../observe/process_health.js';
 import {createProcessParts} from '../observe/process_parts.js';
 import type {ProcessParts} from '../observe/process_parts.js';
-import {HttpPlatformStore} from '../platform/http_platform_store.js';
+import {HttpPlatformStore} from '../store/http_platform_store.js';
 import {StoreContact} from '../records/configuration_view.js';
 import type {
   ConfigurationEvidence,
--- a/src/lib/observe/request_log.ts
+++ b/src/lib/observe/request_log.ts
@@ -48,7 +48,7 @@
   }
 
   /** Keeps a line of a request, or of a part of it, until it ends. */
-  note(
+  add(
     key: string,
     event: FleetEvent,
     message: string,
--- a/src/lib/records/apply_records.ts
+++ b/src/lib/records/apply_records.ts
@@ -1,6 +1,6 @@
 /** Applies changes of the store to the records that a process holds. */
-import {StoreChangeKind} from '../platform/platform_store.js';
-import type {StoreChange, StoreSnapshot} from '../platform/platform_store.js';
+import {StoreChangeKind} from '../store/platform_store.js';
+import type {StoreChange, StoreSnapshot} from '../store/platform_store.js';
 import {parseRecordPath} from './record.js';
 import type {ConfigurationRecord, RecordIdentity} from './record.js';
 import {parseRecord, recoverRecord} from './record_body.js';
--- a/src/lib/records/configuration_mirror.ts
+++ b/src/lib/records/configuration_mirror.ts
@@ -1,10 +1,10 @@
 /** What an entry holds of the store's configuration, and the view it gives. */
-import {StoreChangeKind} from '../platform/platform_store.js';
+import {StoreChangeKind} from '../store/platform_store.js';
 import type {
   StoreChange,
   StoreChanges,
   StoreSnapshot,
-} from '../platform/platform_store.js';
+} from '../store/platform_store.js';
 import {applyRecords, listChanges} from './apply_records.js';
 import type {HeldRecords, RecordReport} from './apply_records.js';
 import {EMPTY_VIEW, buildRecordsView, parseEntryAddress} from './build_view.js';
--- a/src/lib/records/registration.ts
+++ b/src/lib/records/registration.ts
@@ -1,5 +1,5 @@
 /** Decides who may be registered under an entry's id. */
-import type {StoredValue} from '../platform/platform_store.js';
+import type {StoredValue} from '../store/platform_store.js';
 import type {EntryAddress} from './configuration_view.js';
 
 /** The value under which an entry is registered in the store. */
--- a/src/lib/work/agent/entry_book.ts
+++ b/src/lib/work/agent/entry_book.ts
@@ -1,6 +1,6 @@
 /** What an agent keeps of each entry: contact, orders taken, ends to confirm. */
 import {formatRunKey} from '../../decisions/held_run.js';
-import type {RunEndReport} from '../frames.js';
+import type {RunEndReport} from '../../core/work_frames.js';
 
 /** One life of an entry, as the agent knows it. */
 export interface KnownEntry {
--- a/src/lib/work/agent/entry_links.ts
+++ b/src/lib/work/agent/entry_links.ts
@@ -3,8 +3,12 @@
 import {repeatTimer} from '../../core/clock.js';
 import {Task} from '../../core/task.js';
 import type {Post} from '../../core/task.js';
-import {AgentFrameKind, EntryFrameKind} from '../frames.js';
-import type {AgentFrame, EntryFrame, PeerBacklog} from '../frames.js';
+import {AgentFrameKind, EntryFrameKind} from '../../core/work_frames.js';
+import type {
+  AgentFrame,
+  EntryFrame,
+  PeerBacklog,
+} from '../../core/work_frames.js';
 import type {FrameStream, OpenFrameStream} from '../link/frame_stream.js';
 import {LinksMessageKind, WorkMessageKind} from './runner_messages.js';
 import type {LinksMessage, WorkMessage} from './runner_messages.js';
@@ -126,7 +130,7 @@
         this.lose(message.link, message.detail);
         break;
       case LinksMessageKind.TICK:
-        this.tick();
+        this.checkAll();
         break;
     }
   }
@@ -153,7 +157,7 @@
     });
   }
 
-  private tick(): void {
+  private checkAll(): void {
     const nowMs = this.options.readMonotonicMs();
     for (const peer of this.peers.values()) this.check(peer, nowMs);
     this.lookUp(nowMs);
--- /dev/null
+++ b/src/lib/work/agent/owner_desk.ts
@@ -0,0 +1,159 @@
+/** The entries of an agent: greetings, orders taken, ends delivered, reports. */
+import type {Post} from '../../core/task.js';
+import type {HeldRun} from '../../decisions/held_run.js';
+import {RunState} from '../../decisions/held_run.js';
+import type {FleetConfiguration} from '../../core/fleet_configuration.js';
+import {AgentFrameKind} from '../../core/work_frames.js';
+import type {
+  AgentFrame,
+  PeerBacklog,
+  RunEndReport,
+  TargetReport,
+} from '../../core/work_frames.js';
+import {EntryBook} from './entry_book.js';
+import type {KnownEntry} from './entry_book.js';
+import {LinksMessageKind} from './runner_messages.js';
+import type {LinksMessage} from './runner_messages.js';
+
+/** What the desk needs. */
+export interface OwnerDeskOptions {
+  readonly agent: string;
+  readonly life: string;
+  readonly dataCentre: string;
+  readonly postToLinks: Post<LinksMessage>;
+  /** Describes the target; the receiver's own sequence is added. */
+  readonly describeTarget: () => Omit<TargetReport, 'through'>;
+}
+
+/** Speaks with the entries for the runner, which owns it. */
+export class OwnerDesk {
+  private readonly entries = EntryBook.create();
+  private isReportDue = false;
+  private lastReport = '';
+
+  private constructor(private readonly options: OwnerDeskOptions) {}
+
+  /** Creates a desk that knows no entry. */
+  static create(options: OwnerDeskOptions): OwnerDesk {
+    return new OwnerDesk(options);
+  }
+
+  /** Finds a life of an entry. */
+  find(life: string): KnownEntry | undefined {
+    return this.entries.find(life);
+  }
+
+  /** Lists what waits at the linked entries. */
+  listBacklogs(): readonly PeerBacklog[] {
+    return this.entries
+      .listEntries()
+      .filter(entry => entry.link !== undefined && entry.backlog > 0)
+      .map(({life, backlog}) => ({entry: life, backlog}));
+  }
+
+  /** Tells whether every linked entry has acknowledged all ends. */
+  hasDelivered(): boolean {
+    return this.entries
+      .listEntries()
+      .every(entry => entry.link === undefined || entry.ends.size === 0);
+  }
+
+  /** Takes an opened link: tells what is held for the entry and what ended. */
+  greet(
+    life: string,
+    link: number,
+    runs: readonly HeldRun[],
+    configuration: FleetConfiguration | undefined,
+    nowMs: number,
+  ): void {
+    const entry = this.entries.open(life, link, nowMs);
+    const {agent, life: own, dataCentre} = this.options;
+    this.send(entry, {
+      kind: AgentFrameKind.HELLO,
+      agent,
+      life: own,
+      dataCentre,
+      held: runs
+        .filter(run => run.owner === life)
+        .map(({order, state}) => ({
+          task: order.task,
+          run: order.run,
+          job: order.job,
+          isStarted: state !== RunState.QUEUED,
+        })),
+      ends: [...entry.ends.values()],
+      through: entry.through,
+    });
+    if (configuration !== undefined) {
+      this.send(entry, {kind: AgentFrameKind.CONFIGURATION, configuration});
+    }
+    this.send(entry, this.describe(entry));
+  }
+
+  /** Takes a closed link. */
+  close(life: string, link: number): void {
+    this.entries.close(life, link);
+  }
+
+  /** Keeps an end until its entry acknowledges it, and sends it. */
+  deliverEnd(owner: string, report: RunEndReport): void {
+    this.entries.addEnd(owner, report);
+    const entry = this.entries.find(owner);
+    if (entry !== undefined) {
+      this.send(entry, {kind: AgentFrameKind.END, report});
+    }
+  }
+
+  /** Drops an end that its entry has. */
+  acknowledge(owner: string, task: string, run: number): void {
+    this.entries.removeEnd(owner, task, run);
+  }
+
+  /** Tells the configuration to all entries but the one it came from. */
+  publishConfiguration(
+    configuration: FleetConfiguration,
+    source: string,
+  ): void {
+    for (const entry of this.entries.listEntries()) {
+      if (entry.life === source) continue;
+      this.send(entry, {kind: AgentFrameKind.CONFIGURATION, configuration});
+    }
+  }
+
+  /** Forgets entries that have long been without contact. */
+  forgetOld(nowMs: number): void {
+    this.entries.forgetOld(nowMs);
+  }
+
+  /** Reports the target to all entries at the end of this turn, if it changed. */
+  scheduleReport(): void {
+    if (this.isReportDue) return;
+    this.isReportDue = true;
+    setImmediate(() => {
+      this.isReportDue = false;
+      this.report();
+    });
+  }
+
+  private report(): void {
+    const entries = this.entries.listEntries();
+    const present = JSON.stringify([
+      this.options.describeTarget(),
+      entries.map(entry => entry.through),
+    ]);
+    if (present === this.lastReport) return;
+    this.lastReport = present;
+    for (const entry of entries) this.send(entry, this.describe(entry));
+  }
+
+  private describe({through}: KnownEntry): AgentFrame {
+    const report = {through, ...this.options.describeTarget()};
+    return {kind: AgentFrameKind.REPORT, report};
+  }
+
+  private send(entry: KnownEntry, frame: AgentFrame): void {
+    if (entry.link === undefined) return;
+    const {link} = entry;
+    this.options.postToLinks({kind: LinksMessageKind.SEND, link, frame});
+  }
+}
--- a/src/lib/work/agent/runner_messages.ts
+++ b/src/lib/work/agent/runner_messages.ts
@@ -1,5 +1,5 @@
 /** Messages between the tasks of an agent. */
-import type {AgentFrame, EntryFrame} from '../frames.js';
+import type {AgentFrame, EntryFrame} from '../../core/work_frames.js';
 import type {HoldAnswer, OrderAnswer, TargetBeat} from './target_port.js';
 
 /** Kinds of message to the runner. */
--- a/src/lib/work/agent/target_port.ts
+++ b/src/lib/work/agent/target_port.ts
@@ -1,7 +1,7 @@
 /** What an agent asks of the target beside it, whatever protocol it speaks. */
-import type {ListedEnd, ListedRun} from '../../decisions/run_book.js';
-import type {Resources} from '../work_job.js';
-import type {TargetPhase} from '../frames.js';
+import type {ListedEnd, ListedRun} from '../../decisions/run_command.js';
+import type {Resources} from '../../core/work_job.js';
+import type {TargetPhase} from '../../core/work_frames.js';
 
 /** What a target says of itself. */
 export interface TargetBeat {
--- a/src/lib/work/agent/work_agent.ts
+++ b/src/lib/work/agent/work_agent.ts
@@ -10,7 +10,7 @@
 } from '../../core/process_life.js';
 import {FleetEvent} from '../../observe/fleet_log.js';
 import type {FleetLog} from '../../observe/fleet_log.js';
-import type {AgentFrame, EntryFrame} from '../frames.js';
+import type {AgentFrame, EntryFrame} from '../../core/work_frames.js';
 import type {OpenFrameStream} from '../link/frame_stream.js';
 import {EntryLinks} from './entry_links.js';
 import {WorkMessageKind} from './runner_messages.js';
--- a/src/lib/work/entry/active_job.ts
+++ b/src/lib/work/entry/active_job.ts
@@ -1,9 +1,9 @@
 /** A job in progress at the entry that owns it. */
 import {computeObjective} from '../../decisions/job_timing.js';
 import type {JobTiming} from '../../decisions/job_timing.js';
-import type {QueueRule} from '../fleet_configuration.js';
-import {formatTaskName} from '../work_job.js';
-import type {JobAnswer, JobRequest, StepSpec} from '../work_job.js';
+import type {QueueRule} from '../../core/fleet_configuration.js';
+import {formatTaskName} from '../../core/work_job.js';
+import type {JobAnswer, JobRequest, StepSpec} from '../../core/work_job.js';
 import {JOB_CHART, JobState, TASK_CHART, TaskState} from './work_charts.js';
 
 /** Gives a caller its answer. */
--- /dev/null
+++ b/src/lib/work/entry/admission_desk.ts
@@ -0,0 +1,105 @@
+/** Weighs a job against the work of an entry and its targets. */
+import {judgeAdmission} from '../../decisions/admit_work.js';
+import {computeSlack} from '../../decisions/job_timing.js';
+import {isEligible} from '../../decisions/place_task.js';
+import {judgeProspect, Prospect} from '../../decisions/rank_work.js';
+import {JobEnd, JobReason} from '../../core/work_job.js';
+import type {JobAnswer} from '../../core/work_job.js';
+import type {ActiveJob, ActiveTask} from './active_job.js';
+import type {AgentFleet} from './agent_fleet.js';
+import type {AgentView} from './agent_view.js';
+import type {JobLedger} from './job_ledger.js';
+import {TaskState} from './work_charts.js';
+
+/** What the desk looks at. */
+export interface AdmissionDeskOptions {
+  readonly fleet: AgentFleet;
+  readonly ledger: JobLedger;
+}
+
+/** Thousandths in a core. */
+const MILLI = 1000;
+
+/** Share of a peer's work taken to be ahead while nothing waits here. */
+const PEER_SHARE = 0.5;
+
+/** Judges jobs for the scheduler, which owns it. */
+export class AdmissionDesk {
+  private constructor(private readonly options: AdmissionDeskOptions) {}
+
+  /** Creates a desk. */
+  static create(options: AdmissionDeskOptions): AdmissionDesk {
+    return new AdmissionDesk(options);
+  }
+
+  /** Returns the refusal of a job, or undefined to admit it. */
+  judge(
+    job: ActiveJob,
+    views: readonly AgentView[],
+    nowMs: number,
+  ): JobAnswer | undefined {
+    const {fleet} = this.options;
+    const {timing} = job;
+    const targets = views.map(view => view.describeTarget());
+    const verdict = judgeAdmission({
+      width: sumCores(
+        job.tasks
+          .filter(task => task.spec.after.length === 0)
+          .map(task => task.spec.need.cpuMilli),
+      ),
+      aheadMs: this.estimateAhead(timing.startByMs, nowMs) + fleet.sumQueued(),
+      cores: sumCores(targets.map(target => target.capacity.cpuMilli)),
+      freeCores: sumCores(targets.map(target => target.free.cpuMilli)),
+      slackMs: computeSlack(timing, fleet.computeSlowness()),
+      hasTargets: targets.length > 0,
+      isPlaceable: job.request.steps.every(step =>
+        targets.some(target => isEligible(step, target)),
+      ),
+    });
+    const {reason, retryAfterMs} = verdict;
+    if (reason === JobReason.NONE) return undefined;
+    const end = reason === JobReason.TOO_LARGE ? JobEnd.FAILED : JobEnd.REFUSED;
+    return {end, reason, retryAfterMs};
+  }
+
+  /** Sums the work that waits and can be in time; late work gives way to it. */
+  sumBacklog(nowMs: number, startByMs = Infinity): number {
+    let sum = 0;
+    for (const job of this.options.ledger.waiting) {
+      if (job.timing.startByMs > startByMs || !this.isInTime(job, nowMs)) {
+        continue;
+      }
+      sum += sumWork(
+        job.tasks.filter(task => task.state === TaskState.WAITING),
+      );
+    }
+    return sum;
+  }
+
+  /** Tells whether a job can still be in time. */
+  isInTime(job: ActiveJob, nowMs: number): boolean {
+    const slowness = this.options.fleet.computeSlowness();
+    return judgeProspect(job, nowMs, slowness) === Prospect.IN_TIME;
+  }
+
+  /** Estimates the work to be done before a job that must begin by then. */
+  private estimateAhead(startByMs: number, nowMs: number): number {
+    const own = this.sumBacklog(nowMs);
+    const ahead = this.sumBacklog(nowMs, startByMs);
+    const share = own === 0 ? PEER_SHARE : ahead / own;
+    return ahead + this.options.fleet.peers.sum(nowMs) * share;
+  }
+}
+
+/** Sums the work of tasks by their estimates, in core-milliseconds. */
+function sumWork(tasks: readonly ActiveTask[]): number {
+  return tasks.reduce(
+    (sum, {spec}) => sum + (spec.need.cpuMilli / MILLI) * spec.estimateMs,
+    0,
+  );
+}
+
+/** Sums thousandths of cores, those below 0 left out, in cores. */
+export function sumCores(milli: readonly number[]): number {
+  return milli.reduce((sum, one) => sum + Math.max(0, one), 0) / MILLI;
+}
--- a/src/lib/work/entry/agent_fleet.ts
+++ b/src/lib/work/entry/agent_fleet.ts
@@ -1,27 +1,26 @@
 /** The agents of an entry: greetings, silence, reports, ends. */
 import type {FleetLog} from '../../observe/fleet_log.js';
 import {FleetEvent} from '../../observe/fleet_log.js';
-import type {FleetConfiguration} from '../fleet_configuration.js';
-import {AgentFrameKind, EntryFrameKind, TargetPhase} from '../frames.js';
-import type {AgentFrame, EntryFrame, RunEndReport} from '../frames.js';
+import type {FleetConfiguration} from '../../core/fleet_configuration.js';
+import {
+  AgentFrameKind,
+  EntryFrameKind,
+  TargetPhase,
+} from '../../core/work_frames.js';
+import type {
+  AgentFrame,
+  EntryFrame,
+  RunEndReport,
+} from '../../core/work_frames.js';
 import type {FrameStream} from '../link/frame_stream.js';
-import {OWNER_SILENCE_MS} from '../agent/work_runner.js';
-import {LEASE_MS} from '../agent/target_link.js';
 import type {ActiveTask} from './active_job.js';
 import {AgentView} from './agent_view.js';
+import {PeerWork} from './peer_work.js';
+import {PROOF_MS} from './run_proof.js';
+import {TaskNews} from './task_news.js';
 import type {AgentGreeting} from './agent_view.js';
 import {AgentAction, AgentEvent, AgentState} from './work_charts.js';
 
-/** What happened to a task at an agent. */
-export enum TaskNews {
-  /** Its agent is out of reach. */
-  AWAY = 'away',
-  /** Its agent is back and holds it. */
-  BACK = 'back',
-  /** It never began there, or is gone for certain. */
-  RETURNED = 'returned',
-}
-
 /** What the fleet needs. */
 export interface AgentFleetOptions {
   readonly life: string;
@@ -46,20 +45,6 @@
 /** Silence in milliseconds after which an agent gets no new task. */
 const CAUTION_MS = 300;
 
-/** Share by which a target's clock may run slow, and ours fast against it. */
-const CLOCK_ERROR = 0.03;
-
-/** Time in milliseconds for an agent's last stop to be carried out. */
-const STOP_MARGIN_MS = 250;
-
-/**
- * Time in milliseconds after an agent was last heard of when nothing of ours
- * can run there any more. Until `OWNER_SILENCE_MS` it may have gone on and
- * renewed the lease; frozen right then, it left the lease to run out.
- */
-export const PROOF_MS =
-  OWNER_SILENCE_MS + LEASE_MS * (1 + CLOCK_ERROR) + STOP_MARGIN_MS;
-
 /** Thousandths in a core. */
 const MILLI = 1000;
 
@@ -68,11 +53,11 @@
 
 /** Time in milliseconds after which a lapsed agent is forgotten. */
 const FORGET_AFTER_MS = 30_000;
-
 /** Keeps the lives of agents that have greeted. Owned by the scheduler. */
 export class AgentFleet {
   private readonly views = new Map<string, AgentView>();
-  private readonly peerBacklogs = new Map<string, PeerWork>();
+  /** What waits at the other entries. */
+  readonly peers = PeerWork.create();
 
   private constructor(private readonly options: AgentFleetOptions) {}
 
@@ -107,17 +92,8 @@
     );
   }
 
-  /** Tells what waits at the other entries, in core-milliseconds. */
-  sumPeerBacklog(nowMs: number): number {
-    let sum = 0;
-    for (const work of this.peerBacklogs.values()) {
-      if (nowMs - work.heardAtMs <= SILENCE_MS) sum += work.backlog;
-    }
-    return sum;
-  }
-
   /** Run time over estimate on the median target: a few that hang count little. */
-  medianSlowness(): number {
+  computeSlowness(): number {
     const sorted = this.listViews()
       .filter(view => view.state === AgentState.PRESENT)
       .map(view => view.report.slowness)
@@ -193,9 +169,7 @@
     switch (frame.kind) {
       case AgentFrameKind.PING:
         view.heardAtMs = nowMs;
-        for (const {entry, backlog} of frame.backlogs) {
-          this.peerBacklogs.set(entry, {backlog, heardAtMs: nowMs});
-        }
+        this.peers.learn(frame.backlogs, nowMs);
         view.send({
           kind: EntryFrameKind.PONG,
           sentAtMs: frame.sentAtMs,
@@ -303,23 +277,18 @@
     for (const action of view.change(event)) {
       switch (action) {
         case AgentAction.DOUBT_RUNS:
-          this.tell(view, TaskNews.AWAY);
+          this.notifyTasks(view, TaskNews.AWAY);
           break;
         case AgentAction.RETURN_RUNS:
-          this.tell(view, TaskNews.RETURNED);
+          this.notifyTasks(view, TaskNews.RETURNED);
           break;
       }
     }
   }
 
-  private tell(view: AgentView, news: TaskNews): void {
+  private notifyTasks(view: AgentView, news: TaskNews): void {
     for (const task of [...view.tasks.values()]) {
       this.options.takeNews(task, news);
     }
   }
 }
-
-interface PeerWork {
-  readonly backlog: number;
-  readonly heardAtMs: number;
-}
--- a/src/lib/work/entry/agent_view.ts
+++ b/src/lib/work/entry/agent_view.ts
@@ -1,15 +1,19 @@
 /** One life of an agent as an entry sees it. */
 import type {PlacementTarget} from '../../decisions/place_task.js';
-import {AgentFrameKind, EntryFrameKind, TargetPhase} from '../frames.js';
+import {
+  AgentFrameKind,
+  EntryFrameKind,
+  TargetPhase,
+} from '../../core/work_frames.js';
 import type {
   AgentFrame,
   EntryFrame,
   RunOrder,
   TargetReport,
-} from '../frames.js';
+} from '../../core/work_frames.js';
 import type {FrameStream} from '../link/frame_stream.js';
-import {NO_RESOURCES, subtractResources} from '../work_job.js';
-import type {Resources} from '../work_job.js';
+import {NO_RESOURCES, subtractResources} from '../../core/work_job.js';
+import type {Resources} from '../../core/work_job.js';
 import type {ActiveTask} from './active_job.js';
 import {
   AGENT_CHART,
--- a/src/lib/work/entry/fleet_configuration_task.ts
+++ b/src/lib/work/entry/fleet_configuration_task.ts
@@ -6,9 +6,9 @@
 import type {RegistrationMessage} from '../../entry/configuration_message.js';
 import {FleetEvent} from '../../observe/fleet_log.js';
 import type {FleetLog} from '../../observe/fleet_log.js';
-import type {PlatformStore} from '../../platform/platform_store.js';
+import type {PlatformStore} from '../../store/platform_store.js';
 import {parseEntryAddress} from '../../records/build_view.js';
-import type {FleetConfiguration} from '../fleet_configuration.js';
+import type {FleetConfiguration} from '../../core/fleet_configuration.js';
 import {
   ENTRIES_PREFIX,
   OWN_PREFIX,
--- /dev/null
+++ b/src/lib/work/entry/job_ledger.ts
@@ -0,0 +1,299 @@
+/** The jobs of an entry: their tasks, callers and ends. */
+import {FleetEvent} from '../../observe/fleet_log.js';
+import type {LineFields, RequestLog} from '../../observe/request_log.js';
+import {NotStartedCause, RunEnd} from '../../core/work_frames.js';
+import type {RunEndReport} from '../../core/work_frames.js';
+import {JobEnd, JobReason} from '../../core/work_job.js';
+import type {JobAnswer} from '../../core/work_job.js';
+import {listUnblocked} from './active_job.js';
+import type {ActiveJob, ActiveTask, AnswerCaller} from './active_job.js';
+import type {AgentView} from './agent_view.js';
+import {TaskNews} from './task_news.js';
+import {
+  HAS_ATTEMPTS,
+  JOB_CHART,
+  JobEvent,
+  JobState,
+  TASK_CHART,
+  TaskAction,
+  TaskEvent,
+  TaskState,
+} from './work_charts.js';
+
+/** What the ledger needs. */
+export interface JobLedgerOptions {
+  readonly requests: RequestLog;
+  /** Asks the agent that holds a task's run to stop it. */
+  readonly sendStop: (task: ActiveTask) => void;
+  /** Takes a task off the agent that held its run. */
+  readonly release: (task: ActiveTask) => void;
+}
+
+/** Time in milliseconds for which the end of a job is remembered for questions. */
+const REMEMBER_MS = 10_000;
+
+interface EndedJob {
+  readonly state: JobState;
+  readonly endedAtMs: number;
+}
+
+/** Keeps the jobs whose callers wait. Owned by the scheduler. */
+export class JobLedger {
+  private readonly jobs = new Map<string, ActiveJob>();
+  private readonly pending = new Set<ActiveJob>();
+  private readonly ended = new Map<string, EndedJob>();
+
+  private constructor(private readonly options: JobLedgerOptions) {}
+
+  /** Creates an empty ledger. */
+  static create(options: JobLedgerOptions): JobLedger {
+    return new JobLedger(options);
+  }
+
+  /** Number of jobs in progress. */
+  get size(): number {
+    return this.jobs.size;
+  }
+
+  /** Jobs with tasks that wait for a place. */
+  get waiting(): ReadonlySet<ActiveJob> {
+    return this.pending;
+  }
+
+  /** Finds a job in progress. */
+  find(name: string): ActiveJob | undefined {
+    return this.jobs.get(name);
+  }
+
+  /** Tells the state of a job in progress or ended lately. */
+  findState(name: string): JobState | undefined {
+    return this.jobs.get(name)?.state ?? this.ended.get(name)?.state;
+  }
+
+  /** Counts a queue's jobs of which nothing has been ordered. */
+  countWaiting(queue: string): number {
+    let count = 0;
+    for (const job of this.jobs.values()) {
+      if (job.rule.name === queue && job.state === JobState.WAITING) count += 1;
+    }
+    return count;
+  }
+
+  /** Adds a job that was admitted, with its first caller. */
+  add(job: ActiveJob, caller: number, answer: AnswerCaller): void {
+    job.callers.set(caller, answer);
+    this.jobs.set(job.request.job, job);
+    this.unblock(job);
+    this.record(job, FleetEvent.JOB_ADMITTED, 'Admitted.', {
+      tasks: job.tasks.length,
+      objectiveMs: Math.round(job.timing.objectiveMs),
+    });
+  }
+
+  /** Takes a caller that has gone; a job that nobody waits for is cancelled. */
+  loseCaller(name: string, caller: number, nowMs: number): void {
+    const job = this.jobs.get(name);
+    if (job === undefined || !job.callers.delete(caller)) return;
+    if (job.callers.size > 0) return;
+    this.record(job, FleetEvent.CALLER_GONE, 'The caller has gone.');
+    this.end(job, JobEvent.CANCEL, undefined, nowMs);
+  }
+
+  /** Cancels a job; tells whether it was known. */
+  cancel(name: string, nowMs: number): boolean {
+    const job = this.jobs.get(name);
+    if (job === undefined) return this.ended.has(name);
+    const answer = {
+      end: JobEnd.FAILED,
+      reason: JobReason.NONE,
+      retryAfterMs: 0,
+    };
+    this.end(job, JobEvent.CANCEL, answer, nowMs);
+    return true;
+  }
+
+  /** Ends jobs whose callers have stopped waiting, and forgets old ends. */
+  expire(nowMs: number): void {
+    for (const job of [...this.jobs.values()]) {
+      if (nowMs >= job.timing.deadlineAtMs) this.giveUp(job, nowMs);
+    }
+    for (const [name, {endedAtMs}] of this.ended) {
+      if (nowMs - endedAtMs < REMEMBER_MS) break;
+      this.ended.delete(name);
+    }
+  }
+
+  /** Gives up a job; the answer tells truly whether any of it may have run. */
+  giveUp(job: ActiveJob, nowMs: number): void {
+    const isUntouched = job.state === JobState.WAITING;
+    const event = isUntouched ? JobEvent.REFUSE : JobEvent.ABANDON;
+    const answer = {
+      end: isUntouched ? JobEnd.REFUSED : JobEnd.ABANDONED,
+      reason: JobReason.DEADLINE,
+      retryAfterMs: 0,
+    };
+    this.end(job, event, answer, nowMs);
+  }
+
+  /** Notes that a task was ordered. */
+  place(task: ActiveTask): void {
+    const {job} = task;
+    task.run += 1;
+    this.change(task, TaskEvent.PLACE);
+    job.state = JOB_CHART.step(job.state, JobEvent.PLACE).state;
+  }
+
+  /** Notes that no task of the job waits for a place. */
+  settle(job: ActiveJob): void {
+    this.pending.delete(job);
+  }
+
+  /** Takes the end of a run from the agent that held it. */
+  takeEnd(view: AgentView, report: RunEndReport, nowMs: number): void {
+    const task = view.tasks.get(report.task);
+    if (task === undefined || task.run !== report.run) return;
+    this.options.release(task);
+    switch (report.end) {
+      case RunEnd.DONE:
+        this.change(task, TaskEvent.DONE);
+        task.job.left -= 1;
+        this.advance(task.job, nowMs);
+        break;
+      case RunEnd.FAILED:
+        task.failures += 1;
+        task.avoided.add(view.report.life);
+        this.change(task, TaskEvent.FAILED);
+        if (task.state === TaskState.FAILED) this.fail(task.job, nowMs);
+        break;
+      case RunEnd.STOPPED:
+      case RunEnd.LOST:
+      case RunEnd.NOT_STARTED:
+        if (isTargetsFault(report.cause)) task.avoided.add(view.report.life);
+        this.change(task, TaskEvent.RETURNED);
+        break;
+    }
+    this.enlist(task);
+  }
+
+  /** Takes what became of a task whose agent is out of reach or back. */
+  takeNews(task: ActiveTask, news: TaskNews): void {
+    switch (news) {
+      case TaskNews.AWAY:
+        this.change(task, TaskEvent.AGENT_AWAY);
+        break;
+      case TaskNews.BACK:
+        this.change(task, TaskEvent.AGENT_BACK);
+        break;
+      case TaskNews.RETURNED:
+        this.options.release(task);
+        this.change(task, TaskEvent.RETURNED);
+        this.enlist(task);
+        break;
+    }
+  }
+
+  /** Keeps a line of a job for its log. */
+  record(
+    {request, rule}: ActiveJob,
+    event: FleetEvent,
+    message: string,
+    fields: LineFields = {},
+  ): void {
+    this.options.requests.add(request.job, event, message, {
+      job: request.job,
+      request: request.request,
+      queue: rule.name,
+      ...fields,
+    });
+  }
+
+  private advance(job: ActiveJob, nowMs: number): void {
+    if (job.left > 0) {
+      this.unblock(job);
+      return;
+    }
+    const answer = {
+      end: JobEnd.COMPLETED,
+      reason: JobReason.NONE,
+      retryAfterMs: 0,
+    };
+    this.end(job, JobEvent.COMPLETE, answer, nowMs);
+  }
+
+  private fail(job: ActiveJob, nowMs: number): void {
+    const answer = {
+      end: JobEnd.FAILED,
+      reason: JobReason.ATTEMPTS_USED,
+      retryAfterMs: 0,
+    };
+    this.end(job, JobEvent.FAIL, answer, nowMs);
+  }
+
+  private unblock(job: ActiveJob): void {
+    for (const task of listUnblocked(job)) {
+      this.change(task, TaskEvent.UNBLOCK);
+      this.enlist(task);
+    }
+  }
+
+  private enlist(task: ActiveTask): void {
+    if (task.state === TaskState.WAITING) this.pending.add(task.job);
+  }
+
+  private change(task: ActiveTask, event: TaskEvent): void {
+    const hasAttempts = task.failures < task.job.rule.attemptsAtMost;
+    const step = TASK_CHART.step(
+      task.state,
+      event,
+      guard => guard === HAS_ATTEMPTS && hasAttempts,
+    );
+    task.state = step.state;
+    if (step.actions.includes(TaskAction.SEND_STOP)) {
+      this.options.sendStop(task);
+    }
+  }
+
+  private end(
+    job: ActiveJob,
+    event: JobEvent,
+    answer: JobAnswer | undefined,
+    nowMs: number,
+  ): void {
+    const {job: name} = job.request;
+    job.state = JOB_CHART.step(job.state, event).state;
+    this.jobs.delete(name);
+    this.pending.delete(job);
+    this.ended.set(name, {state: job.state, endedAtMs: nowMs});
+    for (const task of job.tasks) {
+      this.change(task, TaskEvent.DROP);
+      this.options.release(task);
+    }
+    this.logEnd(job, answer?.reason, nowMs);
+    if (answer === undefined) return;
+    for (const tell of job.callers.values()) tell(answer);
+  }
+
+  private logEnd(
+    job: ActiveJob,
+    reason: JobReason | undefined,
+    nowMs: number,
+  ): void {
+    const {state, timing, request} = job;
+    const tookMs = nowMs - timing.receivedAtMs;
+    this.record(job, FleetEvent.JOB_ENDED, `The job has ended: ${state}.`, {
+      state,
+      reason,
+      tookMs: Math.round(tookMs),
+      objectiveMs: Math.round(timing.objectiveMs),
+    });
+    const isNotable =
+      state !== JobState.COMPLETED || tookMs > timing.objectiveMs;
+    this.options.requests.finish(request.job, request.job, isNotable);
+  }
+}
+
+function isTargetsFault(cause: NotStartedCause): boolean {
+  return (
+    cause === NotStartedCause.HUNG || cause === NotStartedCause.TARGET_REFUSED
+  );
+}
--- a/src/lib/work/entry/scheduler_messages.ts
+++ b/src/lib/work/entry/scheduler_messages.ts
@@ -1,8 +1,11 @@
 /** Messages to the scheduler of an entry. */
-import type {AgentFrame, EntryFrame} from '../frames.js';
-import type {FleetConfiguration, QueueRule} from '../fleet_configuration.js';
+import type {AgentFrame, EntryFrame} from '../../core/work_frames.js';
+import type {
+  FleetConfiguration,
+  QueueRule,
+} from '../../core/fleet_configuration.js';
 import type {FrameStream} from '../link/frame_stream.js';
-import type {JobRequest} from '../work_job.js';
+import type {JobRequest} from '../../core/work_job.js';
 import type {AnswerCaller} from './active_job.js';
 import type {JobState} from './work_charts.js';
 
--- a/src/lib/work/entry/store_watch.ts
+++ b/src/lib/work/entry/store_watch.ts
@@ -8,12 +8,12 @@
   ConfigurationWatchEvent,
   ConfigurationWatchState,
 } from '../../entry/configuration_watch_chart.js';
-import {StoreChangeKind} from '../../platform/platform_store.js';
+import {StoreChangeKind} from '../../store/platform_store.js';
 import type {
   PlatformStore,
   StoreChanges,
   StoreSnapshot,
-} from '../../platform/platform_store.js';
+} from '../../store/platform_store.js';
 
 /** Keys and their texts, complete as of one revision of the store. */
 export interface StoreMirror {
--- a/src/lib/work/registered_entries.ts
+++ b/src/lib/work/registered_entries.ts
@@ -1,5 +1,5 @@
 /** The entries that are registered in the store. */
-import type {PlatformStore} from '../platform/platform_store.js';
+import type {PlatformStore} from '../store/platform_store.js';
 import {parseEntryAddress} from '../records/build_view.js';
 import {ENTRIES_FOLDER} from '../records/record.js';
 
--- a/stand_ins/platform_store_state.ts
+++ b/stand_ins/platform_store_state.ts
@@ -1,6 +1,6 @@
 /** Decides what each call does to the values and leases of the store stand-in. */
-import {ABSENT_REVISION} from '../src/lib/platform/platform_store.js';
-import type {ConditionalWrite} from '../src/lib/platform/platform_store.js';
+import {ABSENT_REVISION} from '../src/lib/store/platform_store.js';
+import type {ConditionalWrite} from '../src/lib/store/platform_store.js';
 import {LeaseTable} from './lease_table.js';
 import {StoreAnswerKind, StoreCallKind} from './store_call.js';
 import type {StoreAnswer, StoreCall, WatchCall} from './store_call.js';
--- a/stand_ins/store_call.ts
+++ b/stand_ins/store_call.ts
@@ -3,7 +3,7 @@
   ConditionalWrite,
   StoreChanges,
   StoreSnapshot,
-} from '../src/lib/platform/platform_store.js';
+} from '../src/lib/store/platform_store.js';
 
 /** Kinds of call, as the service counts them. */
 export enum StoreCallKind {
--- a/stand_ins/value_history.ts
+++ b/stand_ins/value_history.ts
@@ -2,13 +2,13 @@
 import {
   ABSENT_REVISION,
   StoreChangeKind,
-} from '../src/lib/platform/platform_store.js';
+} from '../src/lib/store/platform_store.js';
 import type {
   StoreChange,
   StoreChanges,
   StoreSnapshot,
   StoredValue,
-} from '../src/lib/platform/platform_store.js';
+} from '../src/lib/store/platform_store.js';
 
 interface Step {
   readonly change: StoreChange;
--- a/test/admin/administration_fixture.ts
+++ b/test/admin/administration_fixture.ts
@@ -6,7 +6,7 @@
 import {ProcessRole} from '../../src/lib/admin/status_report.js';
 import type {StatusReport} from '../../src/lib/admin/status_report.js';
 import {StoreContact} from '../../src/lib/records/configuration_view.js';
-import type {PlatformStore} from '../../src/lib/platform/platform_store.js';
+import type {PlatformStore} from '../../src/lib/store/platform_store.js';
 
 export const KEY = 'a key of sixteen';
 export const PREFIX = '/f/';
--- a/test/admin/record_writer_test.ts
+++ b/test/admin/record_writer_test.ts
@@ -6,7 +6,7 @@
 import {PreconditionKind} from '../../src/lib/admin/write_plan.js';
 import type {RecordChange} from '../../src/lib/admin/write_plan.js';
 import {ErrorCode} from '../../src/lib/core/errors.js';
-import type {PlatformStore} from '../../src/lib/platform/platform_store.js';
+import type {PlatformStore} from '../../src/lib/store/platform_store.js';
 import {parseEnvelope} from '../../src/lib/records/record_body.js';
 import {RecordKind} from '../../src/lib/records/record.js';
 import {SEED} from '../decisions/seeded_random.js';
--- a/test/entry/configuration_over_http_test.ts
+++ b/test/entry/configuration_over_http_test.ts
@@ -3,7 +3,7 @@
 import {DisposableStore} from '../../src/lib/core/disposable_store.js';
 import {drawIncarnation} from '../../src/lib/core/identity.js';
 import {ConfigurationTask} from '../../src/lib/entry/configuration_task.js';
-import {HttpPlatformStore} from '../../src/lib/platform/http_platform_store.js';
+import {HttpPlatformStore} from '../../src/lib/store/http_platform_store.js';
 import {StoreContact} from '../../src/lib/records/configuration_view.js';
 import type {
   ConfigurationEvidence,
--- a/test/fakes/memory_store.ts
+++ b/test/fakes/memory_store.ts
@@ -3,7 +3,7 @@
 import {
   ABSENT_REVISION,
   StoreChangeKind,
-} from '../../src/lib/platform/platform_store.js';
+} from '../../src/lib/store/platform_store.js';
 import type {
   ConditionalWrite,
   PlatformStore,
@@ -11,7 +11,7 @@
   StoreChanges,
   StoreSnapshot,
   StoredValue,
-} from '../../src/lib/platform/platform_store.js';
+} from '../../src/lib/store/platform_store.js';
 
 /** What the store does wrong. */
 export interface MemoryStoreFaults {
--- a/test/records/apply_records_test.ts
+++ b/test/records/apply_records_test.ts
@@ -1,6 +1,6 @@
 import {expect} from 'chai';
-import {StoreChangeKind} from '../../src/lib/platform/platform_store.js';
-import type {StoreChange} from '../../src/lib/platform/platform_store.js';
+import {StoreChangeKind} from '../../src/lib/store/platform_store.js';
+import type {StoreChange} from '../../src/lib/store/platform_store.js';
 import {applyRecords} from '../../src/lib/records/apply_records.js';
 import type {RecordsMirror} from '../../src/lib/records/apply_records.js';
 import {buildRecordsView} from '../../src/lib/records/build_view.js';
--- a/test/records/configuration_mirror_test.ts
+++ b/test/records/configuration_mirror_test.ts
@@ -1,10 +1,10 @@
 import {expect} from 'chai';
 import fc from 'fast-check';
-import {StoreChangeKind} from '../../src/lib/platform/platform_store.js';
+import {StoreChangeKind} from '../../src/lib/store/platform_store.js';
 import type {
   StoreChange,
   StoreSnapshot,
-} from '../../src/lib/platform/platform_store.js';
+} from '../../src/lib/store/platform_store.js';
 import {
   applySnapshot,
   applyWatch,
--- a/test/stand_ins/platform_store_state_test.ts
+++ b/test/stand_ins/platform_store_state_test.ts
@@ -1,5 +1,5 @@
 import {expect} from 'chai';
-import {StoreChangeKind} from '../../src/lib/platform/platform_store.js';
+import {StoreChangeKind} from '../../src/lib/store/platform_store.js';
 import {PlatformStoreState} from '../../stand_ins/platform_store_state.js';
 import {StoreAnswerKind, StoreCallKind} from '../../stand_ins/store_call.js';
 import type {StoreAnswer} from '../../stand_ins/store_call.js';
--- a/test/platform/lost_replies_test.ts
+++ b/test/store/lost_replies_test.ts
@@ -3,7 +3,7 @@
 import {DisposableStore} from '../../src/lib/core/disposable_store.js';
 import {ErrorCode} from '../../src/lib/core/errors.js';
 import {drawIncarnation} from '../../src/lib/core/identity.js';
-import {HttpPlatformStore} from '../../src/lib/platform/http_platform_store.js';
+import {HttpPlatformStore} from '../../src/lib/store/http_platform_store.js';
 import {PlatformStoreServer} from '../../stand_ins/platform_store_server.js';
 import {RelayServer} from '../../stand_ins/relay_server.js';
 import {SEED, createRandom} from '../decisions/seeded_random.js';
--- a/tools/house_style/module_rules.ts
+++ b/tools/house_style/module_rules.ts
@@ -16,9 +16,12 @@
   'src/lib/core/chart_file',
   'src/lib/core/chart_run',
   'src/lib/core/errors',
+  'src/lib/core/fleet_configuration',
   'src/lib/core/identity',
   'src/lib/core/job',
   'src/lib/core/link_messages',
+  'src/lib/core/work_frames',
+  'src/lib/core/work_job',
   'src/lib/records/configuration_view',
 ];
 
