--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,7 +1,7 @@
 import tseslint from 'typescript-eslint';
 
 export default tseslint.config(
-  {ignores: ['build/', 'node_modules/', 'src/lib/wire/generated/']},
+  {ignores: ['build/', 'target/', 'node_modules/', 'src/lib/wire/generated/']},
   ...tseslint.configs.recommended,
   {
     files: ['**/*.ts'],
--- /dev/null
+++ b/test/decisions/admit_work_test.ts
@@ -0,0 +1,43 @@
+import {expect} from 'chai';
+import {judgeAdmission} from '../../src/lib/decisions/admit_work.js';
+import type {AdmissionInput} from '../../src/lib/decisions/admit_work.js';
+import {JobReason} from '../../src/lib/core/work_job.js';
+
+const CALM: AdmissionInput = {
+  width: 48,
+  aheadMs: 0,
+  cores: 800,
+  freeCores: 700,
+  slackMs: 110,
+  isPlaceable: true,
+  hasTargets: true,
+};
+
+describe('judgeAdmission', () => {
+  it('admits a job for which there is room, however slow the targets are', () => {
+    const verdict = judgeAdmission({...CALM, aheadMs: 90_000, slackMs: 0});
+    expect(verdict.reason).to.equal(JobReason.NONE);
+  });
+
+  it('admits a job that can wait for what is ahead', () => {
+    const verdict = judgeAdmission({...CALM, freeCores: 0, aheadMs: 80_000});
+    expect(verdict.reason).to.equal(JobReason.NONE);
+  });
+
+  it('refuses a job that would be late, and says when to come again', () => {
+    const verdict = judgeAdmission({...CALM, freeCores: 0, aheadMs: 240_000});
+    expect(verdict).to.deep.equal({
+      reason: JobReason.OVERLOADED,
+      waitMs: 300,
+      retryAfterMs: 300,
+    });
+  });
+
+  it('tells what can never run from what cannot run now', () => {
+    const large = judgeAdmission({...CALM, isPlaceable: false});
+    expect(large.reason).to.equal(JobReason.TOO_LARGE);
+    const nobody = judgeAdmission({...CALM, hasTargets: false});
+    expect(nobody.reason).to.equal(JobReason.NO_TARGET);
+    expect(nobody.retryAfterMs).to.be.above(0);
+  });
+});
--- /dev/null
+++ b/test/decisions/lease_clock_test.ts
@@ -0,0 +1,34 @@
+import {expect} from 'chai';
+import {LeaseClock} from '../../src/lib/decisions/lease_clock.js';
+
+describe('LeaseClock', () => {
+  it('estimates no later time than the slowest clock can show', () => {
+    const clock = LeaseClock.create();
+    clock.observe(1000, 50);
+    expect(clock.estimate(150)).to.be.at.most(1000 + 100 * 0.98);
+  });
+
+  it('is not set back by an answer that was overtaken', () => {
+    const clock = LeaseClock.create();
+    clock.observe(1000, 50);
+    clock.observe(900, 60);
+    expect(clock.estimate(60)).to.be.at.least(1000);
+  });
+
+  it('tells a lapse no sooner than a clock that is 2 % slow', () => {
+    const clock = LeaseClock.create();
+    clock.observe(1000, 50);
+    const deadlineMs = clock.extend(50, 800);
+    expect(deadlineMs).to.equal(1800);
+    expect(clock.computeLapse()).to.be.above(50 + 800 / 0.98);
+  });
+
+  it('counts the latest deadline that was asked for, never an earlier one', () => {
+    const clock = LeaseClock.create();
+    clock.observe(1000, 50);
+    clock.extend(60, 800);
+    const lapse = clock.computeLapse();
+    clock.extend(60, 100);
+    expect(clock.computeLapse()).to.equal(lapse);
+  });
+});
--- /dev/null
+++ b/test/decisions/place_task_test.ts
@@ -0,0 +1,124 @@
+import {expect} from 'chai';
+import {
+  chooseFastest,
+  chooseProbe,
+  chooseQueue,
+  chooseSlowestInTime,
+} from '../../src/lib/decisions/place_task.js';
+import type {
+  PlacementNeed,
+  PlacementTarget,
+} from '../../src/lib/decisions/place_task.js';
+
+const NEED = {cpuMilli: 6000, memoryMb: 100, accelerators: 0};
+const ROOM = {cpuMilli: 60_000, memoryMb: 10_000, accelerators: 0};
+const FULL = {cpuMilli: 0, memoryMb: 10_000, accelerators: 0};
+
+function createTarget(changes: Partial<PlacementTarget>): PlacementTarget {
+  const agent = changes.agent ?? 'agent';
+  return {
+    agent,
+    life: `life of ${agent}`,
+    labels: ['a', 'r1'],
+    free: ROOM,
+    capacity: ROOM,
+    slowness: 1,
+    isSuspect: false,
+    ...changes,
+  };
+}
+
+function createNeed(changes: Partial<PlacementNeed> = {}): PlacementNeed {
+  return {
+    spec: {
+      count: 1,
+      need: NEED,
+      estimateMs: 100,
+      after: [],
+      requiredLabel: '',
+      preferredRack: '',
+      perTargetAtMost: 0,
+    },
+    timeLeftMs: 220,
+    avoided: new Set(),
+    countOn: () => 0,
+    farFactor: 1.5,
+    ...changes,
+  };
+}
+
+const FAST = createTarget({agent: 'fast', slowness: 0.6});
+const SLOW = createTarget({agent: 'slow', slowness: 1.7});
+const TARGETS = [SLOW, FAST];
+
+describe('chooseFastest', () => {
+  it('takes the target on which the run ends first', () => {
+    expect(chooseFastest(createNeed(), TARGETS)?.agent).to.equal('fast');
+  });
+
+  it('counts the way to the data', () => {
+    const near = createTarget({
+      agent: 'near',
+      labels: ['b', 'r2'],
+      slowness: 1,
+    });
+    const far = createTarget({agent: 'far', slowness: 0.8});
+    const need = createNeed();
+    const spec = {...need.spec, preferredRack: 'r2'};
+    expect(chooseFastest({...need, spec}, [far, near])?.agent).to.equal('near');
+  });
+});
+
+describe('chooseSlowestInTime', () => {
+  it('leaves the fast target to work that needs it', () => {
+    expect(chooseSlowestInTime(createNeed(), TARGETS)?.agent).to.equal('slow');
+  });
+
+  it('takes the fastest when time is short', () => {
+    const need = createNeed({timeLeftMs: 90});
+    expect(chooseSlowestInTime(need, TARGETS)?.agent).to.equal('fast');
+  });
+
+  it('takes no target that lacks room, the label or trust, or went wrong', () => {
+    const need = createNeed({avoided: new Set([FAST.life])});
+    const spec = {...need.spec, requiredLabel: 'a'};
+    const targets = [
+      FAST,
+      createTarget({agent: 'full', free: FULL}),
+      createTarget({agent: 'unlabelled', labels: ['b']}),
+      createTarget({agent: 'suspect', isSuspect: true}),
+    ];
+    expect(chooseSlowestInTime({...need, spec}, targets)).to.equal(undefined);
+  });
+
+  it('keeps to the limit of tasks on one target', () => {
+    const need = createNeed({countOn: agent => (agent === 'slow' ? 2 : 0)});
+    const spec = {...need.spec, perTargetAtMost: 2};
+    expect(chooseSlowestInTime({...need, spec}, TARGETS)?.agent).to.equal(
+      'fast',
+    );
+  });
+});
+
+describe('chooseQueue', () => {
+  it('takes the full target that is least behind, up to a share of it', () => {
+    const behind = createTarget({
+      agent: 'behind',
+      free: {...FULL, cpuMilli: -6000},
+    });
+    const full = createTarget({agent: 'full', free: FULL});
+    expect(chooseQueue(createNeed(), [behind, full])?.agent).to.equal('full');
+    const far = createTarget({agent: 'far', free: {...FULL, cpuMilli: -9000}});
+    expect(chooseQueue(createNeed(), [far])).to.equal(undefined);
+  });
+});
+
+describe('chooseProbe', () => {
+  it('takes a suspect target that offers room', () => {
+    const probe = createTarget({agent: 'probe', isSuspect: true});
+    const paused = createTarget({agent: 'paused', isSuspect: true, free: FULL});
+    expect(chooseProbe(createNeed(), [FAST, paused, probe])?.agent).to.equal(
+      'probe',
+    );
+  });
+});
--- /dev/null
+++ b/test/decisions/target_trust_test.ts
@@ -0,0 +1,56 @@
+import {expect} from 'chai';
+import {
+  PROBE_PAUSE_MS,
+  TargetTrust,
+  TrustState,
+} from '../../src/lib/decisions/target_trust.js';
+
+describe('TargetTrust', () => {
+  it('does not blame a target for one job whose tasks all fail', () => {
+    const trust = TargetTrust.create();
+    for (let task = 0; task < 8; task += 1) trust.recordFailure('poison', 0);
+    expect(trust.state).to.equal(TrustState.TRUSTED);
+  });
+
+  it('suspects a target that fails two jobs in a row', () => {
+    const trust = TargetTrust.create();
+    trust.recordFailure('a', 0);
+    trust.recordFailure('b', 1);
+    expect(trust.state).to.equal(TrustState.SUSPECT);
+  });
+
+  it('forgets failures when a run is done', () => {
+    const trust = TargetTrust.create();
+    trust.recordFailure('a', 0);
+    trust.recordSuccess();
+    trust.recordFailure('b', 1);
+    expect(trust.state).to.equal(TrustState.TRUSTED);
+  });
+
+  it('suspects a target at the first run that stands still', () => {
+    const trust = TargetTrust.create();
+    trust.recordHang(0);
+    expect(trust.state).to.equal(TrustState.SUSPECT);
+  });
+
+  it('probes after the pause, and trusts again after one good run', () => {
+    const trust = TargetTrust.create();
+    trust.recordHang(0);
+    trust.advance(PROBE_PAUSE_MS - 1);
+    expect(trust.state).to.equal(TrustState.SUSPECT);
+    trust.advance(PROBE_PAUSE_MS);
+    expect(trust.state).to.equal(TrustState.PROBING);
+    trust.recordSuccess();
+    expect(trust.state).to.equal(TrustState.TRUSTED);
+  });
+
+  it('pauses again after a probe that failed', () => {
+    const trust = TargetTrust.create();
+    trust.recordHang(0);
+    trust.advance(PROBE_PAUSE_MS);
+    trust.recordFailure('a', PROBE_PAUSE_MS);
+    expect(trust.state).to.equal(TrustState.SUSPECT);
+    trust.advance(PROBE_PAUSE_MS * 2 - 1);
+    expect(trust.state).to.equal(TrustState.SUSPECT);
+  });
+});
--- /dev/null
+++ b/test/fleet/fleet_fixture.ts
@@ -0,0 +1,244 @@
+import {createServer} from 'node:net';
+import {request as createRequest} from 'node:http';
+import {
+  decodeConfiguration,
+  OPERATORS_PREFIX,
+} from '../../platform/configuration_codec.js';
+import {openBeatDoor} from '../../platform/beat_door.js';
+import {openCallerFront, openReadyDoor} from '../../platform/caller_front.js';
+import {createKeyValueStore} from '../../platform/key_value_store.js';
+import {createConnectTarget} from '../../platform/target_calls.js';
+import {
+  readMonotonicMs,
+  startPatientTimer,
+  startTimer,
+} from '../../src/lib/core/clock.js';
+import {drawIdentity} from '../../src/lib/core/identity.js';
+import type {FleetEvent} from '../../src/lib/observe/fleet_log.js';
+import {WorkAgent} from '../../src/lib/work/agent/work_agent.js';
+import {WorkEntry} from '../../src/lib/work/entry/work_entry.js';
+import {
+  openFrameServer,
+  openFrameStream,
+} from '../../src/lib/work/link/frame_stream.js';
+import {listRegisteredEntries} from '../../src/lib/work/registered_entries.js';
+import {FleetStore} from '../../stand_ins/fleet_store.js';
+import {FleetTarget} from '../../stand_ins/fleet_target.js';
+import type {FleetTargetOptions} from '../../stand_ins/fleet_target.js';
+
+/** The answer to a request, or the word for a broken connection. */
+export interface Reply {
+  readonly status: number;
+  readonly headers: Readonly<Record<string, unknown>>;
+  readonly body: Readonly<Record<string, unknown>>;
+}
+
+/** A line of the log of some process. */
+export interface LoggedLine {
+  readonly process: string;
+  readonly event: FleetEvent;
+  readonly fields: Readonly<Record<string, unknown>>;
+}
+
+/** A task's payload: `RUN_MS/CPU_MILLI`. */
+export function formatPayload(runMs: number, cpuMilli = 1000): string {
+  return `${runMs}/${cpuMilli}`;
+}
+
+/** The body of a job with one step. */
+export function createJobBody(
+  count: number,
+  runMs: number,
+  changes: Readonly<Record<string, unknown>> = {},
+): Readonly<Record<string, unknown>> {
+  const step = {count, cpu: 1000, memMb: 10, estimateMs: Math.abs(runMs)};
+  const spec = formatPayload(runMs);
+  return {spec, steps: [step], bestEffort: true, ...changes};
+}
+
+const CONFIGURATION = {
+  version: 3,
+  routes: [
+    {
+      name: 'r-1',
+      host: 'desk.example',
+      prefix: '/jobs/',
+      type: 'non_idempotent',
+      targetDurationMs: 60,
+      priority: 0,
+      service: 'runner',
+      maxAttempts: 3,
+      stretch: 1.6,
+    },
+  ],
+  services: [{name: 'runner'}],
+  limits: {maxBodyBytes: 10_000},
+};
+
+async function findPort(): Promise<number> {
+  const server = createServer();
+  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
+  const address = server.address();
+  await new Promise(resolve => server.close(resolve));
+  return typeof address === 'object' ? (address?.port ?? 0) : 0;
+}
+
+interface RunningServer {
+  readonly requestStop: () => void;
+  readonly stopped: Promise<void>;
+}
+
+/** A store, entries, agents and targets of one fleet, all in this process. */
+export class FleetFixture {
+  readonly lines: LoggedLine[] = [];
+  readonly targets: FleetTarget[] = [];
+
+  private readonly servers: RunningServer[] = [];
+  private readonly linkAddresses: string[] = [];
+
+  private constructor(readonly store: FleetStore) {}
+
+  static async create(): Promise<FleetFixture> {
+    const store = await FleetStore.create();
+    store.put('op/config', JSON.stringify(CONFIGURATION));
+    return new FleetFixture(store);
+  }
+
+  /** Starts an entry; returns the address for callers. */
+  async startEntry(name: string): Promise<{
+    readonly callers: string;
+    readonly ready: string;
+    readonly server: RunningServer;
+  }> {
+    const linkAddress = `127.0.0.1:${await findPort()}`;
+    const callers = `127.0.0.1:${await findPort()}`;
+    const ready = `127.0.0.1:${await findPort()}`;
+    const log = this.createLog(name);
+    const entry = WorkEntry.create({
+      identity: drawIdentity(name, 'zone-a'),
+      linkAddress,
+      farFactor: 1.5,
+      stopWithinMs: 6000,
+      store: createKeyValueStore({address: this.store.address, startTimer}),
+      operatorsPrefix: OPERATORS_PREFIX,
+      decodeConfiguration,
+      openDoors: async ports => [
+        await openCallerFront({address: callers, log, ...ports}),
+        await openReadyDoor(ready, ports.isReady),
+      ],
+      openLinkServer: openFrameServer,
+      readMonotonicMs,
+      startTimer,
+      drawRandom: Math.random,
+      log,
+    });
+    await entry.start();
+    this.linkAddresses.push(linkAddress);
+    const server = {
+      requestStop: () => entry.requestStop(),
+      stopped: entry.stopped,
+    };
+    this.servers.push(server);
+    return {callers, ready, server};
+  }
+
+  /** Starts an agent and its target. */
+  async startTarget(
+    name: string,
+    changes: Partial<FleetTargetOptions> = {},
+    dataCentre = 'zone-a',
+  ): Promise<{readonly target: FleetTarget; readonly server: RunningServer}> {
+    const announceAddress = `127.0.0.1:${await findPort()}`;
+    const target = await FleetTarget.create({
+      id: name,
+      service: 'runner',
+      dataCentre,
+      cpuMilli: 4000,
+      agentAddress: announceAddress,
+      computeRunMs: payload => Number(payload.split('/')[0]),
+      computeNeed: payload => Number(payload.split('/')[1]),
+      ...changes,
+    });
+    this.targets.push(target);
+    const log = this.createLog(`agent-${name}`);
+    const store = createKeyValueStore({
+      address: this.store.address,
+      startTimer,
+    });
+    const agent = WorkAgent.create({
+      identity: drawIdentity(`agent-${name}`, dataCentre),
+      seeds: this.linkAddresses,
+      findEntries: () => listRegisteredEntries(store),
+      stopWithinMs: 6000,
+      connectTarget: createConnectTarget(target.address, startPatientTimer),
+      openBeatDoor: ports => openBeatDoor({address: announceAddress, ...ports}),
+      openStream: openFrameStream,
+      readMonotonicMs,
+      startTimer,
+      log,
+    });
+    await agent.start();
+    const server = {
+      requestStop: () => agent.requestStop(),
+      stopped: agent.stopped,
+    };
+    this.servers.push(server);
+    return {target, server};
+  }
+
+  /** Tells whether a line of that event was logged by a process. */
+  hasLogged(event: FleetEvent, process = ''): boolean {
+    return this.lines.some(
+      line => line.event === event && line.process.includes(process),
+    );
+  }
+
+  async close(): Promise<void> {
+    for (const server of this.servers) server.requestStop();
+    await Promise.all(this.servers.map(server => server.stopped));
+    await Promise.all(this.targets.map(target => target.close()));
+    await this.store.close();
+  }
+
+  private createLog(process: string) {
+    return (event: FleetEvent, _text: string, fields = {}) => {
+      this.lines.push({process, event, fields});
+    };
+  }
+}
+
+/** Sends a request of a caller; rejects if the connection breaks. */
+export function call(
+  address: string,
+  method: string,
+  path: string,
+  body?: unknown,
+): Promise<Reply> {
+  return new Promise((resolve, reject) => {
+    const request = createRequest(
+      `http://${address}${path}`,
+      {method, headers: {host: 'desk.example', 'deadline-ms': '4000'}},
+      response => {
+        let text = '';
+        response.on('data', part => (text += part));
+        response.on('end', () =>
+          resolve({
+            status: response.statusCode ?? 0,
+            headers: response.headers,
+            body: JSON.parse(text === '' ? '{}' : text),
+          }),
+        );
+      },
+    );
+    request.on('error', reject);
+    request.end(body === undefined ? undefined : JSON.stringify(body));
+  });
+}
+
+let lastJob = 0;
+
+/** Returns the path of a job that was not used before. */
+export function drawJobPath(): string {
+  lastJob += 1;
+  return `/jobs/${lastJob.toString(16).padStart(16, '0')}`;
+}
--- /dev/null
+++ b/test/observe/request_log_test.ts
@@ -0,0 +1,83 @@
+import {expect} from 'chai';
+import {FleetEvent} from '../../src/lib/observe/fleet_log.js';
+import {LineSink} from '../../src/lib/observe/fleet_log_writer.js';
+import {isSampled, RequestLog} from '../../src/lib/observe/request_log.js';
+
+const PLAIN_JOB = '0000000000000001';
+const SAMPLED_JOB = '0000000000000040';
+
+function createLog(linesPerSecond: number) {
+  const written: Array<{event: FleetEvent; fields?: object}> = [];
+  let nowMs = 0;
+  const log = RequestLog.create({
+    log: (event, _text, fields) => written.push({event, fields}),
+    readMonotonicMs: () => nowMs,
+    linesPerSecond,
+  });
+  return {log, written, passTime: (ms: number) => (nowMs += ms)};
+}
+
+describe('RequestLog', () => {
+  it('writes all lines of a request that went badly, with their age', () => {
+    const {log, written, passTime} = createLog(10);
+    log.add('a', FleetEvent.JOB_ADMITTED, '', {});
+    passTime(70);
+    log.add('a', FleetEvent.JOB_ENDED, '', {});
+    log.finish('a', PLAIN_JOB, true);
+    expect(written).to.deep.equal([
+      {event: FleetEvent.JOB_ADMITTED, fields: {agoMs: 70}},
+      {event: FleetEvent.JOB_ENDED, fields: {agoMs: 0}},
+    ]);
+  });
+
+  it('writes of what went well only a sample, the same in each process', () => {
+    expect(isSampled(PLAIN_JOB)).to.equal(false);
+    expect(isSampled(SAMPLED_JOB)).to.equal(true);
+    const {log, written} = createLog(10);
+    for (const job of [PLAIN_JOB, SAMPLED_JOB]) {
+      log.add(job, FleetEvent.JOB_ENDED, '', {});
+      log.finish(job, job, false);
+    }
+    expect(
+      written.filter(({event}) => event === FleetEvent.JOB_ENDED),
+    ).to.have.length(1);
+  });
+
+  it('keeps to its lines a second at any load, and counts the rest', () => {
+    const {log, written, passTime} = createLog(5);
+    for (let job = 0; job < 1000; job += 1) {
+      log.add('a', FleetEvent.JOB_REFUSED, '', {});
+      log.finish('a', PLAIN_JOB, true);
+    }
+    expect(written).to.have.length(5);
+    passTime(1000);
+    log.add('a', FleetEvent.JOB_REFUSED, '', {});
+    log.finish('a', PLAIN_JOB, true);
+    expect(written[5]).to.deep.equal({
+      event: FleetEvent.LINES_LEFT_OUT,
+      fields: {counts: {[FleetEvent.JOB_REFUSED]: 995}},
+    });
+  });
+});
+
+describe('LineSink', () => {
+  it('loses lines, and waits for nothing, when the reader has stopped', () => {
+    let calls = 0;
+    const sink = LineSink.create(1, () => (calls += 1));
+    const line = 'x'.repeat(1023) + '\n';
+    for (let count = 0; count < 1000; count += 1) sink.write(line);
+    expect(calls).to.equal(1);
+    expect(sink.takeLeftOut()).to.equal(1000 - 256);
+  });
+
+  it('goes on after a write that took only a part', () => {
+    const parts: string[] = [];
+    const sink = LineSink.create(1, (_descriptor, bytes, done) => {
+      const part = bytes.subarray(0, 3);
+      parts.push(part.toString());
+      done(null, part.length);
+    });
+    sink.write('abcdefgh\n');
+    expect(parts.join('')).to.equal('abcdefgh\n');
+  });
+});
--- /dev/null
+++ b/test/platform/codecs_test.ts
@@ -0,0 +1,177 @@
+import {expect} from 'chai';
+import fc from 'fast-check';
+import {decodeBeat} from '../../platform/beat_codec.js';
+import {decodeConfiguration} from '../../platform/configuration_codec.js';
+import {decodeHostSettings} from '../../platform/host_settings.js';
+import {DecodedKind, decodeJob} from '../../platform/job_codec.js';
+import {SettingsError} from '../../src/lib/core/errors.js';
+import {TargetPhase} from '../../src/lib/core/work_frames.js';
+
+const SEED = Number(process.env.SEED ?? 20261204);
+const RUNS = {seed: SEED, numRuns: 200};
+
+const BEAT = {
+  service: 'runner',
+  address: '10.0.0.9:8080',
+  zone: 'zone-a',
+  version: 'v1',
+  slots: 8,
+  state: 'ready',
+  coldRemainingMs: 0,
+  capacity: {cpu: 16000, memMb: 32768, gpus: 0},
+  labels: ['a', 'r1-3'],
+  clockMs: 482113,
+  sequence: 4,
+  born: 1764000000000,
+};
+
+const JOB = {
+  spec: 'text',
+  bestEffort: true,
+  steps: [{count: 4, cpu: 500, memMb: 256, estimateMs: 900}],
+};
+
+const HEADING = {
+  job: '5c0e7a21d94b36f8',
+  request: 'r',
+  queue: 'q',
+  deadlineMs: 1000,
+};
+
+const CONFIGURATION = {
+  version: 7,
+  routes: [
+    {
+      name: 'r-1',
+      host: 'Desk.example',
+      prefix: '/jobs/',
+      service: 'runner',
+      priority: 1,
+      maxAttempts: 2,
+      stretch: 1.6,
+      targetDurationMs: 60,
+    },
+  ],
+  services: [{name: 'runner'}],
+  limits: {maxBodyBytes: 1000},
+};
+
+/** A field's value from a writer that follows no rules. */
+const GARBAGE = fc.oneof(
+  fc.constant(null),
+  fc.constant(undefined),
+  fc.constant(-1),
+  fc.constant(1.5),
+  fc.constant('__proto__'),
+  fc.string(),
+  fc.object(),
+  fc.array(fc.anything(), {maxLength: 3}),
+);
+
+describe('decodeBeat', () => {
+  it('takes a whole beat', () => {
+    const beat = decodeBeat('i-1', JSON.stringify(BEAT));
+    expect(beat).to.include({id: 'i-1', phase: TargetPhase.READY});
+    expect(beat?.life).to.equal('i-1@1764000000000');
+    expect(beat?.capacity.cpuMilli).to.equal(16000);
+  });
+
+  it('names no target when a needed field is garbage', () => {
+    for (const name of ['service', 'state', 'capacity', 'sequence', 'labels']) {
+      for (const value of [null, -1, 'x', {}, [1]]) {
+        if (name === 'service' && value === 'x') continue;
+        const text = JSON.stringify({...BEAT, [name]: value});
+        expect(decodeBeat('i-1', text), `${name}=${value}`).to.equal(undefined);
+      }
+    }
+  });
+
+  it('never throws, whatever the bytes and the fields', () => {
+    fc.assert(
+      fc.property(
+        fc.constantFrom(...Object.keys(BEAT)),
+        GARBAGE,
+        fc.string(),
+        (name, value, bytes) => {
+          decodeBeat('i-1', JSON.stringify({...BEAT, [name]: value}));
+          decodeBeat('i-1', bytes);
+        },
+      ),
+      RUNS,
+    );
+  });
+});
+
+describe('decodeJob', () => {
+  it('takes a job', () => {
+    const decoded = decodeJob(JSON.stringify(JOB), HEADING);
+    expect(decoded.kind).to.equal(DecodedKind.JOB);
+  });
+
+  it('tells what is not built from what is wrong', () => {
+    const kept = decodeJob(
+      JSON.stringify({...JOB, bestEffort: false}),
+      HEADING,
+    );
+    expect(kept.kind).to.equal(DecodedKind.UNSUPPORTED);
+    const later = {...JOB.steps[0], after: [0]};
+    const wrong = decodeJob(JSON.stringify({...JOB, steps: [later]}), HEADING);
+    expect(wrong.kind).to.equal(DecodedKind.INVALID);
+  });
+
+  it('never throws, and never makes a job of garbage steps', () => {
+    fc.assert(
+      fc.property(
+        fc.constantFrom('count', 'cpu', 'memMb', 'gpus', 'after', 'estimateMs'),
+        GARBAGE,
+        (name, value) => {
+          const steps = [{...JOB.steps[0], [name]: value}];
+          const decoded = decodeJob(JSON.stringify({...JOB, steps}), HEADING);
+          if (decoded.kind !== DecodedKind.JOB) return;
+          const [step] = decoded.request.steps;
+          expect(Number.isSafeInteger(step.count)).to.equal(true);
+          expect(step.need.cpuMilli).to.be.at.least(0);
+          expect(step.estimateMs).to.be.at.least(0);
+        },
+      ),
+      RUNS,
+    );
+  });
+});
+
+describe('decodeConfiguration', () => {
+  const decode = (values: Record<string, string>) =>
+    decodeConfiguration({
+      revision: 12,
+      values: new Map(Object.entries(values)),
+    });
+
+  it('takes the configuration and the data centres that are out', () => {
+    const decoded = decode({
+      'op/config': JSON.stringify(CONFIGURATION),
+      'op/evacuate/zone-a': '{}',
+    });
+    expect(decoded).to.deep.include({
+      revision: 12,
+      version: 7,
+      dataCentresOut: ['zone-a'],
+    });
+  });
+
+  it('says what is wrong instead of using a part', () => {
+    const routes = [...CONFIGURATION.routes, {name: 'r-2'}];
+    const values = {'op/config': JSON.stringify({...CONFIGURATION, routes})};
+    expect(decode(values)).to.have.property('problem');
+    expect(decode({})).to.have.property('problem');
+    expect(decode({'op/config': 'x'})).to.have.property('problem');
+  });
+});
+
+describe('decodeHostSettings', () => {
+  it('names the field that is missing', () => {
+    expect(() => decodeHostSettings({nodeName: 'n', zone: 'z'})).to.throw(
+      SettingsError,
+      '"ip"',
+    );
+  });
+});
