--- a/src/lib/work/entry/admission_desk.ts
+++ b/src/lib/work/entry/admission_desk.ts
@@ -3,6 +3,7 @@
 import {computeSlack} from '../../decisions/job_timing.js';
 import {isEligible} from '../../decisions/place_task.js';
 import {judgeProspect, Prospect} from '../../decisions/rank_work.js';
+import {WaitShare} from '../../decisions/wait_share.js';
 import {JobEnd, JobReason} from '../../core/work_job.js';
 import type {JobAnswer} from '../../core/work_job.js';
 import type {ActiveJob, ActiveTask} from './active_job.js';
@@ -25,6 +26,9 @@
 
 /** Judges jobs for the scheduler, which owns it. */
 export class AdmissionDesk {
+  /** How much of its slack a job may be expected to wait. */
+  readonly waitShare = WaitShare.create();
+
   private constructor(private readonly options: AdmissionDeskOptions) {}
 
   /** Creates a desk. */
@@ -50,7 +54,8 @@
       aheadMs: this.estimateAhead(timing.startByMs, nowMs) + fleet.sumQueued(),
       cores: sumCores(targets.map(target => target.capacity.cpuMilli)),
       freeCores: sumCores(targets.map(target => target.free.cpuMilli)),
-      slackMs: computeSlack(timing, fleet.computeSlowness()),
+      slackMs:
+        computeSlack(timing, fleet.computeSlowness()) * this.waitShare.value,
       hasTargets: targets.length > 0,
       isPlaceable: job.request.steps.every(step =>
         targets.some(target => isEligible(step, target)),
--- a/src/lib/work/entry/job_ledger.ts
+++ b/src/lib/work/entry/job_ledger.ts
@@ -25,6 +25,8 @@
   readonly requests: RequestLog;
   /** Asks the agent that holds a task's run to stop it. */
   readonly sendStop: (task: ActiveTask) => void;
+  /** Is told of each job that was served, and whether it was in time. */
+  readonly reportServed: (isInTime: boolean) => void;
   /** Takes a task off the agent that held its run. */
   readonly release: (task: ActiveTask) => void;
 }
@@ -72,11 +74,9 @@
 
   /** Counts a queue's jobs of which nothing has been ordered. */
   countWaiting(queue: string): number {
-    let count = 0;
-    for (const job of this.jobs.values()) {
-      if (job.rule.name === queue && job.state === JobState.WAITING) count += 1;
-    }
-    return count;
+    return [...this.jobs.values()].filter(
+      ({rule, state}) => rule.name === queue && state === JobState.WAITING,
+    ).length;
   }
 
   /** Adds a job that was admitted, with its first caller. */
@@ -286,8 +286,9 @@
       tookMs: Math.round(tookMs),
       objectiveMs: Math.round(timing.objectiveMs),
     });
-    const isNotable =
-      state !== JobState.COMPLETED || tookMs > timing.objectiveMs;
+    const isInTime = tookMs <= timing.objectiveMs;
+    if (state === JobState.COMPLETED) this.options.reportServed(isInTime);
+    const isNotable = state !== JobState.COMPLETED || !isInTime;
     this.options.requests.finish(request.job, request.job, isNotable);
   }
 }
--- a/src/lib/work/entry/scheduler.ts
+++ b/src/lib/work/entry/scheduler.ts
@@ -106,6 +106,7 @@
       requests: this.requests,
       sendStop: ({name, run, agent}) =>
         fleet.find(agent)?.send({kind: EntryFrameKind.STOP, task: name, run}),
+      reportServed: isInTime => this.admission.waitShare.record(isInTime),
       release: ({name, agent}) => fleet.find(agent)?.tasks.delete(name),
     });
     const {ledger} = this;
@@ -242,6 +243,7 @@
       jobs: ledger.size,
       waitingJobs: ledger.waiting.size,
       backlogMs: Math.round(this.admission.sumBacklog(nowMs)),
+      waitShare: Math.round(this.admission.waitShare.value * 100) / 100,
       peerBacklogMs: Math.round(fleet.peers.sum(nowMs)),
       cores: sumCores(targets.map(target => target.capacity.cpuMilli)),
       freeCores: sumCores(targets.map(target => target.free.cpuMilli)),
