--- a/src/lib/work/agent/target_desk.ts
+++ b/src/lib/work/agent/target_desk.ts
@@ -14,7 +14,7 @@
 import {describeStatus, describeTarget} from './target_description.js';
 import {TargetLink} from './target_link.js';
 import {TargetOpinion} from './target_opinion.js';
-import {OrderOutcome} from './target_port.js';
+import {isAnswer, OrderOutcome} from './target_port.js';
 import type {HoldAnswer, OrderAnswer, TargetBeat} from './target_port.js';
 
 /**
@@ -26,7 +26,7 @@
 /** Time in milliseconds between look-ups while nothing runs. */
 const IDLE_LOOK_MS = 1000;
 
-/** Calls in a row that find nobody and so prove that a life is over. */
+/** Calls in a row that find nobody: proof that a life is over. */
 const REFUSALS = 2;
 
 /** Speaks with the target for the runner, which owns it. */
@@ -130,8 +130,7 @@
     const run = this.book.findRun(task, number);
     if (run === undefined) return;
     const {outcome} = answer;
-    const isAnswered =
-      outcome === OrderOutcome.TAKEN || outcome === OrderOutcome.REFUSED;
+    const isAnswered = isAnswer(outcome);
     if (isAnswered) {
       this.book.takeEvent(run, RunEvent.STOP_ANSWERED, nowMs);
       // Asked for after the stop was taken, the lists tell what is left.
@@ -295,6 +294,7 @@
   private takeEnd(run: HeldRun, report: RunEndReport): void {
     this.opinion.takeEnd(report, run.order.estimateMs);
     recordRunEnd(this.options.requests, run, report);
+    this.options.metrics.countRun(report.end, report.durationMs);
     this.options.deliverEnd(run.owner, report);
   }
 }
--- a/src/lib/work/agent/target_desk_options.ts
+++ b/src/lib/work/agent/target_desk_options.ts
@@ -2,6 +2,7 @@
 import type {ReadMonotonicMs} from '../../core/clock.js';
 import type {Post} from '../../core/task.js';
 import type {FleetLog} from '../../observe/fleet_log.js';
+import type {FleetMetrics} from '../../observe/fleet_metrics.js';
 import type {RequestLog} from '../../observe/request_log.js';
 import type {RunEndReport} from '../../core/work_frames.js';
 import type {WorkMessage} from './runner_messages.js';
@@ -14,6 +15,7 @@
   readonly readMonotonicMs: ReadMonotonicMs;
   readonly log: FleetLog;
   readonly requests: RequestLog;
+  readonly metrics: FleetMetrics;
   /** Is handed the end of each run. */
   readonly deliverEnd: (owner: string, report: RunEndReport) => void;
 }
--- a/src/lib/work/agent/target_link.ts
+++ b/src/lib/work/agent/target_link.ts
@@ -6,7 +6,7 @@
 import type {HeldRun} from '../../decisions/held_run.js';
 import {WorkMessageKind} from './runner_messages.js';
 import type {WorkMessage} from './runner_messages.js';
-import {OrderOutcome} from './target_port.js';
+import {isAnswer, OrderOutcome} from './target_port.js';
 import type {
   ConnectTarget,
   OrderAnswer,
@@ -207,10 +207,7 @@
         ? Promise.resolve(NOT_SENT)
         : call(port, this.answerTime.limitMs);
     void answered.then(answer => {
-      const isAnswered =
-        answer.outcome === OrderOutcome.TAKEN ||
-        answer.outcome === OrderOutcome.REFUSED;
-      if (isAnswered) {
+      if (isAnswer(answer.outcome)) {
         this.answerTime.record(this.options.readMonotonicMs() - sentAtMs);
       }
       this.options.post({kind, life, task, run, answer});
--- a/src/lib/work/agent/target_port.ts
+++ b/src/lib/work/agent/target_port.ts
@@ -36,6 +36,11 @@
   UNANSWERED = 'unanswered',
 }
 
+/** Tells whether the target has answered the order, whatever it said. */
+export function isAnswer(outcome: OrderOutcome): boolean {
+  return outcome === OrderOutcome.TAKEN || outcome === OrderOutcome.REFUSED;
+}
+
 /** The answer to an order. */
 export interface OrderAnswer {
   readonly outcome: OrderOutcome;
--- a/src/lib/work/agent/work_agent.ts
+++ b/src/lib/work/agent/work_agent.ts
@@ -10,6 +10,7 @@
 } from '../../core/process_life.js';
 import {FleetEvent} from '../../observe/fleet_log.js';
 import type {FleetLog} from '../../observe/fleet_log.js';
+import type {FleetMetrics} from '../../observe/fleet_metrics.js';
 import type {AgentFrame, EntryFrame} from '../../core/work_frames.js';
 import type {OpenFrameStream} from '../link/frame_stream.js';
 import {EntryLinks} from './entry_links.js';
@@ -42,6 +43,7 @@
   readonly readMonotonicMs: ReadMonotonicMs;
   readonly startTimer: StartTimer;
   readonly log: FleetLog;
+  readonly metrics: FleetMetrics;
 }
 
 /** A stopping agent takes no new run at once; the entries learn it in one report. */
--- a/src/lib/work/agent/work_runner.ts
+++ b/src/lib/work/agent/work_runner.ts
@@ -6,6 +6,7 @@
 import {RunEvent} from '../../decisions/held_run.js';
 import {FleetEvent} from '../../observe/fleet_log.js';
 import type {FleetLog} from '../../observe/fleet_log.js';
+import type {FleetMetrics} from '../../observe/fleet_metrics.js';
 import {RequestLog} from '../../observe/request_log.js';
 import type {FleetConfiguration} from '../../core/fleet_configuration.js';
 import {
@@ -36,6 +37,7 @@
   readonly readMonotonicMs: ReadMonotonicMs;
   readonly startTimer: StartTimer;
   readonly log: FleetLog;
+  readonly metrics: FleetMetrics;
   /** Is called when a stop was asked for and nothing runs any more. */
   readonly reportIdle: () => void;
   readonly reportFailure: (failure: unknown) => void;
--- a/src/lib/work/entry/job_ledger.ts
+++ b/src/lib/work/entry/job_ledger.ts
@@ -1,5 +1,6 @@
 /** The jobs of an entry: their tasks, callers and ends. */
 import {FleetEvent} from '../../observe/fleet_log.js';
+import type {FleetMetrics} from '../../observe/fleet_metrics.js';
 import type {LineFields, RequestLog} from '../../observe/request_log.js';
 import {NotStartedCause, RunEnd} from '../../core/work_frames.js';
 import type {RunEndReport} from '../../core/work_frames.js';
@@ -23,6 +24,7 @@
 /** What the ledger needs. */
 export interface JobLedgerOptions {
   readonly requests: RequestLog;
+  readonly metrics: FleetMetrics;
   /** Asks the agent that holds a task's run to stop it. */
   readonly sendStop: (task: ActiveTask) => void;
   /** Is told of each job that was served, and whether it was in time. */
@@ -103,11 +105,7 @@
   cancel(name: string, nowMs: number): boolean {
     const job = this.jobs.get(name);
     if (job === undefined) return this.ended.has(name);
-    const answer = {
-      end: JobEnd.FAILED,
-      reason: JobReason.NONE,
-      retryAfterMs: 0,
-    };
+    const answer = createFinalAnswer(JobEnd.FAILED, JobReason.NONE);
     this.end(job, JobEvent.CANCEL, answer, nowMs);
     return true;
   }
@@ -127,11 +125,8 @@
   giveUp(job: ActiveJob, nowMs: number): void {
     const isUntouched = job.state === JobState.WAITING;
     const event = isUntouched ? JobEvent.REFUSE : JobEvent.ABANDON;
-    const answer = {
-      end: isUntouched ? JobEnd.REFUSED : JobEnd.ABANDONED,
-      reason: JobReason.DEADLINE,
-      retryAfterMs: 0,
-    };
+    const end = isUntouched ? JobEnd.REFUSED : JobEnd.ABANDONED;
+    const answer = createFinalAnswer(end, JobReason.DEADLINE);
     this.end(job, event, answer, nowMs);
   }
 
@@ -212,20 +207,12 @@
       this.unblock(job);
       return;
     }
-    const answer = {
-      end: JobEnd.COMPLETED,
-      reason: JobReason.NONE,
-      retryAfterMs: 0,
-    };
+    const answer = createFinalAnswer(JobEnd.COMPLETED, JobReason.NONE);
     this.end(job, JobEvent.COMPLETE, answer, nowMs);
   }
 
   private fail(job: ActiveJob, nowMs: number): void {
-    const answer = {
-      end: JobEnd.FAILED,
-      reason: JobReason.ATTEMPTS_USED,
-      retryAfterMs: 0,
-    };
+    const answer = createFinalAnswer(JobEnd.FAILED, JobReason.ATTEMPTS_USED);
     this.end(job, JobEvent.FAIL, answer, nowMs);
   }
 
@@ -286,6 +273,8 @@
       tookMs: Math.round(tookMs),
       objectiveMs: Math.round(timing.objectiveMs),
     });
+    const labels = {queue: job.rule.name, state, reason: reason ?? ''};
+    this.options.metrics.countJob(labels, tookMs);
     const isInTime = tookMs <= timing.objectiveMs;
     if (state === JobState.COMPLETED) this.options.reportServed(isInTime);
     const isNotable = state !== JobState.COMPLETED || !isInTime;
@@ -298,3 +287,8 @@
     cause === NotStartedCause.HUNG || cause === NotStartedCause.TARGET_REFUSED
   );
 }
+
+/** Makes an answer after which the caller need not come again. */
+function createFinalAnswer(end: JobEnd, reason: JobReason): JobAnswer {
+  return {end, reason, retryAfterMs: 0};
+}
--- a/src/lib/work/entry/scheduler.ts
+++ b/src/lib/work/entry/scheduler.ts
@@ -6,6 +6,7 @@
 import type {ChooseTarget} from '../../decisions/place_task.js';
 import {FleetEvent} from '../../observe/fleet_log.js';
 import type {FleetLog} from '../../observe/fleet_log.js';
+import type {FleetMetrics} from '../../observe/fleet_metrics.js';
 import {RequestLog} from '../../observe/request_log.js';
 import type {FleetConfiguration} from '../../core/fleet_configuration.js';
 import {EntryFrameKind} from '../../core/work_frames.js';
@@ -32,6 +33,7 @@
   readonly readMonotonicMs: ReadMonotonicMs;
   readonly startTimer: StartTimer;
   readonly log: FleetLog;
+  readonly metrics: FleetMetrics;
   readonly reportFailure: (failure: unknown) => void;
   /** Is told when the entry can take jobs and when it cannot. */
   readonly reportReady: (isReady: boolean) => void;
@@ -104,6 +106,7 @@
     const {fleet} = this;
     this.ledger = JobLedger.create({
       requests: this.requests,
+      metrics: options.metrics,
       sendStop: ({name, run, agent}) =>
         fleet.find(agent)?.send({kind: EntryFrameKind.STOP, task: name, run}),
       reportServed: isInTime => this.admission.waitShare.record(isInTime),
@@ -213,6 +216,7 @@
     ledger.record(job, FleetEvent.JOB_REFUSED, `Refused: ${reason}.`, {
       retryAfterMs,
     });
+    this.options.metrics.countRefusal(rule.name, reason);
     this.requests.finish(request.job, request.job, true);
     answer(refusal);
   }
--- a/src/lib/work/entry/work_entry.ts
+++ b/src/lib/work/entry/work_entry.ts
@@ -17,6 +17,7 @@
 import type {ChooseTarget} from '../../decisions/place_task.js';
 import {FleetEvent} from '../../observe/fleet_log.js';
 import type {FleetLog} from '../../observe/fleet_log.js';
+import type {FleetMetrics} from '../../observe/fleet_metrics.js';
 import type {PlatformStore} from '../../store/platform_store.js';
 import type {FleetConfiguration} from '../../core/fleet_configuration.js';
 import type {AgentFrame, EntryFrame} from '../../core/work_frames.js';
@@ -61,6 +62,7 @@
   readonly startTimer: StartTimer;
   readonly drawRandom: DrawRandom;
   readonly log: FleetLog;
+  readonly metrics: FleetMetrics;
 }
 
 /**
--- a/test/fleet/fleet_fixture.ts
+++ b/test/fleet/fleet_fixture.ts
@@ -15,6 +15,7 @@
 } from '../../src/lib/core/clock.js';
 import {drawIdentity} from '../../src/lib/core/identity.js';
 import type {FleetEvent} from '../../src/lib/observe/fleet_log.js';
+import {SILENT_FLEET_METRICS} from '../../src/lib/observe/fleet_metrics.js';
 import {WorkAgent} from '../../src/lib/work/agent/work_agent.js';
 import {WorkEntry} from '../../src/lib/work/entry/work_entry.js';
 import {
@@ -131,6 +132,7 @@
       startTimer,
       drawRandom: Math.random,
       log,
+      metrics: SILENT_FLEET_METRICS,
     });
     await entry.start();
     this.linkAddresses.push(linkAddress);
@@ -176,6 +178,7 @@
       readMonotonicMs,
       startTimer,
       log,
+      metrics: SILENT_FLEET_METRICS,
     });
     await agent.start();
     const server = {
--- /dev/null
+++ b/test/observe/fleet_metrics_test.ts
@@ -0,0 +1,25 @@
+import {expect} from 'chai';
+import {createFleetMetrics} from '../../src/lib/observe/fleet_metrics.js';
+
+describe('createFleetMetrics', () => {
+  it('prints counters and histograms by queue and end', async () => {
+    const metrics = await createFleetMetrics();
+    const labels = {queue: 'q', state: 'completed', reason: 'none'};
+    metrics.countJob(labels, 120);
+    metrics.countRefusal('q', 'overloaded');
+    metrics.countRun('done', 80);
+    const text = await metrics.print();
+    expect(text).to.include(
+      'foxtailbay_jobs_total{queue="q",state="completed",reason="none"} 1',
+    );
+    expect(text).to.include(
+      'foxtailbay_job_duration_milliseconds_bucket{le="150",queue="q"} 1',
+    );
+    expect(text).to.include(
+      'foxtailbay_refusals_total{queue="q",reason="overloaded"} 1',
+    );
+    expect(text).to.include(
+      'foxtailbay_run_duration_milliseconds_count{end="done"} 1',
+    );
+  });
+});
