Answer every caller before a planned stop ends; call a job too large only if no known target fits

Cause: a job still running when the grace was over lost its connection without an answer; one that only a target out of reach could hold was told it had failed. The bundler is esbuild-wasm now: the native one fetched its program in an install script, which the build on a clean machine should not rest on.

--- a/deploy/bundle.mjs
+++ b/deploy/bundle.mjs
@@ -4,7 +4,7 @@
  * by one took it longer than everything else it does before it serves.
  */
 import {mkdirSync, readdirSync, readFileSync, writeFileSync} from 'node:fs';
-import {build} from 'esbuild';
+import {build} from 'esbuild-wasm';
 import {parse} from 'yaml';
 
 /**
--- a/src/lib/work/entry/admission_desk.ts
+++ b/src/lib/work/entry/admission_desk.ts
@@ -2,6 +2,7 @@
 import {judgeAdmission} from '../../decisions/admit_work.js';
 import {computeSlack} from '../../decisions/job_timing.js';
 import {isEligible} from '../../decisions/place_task.js';
+import type {PlacementTarget} from '../../decisions/place_task.js';
 import {judgeProspect, Prospect} from '../../decisions/rank_work.js';
 import {WaitShare} from '../../decisions/wait_share.js';
 import {JobEnd, JobReason} from '../../core/work_job.js';
@@ -57,9 +58,7 @@
       slackMs:
         computeSlack(timing, fleet.computeSlowness()) * this.waitShare.value,
       hasTargets: targets.length > 0,
-      isPlaceable: job.request.steps.every(step =>
-        targets.some(target => isEligible(step, target)),
-      ),
+      isPlaceable: this.isPlaceable(job, targets),
     });
     const {reason, retryAfterMs} = verdict;
     if (reason === JobReason.NONE) return undefined;
@@ -67,6 +66,23 @@
     return {end, reason, retryAfterMs};
   }
 
+  /**
+   * Tells whether each step fits some target that serves the queue or served it
+   * lately: one that is away or out for a while may be the only one that does.
+   */
+  private isPlaceable(
+    job: ActiveJob,
+    usable: readonly PlacementTarget[],
+  ): boolean {
+    const known = this.options.fleet
+      .listViews()
+      .filter(view => view.report.service === job.rule.service)
+      .map(view => view.describeTarget());
+    return job.request.steps.every(step =>
+      [...usable, ...known].some(target => isEligible(step, target)),
+    );
+  }
+
   /** Sums the work that waits and can be in time; late work gives way to it. */
   sumBacklog(nowMs: number, startByMs = Infinity): number {
     let sum = 0;
--- a/src/lib/work/entry/agent_view.ts
+++ b/src/lib/work/entry/agent_view.ts
@@ -102,7 +102,7 @@
     this.stream = stream;
     this.outbox = [];
     this.onTheirWay = [];
-    this.latest = NOTHING_REPORTED;
+    this.latest = {...this.latest, phase: TargetPhase.ABSENT};
     this.free = NO_RESOURCES;
   }
 
--- a/src/lib/work/entry/job_ledger.ts
+++ b/src/lib/work/entry/job_ledger.ts
@@ -35,7 +35,6 @@
 
 /** Time in milliseconds for which the end of a job is remembered for questions. */
 const REMEMBER_MS = 10_000;
-
 interface EndedJob {
   readonly state: JobState;
   readonly endedAtMs: number;
@@ -104,16 +103,16 @@
   /** Cancels a job; tells whether it was known. */
   cancel(name: string, nowMs: number): boolean {
     const job = this.jobs.get(name);
-    if (job === undefined) return this.ended.has(name);
     const answer = createFinalAnswer(JobEnd.FAILED, JobReason.NONE);
-    this.end(job, JobEvent.CANCEL, answer, nowMs);
-    return true;
+    if (job !== undefined) this.end(job, JobEvent.CANCEL, answer, nowMs);
+    return this.ended.has(name);
   }
 
   /** Ends jobs whose callers have stopped waiting, and forgets old ends. */
   expire(nowMs: number): void {
     for (const job of [...this.jobs.values()]) {
-      if (nowMs >= job.timing.deadlineAtMs) this.giveUp(job, nowMs);
+      if (nowMs < job.timing.deadlineAtMs) continue;
+      this.giveUp(job, JobReason.DEADLINE, nowMs);
     }
     for (const [name, {endedAtMs}] of this.ended) {
       if (nowMs - endedAtMs < REMEMBER_MS) break;
@@ -121,12 +120,19 @@
     }
   }
 
-  /** Gives up a job; the answer tells truly whether any of it may have run. */
-  giveUp(job: ActiveJob, nowMs: number): void {
+  /** Gives up all jobs: the process ends. */
+  giveUpAll(nowMs: number): void {
+    for (const job of [...this.jobs.values()]) {
+      this.giveUp(job, JobReason.STOPPING, nowMs);
+    }
+  }
+
+  /** The answer tells truly whether any of the job may have run. */
+  private giveUp(job: ActiveJob, reason: JobReason, nowMs: number): void {
     const isUntouched = job.state === JobState.WAITING;
     const event = isUntouched ? JobEvent.REFUSE : JobEvent.ABANDON;
     const end = isUntouched ? JobEnd.REFUSED : JobEnd.ABANDONED;
-    const answer = createFinalAnswer(end, JobReason.DEADLINE);
+    const answer = createFinalAnswer(end, reason);
     this.end(job, event, answer, nowMs);
   }
 
@@ -277,8 +283,8 @@
     this.options.metrics.countJob(labels, tookMs);
     const isInTime = tookMs <= timing.objectiveMs;
     if (state === JobState.COMPLETED) this.options.reportServed(isInTime);
-    const isNotable = state !== JobState.COMPLETED || !isInTime;
-    this.options.requests.finish(request.job, request.job, isNotable);
+    const isGood = state === JobState.COMPLETED && isInTime;
+    this.options.requests.finish(request.job, request.job, !isGood);
   }
 }
 
--- a/src/lib/work/entry/scheduler.ts
+++ b/src/lib/work/entry/scheduler.ts
@@ -189,6 +189,9 @@
       case SchedulerMessageKind.LEAVE:
         this.isLeaving = true;
         break;
+      case SchedulerMessageKind.GIVE_UP:
+        ledger.giveUpAll(nowMs);
+        break;
     }
     this.schedulePlacement();
   }
--- a/src/lib/work/entry/scheduler_messages.ts
+++ b/src/lib/work/entry/scheduler_messages.ts
@@ -22,6 +22,7 @@
   ENTRIES = 'entries',
   TICK = 'tick',
   LEAVE = 'leave',
+  GIVE_UP = 'give-up',
 }
 
 /** A message to the scheduler. */
@@ -74,4 +75,6 @@
       readonly addresses: readonly string[];
     }
   | {readonly kind: SchedulerMessageKind.TICK}
-  | {readonly kind: SchedulerMessageKind.LEAVE};
+  | {readonly kind: SchedulerMessageKind.LEAVE}
+  /** The process ends now: every caller gets the answer that is true. */
+  | {readonly kind: SchedulerMessageKind.GIVE_UP};
--- a/src/lib/work/entry/work_entry.ts
+++ b/src/lib/work/entry/work_entry.ts
@@ -187,7 +187,7 @@
         this.life.send(ProcessEvent.RELEASED);
         break;
       case ProcessAction.REPORT_UNFINISHED:
-        this.scheduler.post({kind: SchedulerMessageKind.LEAVE});
+        this.scheduler.post({kind: SchedulerMessageKind.GIVE_UP});
         break;
     }
   }
--- a/test/fleet/fleet_fixture.ts
+++ b/test/fleet/fleet_fixture.ts
@@ -216,11 +216,15 @@
   method: string,
   path: string,
   body?: unknown,
+  deadlineMs = 4000,
 ): Promise<Reply> {
   return new Promise((resolve, reject) => {
     const request = createRequest(
       `http://${address}${path}`,
-      {method, headers: {host: 'desk.example', 'deadline-ms': '4000'}},
+      {
+        method,
+        headers: {host: 'desk.example', 'deadline-ms': String(deadlineMs)},
+      },
       response => {
         let text = '';
         response.on('data', part => (text += part));
--- a/test/fleet/fleet_test.ts
+++ b/test/fleet/fleet_test.ts
@@ -192,6 +192,24 @@
     await entry.server.stopped;
   });
 
+  it('answers every caller before a planned stop ends, done or not', async () => {
+    const {entry} = await startSmallFleet();
+    const answered = call(
+      entry.callers,
+      'POST',
+      drawJobPath(),
+      createJobBody(2, 9000),
+      9000,
+    );
+    await waitUntil('the tasks run', () =>
+      fleet.targets.some(target => target.listRunning().length > 0),
+    );
+    entry.server.requestStop();
+    const {status, body} = await answered;
+    expect({status, ...body}).to.include({status: 504, reason: 'stopping'});
+    await entry.server.stopped;
+  });
+
   it('says at once what it does not take, and why', async () => {
     const {entry} = await startSmallFleet();
     const post = (body: unknown, path = drawJobPath()) =>
