End the watch on a data centre when its return is sent, not when it is accepted

The step before it observes for 7500 ms; the return was sent then and its acceptance read after 39 ms or more, and starts in between were held against the dispatcher, though the return was already written. Ruled out: a start before the sending (the test has one, and it still counts).

--- a/tools/scenario/actions.ts
+++ b/tools/scenario/actions.ts
@@ -210,6 +210,7 @@
     subject: mark.subject,
     to: mark.to,
     revision: 0,
+    sentAtMs: acceptedAtMs,
     acceptedAtMs,
     inForceAtMs: acceptedAtMs,
   });
--- a/tools/scenario/evidence.ts
+++ b/tools/scenario/evidence.ts
@@ -58,6 +58,8 @@
   /** `in`, `out` or `left`. */
   readonly to: string;
   readonly revision: number;
+  /** When the operator sent it; it may be in force from then on. */
+  readonly sentAtMs: number;
   readonly acceptedAtMs: number;
   /** Infinite until every entry and agent has it in force. */
   readonly inForceAtMs: number;
--- a/tools/scenario/findings.ts
+++ b/tools/scenario/findings.ts
@@ -68,7 +68,8 @@
       other.to !== change.to &&
       other.acceptedAtMs > change.acceptedAtMs,
   );
-  const untilMs = back?.acceptedAtMs ?? Infinity;
+  // The return may be in force before its acceptance has come back to us.
+  const untilMs = back?.sentAtMs ?? Infinity;
   return evidence.starts.filter(
     start =>
       readPlace(start) === change.subject &&
--- a/tools/scenario/operator_actions.ts
+++ b/tools/scenario/operator_actions.ts
@@ -15,6 +15,7 @@
   step: StepOf<StepKind.DATA_CENTRE>,
 ): Promise<void> {
   const {administration} = scene;
+  const sentAtMs = scene.clock.readMs();
   const reply = await administration
     .setService(step.via, step.name, step.service)
     .catch((failure: unknown) => {
@@ -25,6 +26,7 @@
   scene.writeLine(`the operator is answered ${reply.status}`);
   if (reply.status >= 300) return rejectStep(step.mustBeAccepted, reply);
   await followChange(scene, reply, {
+    sentAtMs,
     via: step.via,
     name: step.change,
     subject: step.name,
@@ -41,12 +43,14 @@
   const {kind, name, spec} = step.record;
   const path = `/v1/records/${kind}/${encodeURIComponent(name)}`;
   const body = {schemaVersion: 1, kind, name, spec};
+  const sentAtMs = scene.clock.readMs();
   const call = scene.administration.call(step.via, 'PUT', path, body);
   const reply = await call;
   scene.writeLine(`the operator is answered ${reply.status}`);
   if (!step.statuses.includes(reply.status)) return rejectStep(true, reply);
   if (reply.status >= 300) return;
   await followChange(scene, reply, {
+    sentAtMs,
     via: step.via,
     name: step.change,
     subject: `${kind}/${name}`,
@@ -56,6 +60,7 @@
 }
 
 interface FollowedChange {
+  readonly sentAtMs: number;
   readonly via: string;
   readonly name: string;
   readonly subject: string;
@@ -70,7 +75,7 @@
   followed: FollowedChange,
 ): Promise<void> {
   const {revision} = JSON.parse(reply.text) as {revision: number};
-  const {via, name, subject, to} = followed;
+  const {via, name, subject, to, sentAtMs} = followed;
   const readState = () => scene.administration.readRevision(via, revision);
   if (reply.status === 202) {
     if (!followed.mustBeAccepted) return;
@@ -82,7 +87,7 @@
     );
   }
   const acceptedAtMs = scene.clock.readMs();
-  const change = {name, subject, to, revision, acceptedAtMs};
+  const change = {name, subject, to, revision, sentAtMs, acceptedAtMs};
   scene.observer.setChange({...change, inForceAtMs: Infinity});
   scene.writeLine(`change ${name} is accepted at revision ${revision}`);
   scene.follow(
