Drop what nobody reads, and a cast that hid a type

JobReason.SUPERSEDED and the greeting's isStarted had no reader; the registration's observe asks for the two fields that it uses, so that its second caller needs no cast.

--- a/src/lib/core/work_frames.ts
+++ b/src/lib/core/work_frames.ts
@@ -68,7 +68,6 @@
 /** A run that an agent holds for an entry. */
 export interface HeldRunReport extends RunName {
   readonly job: string;
-  readonly isStarted: boolean;
 }
 
 /** The end of a run. */
--- a/src/lib/core/work_job.ts
+++ b/src/lib/core/work_job.ts
@@ -68,8 +68,6 @@
   ATTEMPTS_USED = 'attempts-used',
   /** The job's deadline has passed. */
   DEADLINE = 'deadline',
-  /** Another request for the same job has taken its place. */
-  SUPERSEDED = 'superseded',
 }
 
 /** The answer to a job. */
--- a/src/lib/entry/entry_registration.ts
+++ b/src/lib/entry/entry_registration.ts
@@ -104,7 +104,10 @@
   }
 
   /** Compares the registration with what the store shows. */
-  observe({entries, revision}: ConfigurationMirror): void {
+  observe({
+    entries,
+    revision,
+  }: Pick<ConfigurationMirror, 'entries' | 'revision'>): void {
     if (revision <= this.revision) return;
     const {id, incarnation} = this.options.entry;
     if (entries.get(id)?.incarnation === incarnation) return;
--- a/src/lib/work/agent/owner_desk.ts
+++ b/src/lib/work/agent/owner_desk.ts
@@ -1,7 +1,6 @@
 /** The entries of an agent: greetings, orders taken, ends delivered, reports. */
 import type {Post} from '../../core/task.js';
 import type {HeldRun} from '../../decisions/held_run.js';
-import {RunState} from '../../decisions/held_run.js';
 import type {FleetConfiguration} from '../../core/fleet_configuration.js';
 import {AgentFrameKind} from '../../core/work_frames.js';
 import type {
@@ -75,11 +74,10 @@
       dataCentre,
       held: runs
         .filter(run => run.owner === life)
-        .map(({order, state}) => ({
+        .map(({order}) => ({
           task: order.task,
           run: order.run,
           job: order.job,
-          isStarted: state !== RunState.QUEUED,
         })),
       ends: [...entry.ends.values()],
       through: entry.through,
--- a/src/lib/work/entry/fleet_configuration_task.ts
+++ b/src/lib/work/entry/fleet_configuration_task.ts
@@ -8,6 +8,7 @@
 import type {FleetLog} from '../../observe/fleet_log.js';
 import type {PlatformStore} from '../../store/platform_store.js';
 import {parseEntryAddress} from '../../records/build_view.js';
+import type {EntryAddress} from '../../records/configuration_view.js';
 import type {FleetConfiguration} from '../../core/fleet_configuration.js';
 import {
   ENTRIES_PREFIX,
@@ -156,13 +157,14 @@
 
   private takeEntries(mirror: StoreMirror): void {
     this.options.publishEntries(readAddresses([...mirror.values.values()]));
-    const {id, incarnation} = this.options.identity;
+    const {address, identity} = this.options;
+    const {id, incarnation} = identity;
     const own = mirror.values.get(ENTRIES_PREFIX + id);
-    const entries = new Map();
+    const entries = new Map<string, EntryAddress>();
     if (own !== undefined) {
-      entries.set(id, parseEntryAddress(own) ?? {incarnation});
+      entries.set(id, parseEntryAddress(own) ?? {id, incarnation, address});
     }
-    this.registration.observe({entries, revision: mirror.revision} as never);
+    this.registration.observe({entries, revision: mirror.revision});
   }
 
   private reportContact(hasContact: boolean, detail: string): void {
