Try links to an entry that is away sooner

An agent's first attempt meets a host without power, hangs, and was given up after 500 ms. Ruled out: discovery (all addresses are known from the first greeting), the entries' start (0.3 s before).

--- a/src/lib/work/agent/entry_links.ts
+++ b/src/lib/work/agent/entry_links.ts
@@ -1,6 +1,5 @@
 /** The task of an agent that owns its streams to the entries. */
-import type {ReadMonotonicMs, StartTimer} from '../../core/clock.js';
-import {repeatTimer} from '../../core/clock.js';
+import type {ReadMonotonicMs, StartTimer, StopTimer} from '../../core/clock.js';
 import {Task} from '../../core/task.js';
 import type {Post} from '../../core/task.js';
 import {AgentFrameKind, EntryFrameKind} from '../../core/work_frames.js';
@@ -9,7 +8,10 @@
   EntryFrame,
   PeerBacklog,
 } from '../../core/work_frames.js';
-import type {FrameStream, OpenFrameStream} from '../link/frame_stream.js';
+import {computePause} from '../../decisions/link_pace.js';
+import type {OpenFrameStream} from '../link/frame_stream.js';
+import {computeOpeningEnd} from './linked_entry.js';
+import type {LinkedEntry} from './linked_entry.js';
 import {LinksMessageKind, WorkMessageKind} from './runner_messages.js';
 import type {LinksMessage, WorkMessage} from './runner_messages.js';
 
@@ -32,19 +34,15 @@
   readonly reportFailure: (failure: unknown) => void;
 }
 
-/** Period of pings and checks in milliseconds; a proof of life of each link. */
-const TICK_MS = 100;
+/** Period of pings in milliseconds; a proof of life of each link. */
+const PING_MS = 100;
+
+/** Shortest time in milliseconds between two checks. */
+const SHORTEST_CHECK_MS = 10;
 
 /** Silence in milliseconds after which a link counts as dead and is reopened. */
 const SILENCE_MS = 400;
 
-/** Time in milliseconds that a link may take to open. */
-const OPENING_MS = 500;
-
-/** Pauses in milliseconds between attempts: doubled from first to longest. */
-const FIRST_PAUSE_MS = 50;
-const LONGEST_PAUSE_MS = 1000;
-
 /** Time in milliseconds after which an address that never answers is dropped. */
 const FORGET_AFTER_MS = 20_000;
 
@@ -53,31 +51,18 @@
 
 const MAILBOX_CAPACITY = 100_000;
 
-interface Peer {
-  readonly address: string;
-  isSeed: boolean;
-  link: number;
-  stream: FrameStream<AgentFrame> | undefined;
-  /** The entry's life; empty until it has greeted. */
-  life: string;
-  openedAtMs: number;
-  heardAtMs: number;
-  nextAttemptMs: number;
-  pauseMs: number;
-  lastSeenMs: number;
-  outbox: AgentFrame[];
-}
-
 /**
  * Keeps one stream to each entry known, sends pings, reopens what falls silent
  * and gathers what is sent within one turn of the event loop into one message.
  */
 export class EntryLinks {
   private readonly task: Task<LinksMessage>;
-  private readonly peers = new Map<string, Peer>();
-  private readonly peerByLink = new Map<number, Peer>();
+  private readonly peers = new Map<string, LinkedEntry>();
+  private readonly peerByLink = new Map<number, LinkedEntry>();
   private lastLink = 0;
   private lookedUpAtMs = 0;
+  private pingedAtMs = 0;
+  private stopTimer: StopTimer = () => undefined;
   private isFlushDue = false;
 
   private constructor(private readonly options: EntryLinksOptions) {
@@ -95,11 +80,7 @@
     const {task} = links;
     for (const address of options.seeds) links.addPeer(address, true);
     task.store.add(() => links.closeAll());
-    task.store.add(
-      repeatTimer(options.startTimer, TICK_MS, () =>
-        task.post({kind: LinksMessageKind.TICK}),
-      ),
-    );
+    task.store.add(() => links.stopTimer());
     task.post({kind: LinksMessageKind.TICK});
     return links;
   }
@@ -151,7 +132,7 @@
       openedAtMs: 0,
       heardAtMs: 0,
       nextAttemptMs: nowMs,
-      pauseMs: FIRST_PAUSE_MS,
+      silentSinceMs: nowMs,
       lastSeenMs: nowMs,
       outbox: [],
     });
@@ -159,11 +140,30 @@
 
   private checkAll(): void {
     const nowMs = this.options.readMonotonicMs();
-    for (const peer of this.peers.values()) this.check(peer, nowMs);
+    // A timer may fire early by the part of a millisecond that it cannot tell.
+    const isPingDue = nowMs - this.pingedAtMs >= PING_MS - 1;
+    if (isPingDue) this.pingedAtMs = nowMs;
+    for (const peer of this.peers.values()) this.check(peer, isPingDue, nowMs);
     this.lookUp(nowMs);
+    const delayMs = Math.max(SHORTEST_CHECK_MS, this.findDueMs() - nowMs);
+    this.stopTimer = this.options.startTimer(delayMs, () =>
+      this.post({kind: LinksMessageKind.TICK}),
+    );
+  }
+
+  /** Finds the time of the next check: a ping, an attempt or the end of one. */
+  private findDueMs(): number {
+    let dueMs = this.pingedAtMs + PING_MS;
+    for (const peer of this.peers.values()) {
+      if (peer.life !== '') continue;
+      const isOpening = peer.stream !== undefined;
+      const atMs = isOpening ? computeOpeningEnd(peer) : peer.nextAttemptMs;
+      dueMs = Math.min(dueMs, atMs);
+    }
+    return dueMs;
   }
 
-  private check(peer: Peer, nowMs: number): void {
+  private check(peer: LinkedEntry, isPingDue: boolean, nowMs: number): void {
     if (peer.stream === undefined) {
       const isOld = nowMs - peer.lastSeenMs > FORGET_AFTER_MS;
       if (isOld && !peer.isSeed) this.peers.delete(peer.address);
@@ -171,13 +171,14 @@
       return;
     }
     if (peer.life === '') {
-      if (nowMs - peer.openedAtMs > OPENING_MS) this.drop(peer, 'no greeting');
+      if (nowMs >= computeOpeningEnd(peer)) this.drop(peer, 'no greeting');
       return;
     }
     if (nowMs - peer.heardAtMs > SILENCE_MS) {
       this.drop(peer, 'silent');
       return;
     }
+    if (!isPingDue) return;
     const backlogs = this.options.listBacklogs();
     this.enqueue(peer.link, {
       kind: AgentFrameKind.PING,
@@ -186,7 +187,7 @@
     });
   }
 
-  private open(peer: Peer, nowMs: number): void {
+  private open(peer: LinkedEntry, nowMs: number): void {
     this.lastLink += 1;
     const link = this.lastLink;
     peer.link = link;
@@ -219,9 +220,8 @@
     }
   }
 
-  private greet(peer: Peer, life: string): void {
+  private greet(peer: LinkedEntry, life: string): void {
     peer.life = life;
-    peer.pauseMs = FIRST_PAUSE_MS;
     const {link, address} = peer;
     this.options.reportLink(address, true, '');
     this.options.post({
@@ -232,7 +232,7 @@
     });
   }
 
-  private drop(peer: Peer, detail: string): void {
+  private drop(peer: LinkedEntry, detail: string): void {
     peer.stream?.close();
     this.lose(peer.link, detail);
   }
@@ -245,8 +245,9 @@
     peer.stream = undefined;
     peer.life = '';
     peer.outbox = [];
-    peer.nextAttemptMs = this.options.readMonotonicMs() + peer.pauseMs;
-    peer.pauseMs = Math.min(peer.pauseMs * 2, LONGEST_PAUSE_MS);
+    const nowMs = this.options.readMonotonicMs();
+    if (life !== '') peer.silentSinceMs = nowMs;
+    peer.nextAttemptMs = nowMs + computePause(nowMs - peer.silentSinceMs);
     if (life !== '') this.options.reportLink(address, false, detail);
     this.options.post({
       kind: WorkMessageKind.LINK_CLOSED,
--- /dev/null
+++ b/src/lib/work/agent/linked_entry.ts
@@ -0,0 +1,29 @@
+/** An entry that an agent keeps a link to. */
+import type {AgentFrame} from '../../core/work_frames.js';
+import {computeOpeningLimit} from '../../decisions/link_pace.js';
+import type {FrameStream} from '../link/frame_stream.js';
+
+/** An entry by its address. Owned and changed by the links alone. */
+export interface LinkedEntry {
+  readonly address: string;
+  isSeed: boolean;
+  link: number;
+  stream: FrameStream<AgentFrame> | undefined;
+  /** The entry's life; empty until it has greeted. */
+  life: string;
+  openedAtMs: number;
+  heardAtMs: number;
+  nextAttemptMs: number;
+  /** When it fell silent, or became known. */
+  silentSinceMs: number;
+  lastSeenMs: number;
+  outbox: AgentFrame[];
+}
+
+/** Returns when an attempt to connect counts as failed. */
+export function computeOpeningEnd({
+  openedAtMs,
+  silentSinceMs,
+}: LinkedEntry): number {
+  return openedAtMs + computeOpeningLimit(openedAtMs - silentSinceMs);
+}
