--- a/src/lib/observe/fleet_metrics.ts
+++ b/src/lib/observe/fleet_metrics.ts
@@ -75,6 +75,31 @@
   };
 }
 
+/**
+ * Counts at once and hands the counts on when the library is loaded: a process
+ * that starts anew serves before that.
+ */
+export function createDeferredMetrics(
+  loaded: Promise<FleetMetrics>,
+): FleetMetrics {
+  let metrics: FleetMetrics | undefined;
+  const waiting: Array<(ready: FleetMetrics) => void> = [];
+  const use = (count: (ready: FleetMetrics) => void) => {
+    if (metrics === undefined) waiting.push(count);
+    else count(metrics);
+  };
+  void loaded.then(ready => {
+    metrics = ready;
+    for (const count of waiting.splice(0)) count(ready);
+  });
+  return {
+    countJob: (labels, tookMs) => use(ready => ready.countJob(labels, tookMs)),
+    countRefusal: (queue, reason) =>
+      use(ready => ready.countRefusal(queue, reason)),
+    countRun: (end, tookMs) => use(ready => ready.countRun(end, tookMs)),
+  };
+}
+
 const REQUEST_TIMEOUT_MS = 6000;
 
 /** Serves the metrics on every path of an address. */
--- a/test/observe/fleet_metrics_test.ts
+++ b/test/observe/fleet_metrics_test.ts
@@ -1,5 +1,9 @@
 import {expect} from 'chai';
-import {createFleetMetrics} from '../../src/lib/observe/fleet_metrics.js';
+import {
+  createDeferredMetrics,
+  createFleetMetrics,
+} from '../../src/lib/observe/fleet_metrics.js';
+import type {ServedMetrics} from '../../src/lib/observe/fleet_metrics.js';
 
 describe('createFleetMetrics', () => {
   it('prints counters and histograms by queue and end', async () => {
@@ -23,3 +27,19 @@
     );
   });
 });
+
+describe('createDeferredMetrics', () => {
+  it('loses no count that came before the library was loaded', async () => {
+    let finish: (metrics: ServedMetrics) => void = () => undefined;
+    const loaded = new Promise<ServedMetrics>(resolve => (finish = resolve));
+    const metrics = createDeferredMetrics(loaded);
+    metrics.countRun('done', 80);
+    const served = await createFleetMetrics();
+    finish(served);
+    await loaded;
+    metrics.countRun('done', 90);
+    expect(await served.print()).to.include(
+      'foxtailbay_run_duration_milliseconds_count{end="done"} 2',
+    );
+  });
+});
