Forecast run times and elapsed time from deadlines; place by prospect

Ruled out: the number of targets back (all), links. Change: a regression by queue on estimate and deadline, kept in the platform's store over a loss of all entries (one read, at most one write in 10 s an entry); a deadline far too short for the work tells that the caller has sent it before. Slowness is measured against the median target. In-time work goes only where it is in time (safe, then tight), late work leaves 12 % of the fleet free, useless work 25 %, and is given up at once when there is less; an earlier attempt is never said not to have run.

--- a/src/lib/core/work_frames.ts
+++ b/src/lib/core/work_frames.ts
@@ -41,6 +41,13 @@
   ON_REQUEST = 'on-request',
 }
 
+/** Tells whether the target, not the task or a decision of ours, is to blame. */
+export function isTargetsFault(cause: NotStartedCause): boolean {
+  return (
+    cause === NotStartedCause.HUNG || cause === NotStartedCause.TARGET_REFUSED
+  );
+}
+
 /** Identifies one run of a task. */
 export interface RunName {
   readonly task: string;
--- a/src/lib/decisions/job_timing.ts
+++ b/src/lib/decisions/job_timing.ts
@@ -5,6 +5,8 @@
 /** The times of a job, in milliseconds of the entry's monotonic clock. */
 export interface JobTiming {
   readonly receivedAtMs: number;
+  /** When the caller first sent it, as far as is known; the objective runs from then. */
+  readonly sentAtMs: number;
   /** Length of the objective. */
   readonly objectiveMs: number;
   /** Work of the longest chain of steps by the caller's estimates. */
@@ -20,27 +22,40 @@
 /** An answer later than this many objectives is worth nothing. */
 const USELESS_AFTER_OBJECTIVES = 3;
 
-/** Computes a job's times from its longest chain and its queue's objective. */
+/**
+ * Time in milliseconds that a request and its answer take on their way between
+ * the caller and an entry: 3 ms each way on the larger of the users' sites.
+ */
+const CALLER_PATH_MS = 6;
+
+/**
+ * Computes a job's times from its longest chain and its queue's objective.
+ *
+ * @param elapsedMs Time since the caller first sent it, where that is known.
+ */
 export function computeObjective(
   steps: readonly StepSpec[],
   rule: QueueRule,
   nowMs: number,
   deadlineMs: number,
+  elapsedMs = 0,
 ): JobTiming {
   const chainMs = computeChain(steps);
+  const sentAtMs = nowMs - elapsedMs - CALLER_PATH_MS;
   const objectiveMs = rule.stretch * chainMs + rule.allowanceMs;
   return {
     receivedAtMs: nowMs,
+    sentAtMs,
     objectiveMs,
     chainMs,
-    startByMs: nowMs + objectiveMs - chainMs,
-    uselessAtMs: nowMs + USELESS_AFTER_OBJECTIVES * objectiveMs,
+    startByMs: sentAtMs + objectiveMs - chainMs,
+    uselessAtMs: sentAtMs + USELESS_AFTER_OBJECTIVES * objectiveMs,
     deadlineAtMs: nowMs + deadlineMs,
   };
 }
 
 /** Returns the work of the longest chain of steps in milliseconds. */
-function computeChain(steps: readonly StepSpec[]): number {
+export function computeChain(steps: readonly StepSpec[]): number {
   const ends: number[] = [];
   for (const step of steps) {
     const begin = Math.max(0, ...step.after.map(earlier => ends[earlier] ?? 0));
@@ -54,7 +69,7 @@
 
 /** Returns how long a job may wait in milliseconds and still be in time. */
 export function computeSlack(timing: JobTiming, slowness: number): number {
-  const {objectiveMs, chainMs} = timing;
-  const slackMs = objectiveMs - chainMs * slowness;
+  const {objectiveMs, chainMs, sentAtMs, receivedAtMs} = timing;
+  const slackMs = sentAtMs + objectiveMs - receivedAtMs - chainMs * slowness;
   return Math.max(slackMs, objectiveMs * LEAST_SLACK_SHARE);
 }
--- /dev/null
+++ b/src/lib/decisions/place_by_prospect.ts
@@ -0,0 +1,68 @@
+/** Where a task goes by how likely it is that its job is in time. */
+import {chooseFastest, chooseProbe, chooseQueue} from './place_task.js';
+import type {
+  ChooseTarget,
+  PlacementNeed,
+  PlacementTarget,
+} from './place_task.js';
+import {Prospect} from './rank_work.js';
+
+/** A task that waits for a place. */
+export interface WaitingTask {
+  readonly need: PlacementNeed;
+  readonly prospect: Prospect;
+  /** Time in milliseconds until the answer has no worth to the caller. */
+  readonly usefulMs: number;
+  /** Whether other tasks of its job have been started. */
+  readonly isBegun: boolean;
+  /** Whether a run that fails would leave it another attempt. */
+  readonly canProbe: boolean;
+}
+
+/**
+ * Share of all processors that stays free of work that is late already. Pattern:
+ * after an outage the late jobs of some seconds fill every target at once, and
+ * each new job waits until it is late as well.
+ */
+const LATE_RESERVE = 0.12;
+
+/** The same for work whose answer has no worth to its caller any more. */
+const USELESS_RESERVE = 0.25;
+
+/**
+ * Chooses a place. Work that can be in time goes only where it will be: a slow
+ * target that would make it late is left to work that is late anyhow, since on
+ * a busy fleet a faster one has room within milliseconds.
+ */
+export function choosePlace(
+  task: WaitingTask,
+  targets: readonly PlacementTarget[],
+  chooseTarget: ChooseTarget,
+): PlacementTarget | undefined {
+  const {need, canProbe} = task;
+  const probe = canProbe ? chooseProbe(need, targets) : undefined;
+  if (probe !== undefined) return probe;
+  if (task.prospect === Prospect.IN_TIME) {
+    return chooseTarget(need, targets) ?? chooseQueue(need, targets);
+  }
+  const reserve =
+    task.prospect === Prospect.LATE ? LATE_RESERVE : USELESS_RESERVE;
+  if (!task.isBegun && !hasSpare(need, targets, reserve)) return undefined;
+  const late = {...need, timeLeftMs: task.usefulMs};
+  return chooseTarget(late, targets) ?? chooseFastest(need, targets);
+}
+
+function hasSpare(
+  need: PlacementNeed,
+  targets: readonly PlacementTarget[],
+  reserve: number,
+): boolean {
+  let free = -need.spec.need.cpuMilli;
+  let capacity = 0;
+  for (const target of targets) {
+    if (target.isSuspect) continue;
+    free += Math.max(0, target.free.cpuMilli);
+    capacity += target.capacity.cpuMilli;
+  }
+  return free >= capacity * reserve;
+}
--- a/src/lib/decisions/place_task.ts
+++ b/src/lib/decisions/place_task.ts
@@ -81,23 +81,33 @@
   );
 };
 
-/** Share of the time left that an expected run may take up. */
-const SAFE_SHARE = 0.8;
+/** Share of the time left that an expected run may take up, to be in time for certain. */
+const SAFE_SHARE = 0.88;
+
+/** The same where no target is safe: the answer may come just in time. */
+const TIGHT_SHARE = 0.97;
+
+/** Returns the share of the time left that the run is expected to take up. */
+function estimateShare(need: PlacementNeed, target: PlacementTarget): number {
+  const runMs = estimateRun(need.spec, target, need.farFactor);
+  return need.timeLeftMs > 0 ? runMs / need.timeLeftMs : Infinity;
+}
 
 /**
- * Takes the slowest target that is still expected to meet the objective, so
- * that fast ones stay free for work that needs them; the fastest if none is.
+ * Takes the slowest target that is safe to meet the objective, so that fast
+ * ones stay free for work that needs them; if there is none, the fastest that
+ * may meet it; none if all are too slow.
  */
 export const chooseSlowestInTime: ChooseTarget = (need, targets) => {
-  const trusted = listOpen(need, targets).filter(target => !target.isSuspect);
-  const inTime = trusted.filter(
-    target =>
-      estimateRun(need.spec, target, need.farFactor) <=
-      need.timeLeftMs * SAFE_SHARE,
+  const open = listOpen(need, targets).filter(
+    target => !target.isSuspect && estimateShare(need, target) <= TIGHT_SHARE,
   );
-  if (inTime.length === 0) return chooseFastest(need, targets);
+  const safe = open.filter(target => estimateShare(need, target) <= SAFE_SHARE);
+  if (safe.length === 0) {
+    return pickLeast(open, target => estimateShare(need, target));
+  }
   return pickLeast(
-    inTime,
+    safe,
     target =>
       -estimateRun(need.spec, target, need.farFactor) -
       target.free.cpuMilli * 1e-6,
@@ -108,8 +118,8 @@
 const QUEUE_SHARE = 0.15;
 
 /**
- * Takes a place in the short queue of a target that is full: the one that is
- * least behind. Pattern: under a burst each task of 80 ms would otherwise be
+ * Takes a place in the short queue of a target that is full but fast enough:
+ * the one that is least behind. Pattern: under a burst each task of 80 ms would otherwise be
  * followed by a pause of several messages between entry and agent.
  */
 export const chooseQueue: ChooseTarget = (need, targets) => {
@@ -121,6 +131,7 @@
       isEligible(need.spec, target) &&
       !need.avoided.has(target.life) &&
       computeLag(target) < QUEUE_SHARE &&
+      estimateShare(need, target) <= SAFE_SHARE &&
       (need.spec.perTargetAtMost === 0 ||
         need.countOn(target.agent) < need.spec.perTargetAtMost),
   );
--- a/src/lib/decisions/rank_work.ts
+++ b/src/lib/decisions/rank_work.ts
@@ -15,7 +15,7 @@
 }
 
 /** Share by which a run may take longer than expected and still be in time. */
-const RUN_MARGIN = 1.1;
+const RUN_MARGIN = 1.05;
 
 /** Puts whole groups of jobs behind one another, in milliseconds. */
 const GROUP_MS: Readonly<Record<Prospect, number>> = {
@@ -27,7 +27,7 @@
 /**
  * Judges a job's prospect.
  *
- * @param slowness Run time over estimate on the targets there are, averaged.
+ * @param slowness Run time on the faster targets, against the median one.
  */
 export function judgeProspect(
   {timing}: RankedWork,
@@ -35,7 +35,7 @@
   slowness: number,
 ): Prospect {
   const endsAtMs = nowMs + timing.chainMs * slowness * RUN_MARGIN;
-  if (endsAtMs <= timing.receivedAtMs + timing.objectiveMs) {
+  if (endsAtMs <= timing.sentAtMs + timing.objectiveMs) {
     return Prospect.IN_TIME;
   }
   return nowMs + timing.chainMs > timing.uselessAtMs
--- a/src/lib/decisions/run_progress.ts
+++ b/src/lib/decisions/run_progress.ts
@@ -12,6 +12,7 @@
 /** Averages run time over estimate; estimates are rough, so many are needed. */
 export class SlownessMeter {
   private logarithm = 0;
+  private runs = 0;
 
   private constructor() {}
 
@@ -29,12 +30,16 @@
   record(durationMs: number, estimateMs: number): void {
     const ratio = durationMs / Math.max(1, estimateMs);
     const bounded = Math.min(GREATEST_FACTOR, Math.max(LEAST_FACTOR, ratio));
-    this.logarithm += NEWEST_WEIGHT * (Math.log(bounded) - this.logarithm);
+    this.runs += 1;
+    // The assumed average target counts as one run, so the first runs tell most.
+    const weight = Math.max(NEWEST_WEIGHT, 1 / (this.runs + 1));
+    this.logarithm += weight * (Math.log(bounded) - this.logarithm);
   }
 
   /** Forgets everything: another target has begun. */
   reset(): void {
     this.logarithm = 0;
+    this.runs = 0;
   }
 }
 
--- a/src/lib/observe/fleet_log.ts
+++ b/src/lib/observe/fleet_log.ts
@@ -12,6 +12,7 @@
   CONFIGURATION_REJECTED = 'configuration-rejected',
   STORE_LOST = 'store-lost',
   STORE_REGAINED = 'store-regained',
+  FORECASTS_NOT_KEPT = 'forecasts-not-kept',
   ENTRY_CONNECTED = 'entry-connected',
   ENTRY_LOST = 'entry-lost',
   AGENT_CONNECTED = 'agent-connected',
--- a/src/lib/work/entry/active_job.ts
+++ b/src/lib/work/entry/active_job.ts
@@ -1,6 +1,7 @@
 /** A job in progress at the entry that owns it. */
-import {computeObjective} from '../../decisions/job_timing.js';
+import {computeChain, computeObjective} from '../../decisions/job_timing.js';
 import type {JobTiming} from '../../decisions/job_timing.js';
+import type {ExpectedWork} from '../../decisions/work_forecast.js';
 import type {QueueRule} from '../../core/fleet_configuration.js';
 import {formatTaskName} from '../../core/work_job.js';
 import type {JobAnswer, JobRequest, StepSpec} from '../../core/work_job.js';
@@ -33,6 +34,9 @@
   readonly request: JobRequest;
   readonly rule: QueueRule;
   readonly timing: JobTiming;
+  readonly expected: ExpectedWork;
+  /** Longest run of a task so far, as it would be on the median target. */
+  longestRunMs: number;
   readonly tasks: ActiveTask[];
   /** Callers that wait for the answer, by number. */
   readonly callers: Map<number, AnswerCaller>;
@@ -41,22 +45,37 @@
   left: number;
 }
 
-/** Makes a job of a request. */
+/** Makes a job of a request, its estimates replaced by what is expected. */
 export function createActiveJob(
   request: JobRequest,
   rule: QueueRule,
+  expected: ExpectedWork,
   nowMs: number,
 ): ActiveJob {
+  const factor = expected.runMs / Math.max(1, computeChain(request.steps));
+  const steps = request.steps.map(step => ({
+    ...step,
+    estimateMs: step.estimateMs * factor,
+  }));
+  const {deadlineMs} = request;
   const job: ActiveJob = {
     request,
     rule,
-    timing: computeObjective(request.steps, rule, nowMs, request.deadlineMs),
+    timing: computeObjective(
+      steps,
+      rule,
+      nowMs,
+      deadlineMs,
+      expected.elapsedMs,
+    ),
+    expected,
+    longestRunMs: 0,
     tasks: [],
     callers: new Map(),
     state: JOB_CHART.initial,
     left: 0,
   };
-  request.steps.forEach((spec, step) => {
+  steps.forEach((spec, step) => {
     for (let index = 0; index < spec.count; index += 1) {
       job.tasks.push({
         job,
--- a/src/lib/work/entry/admission_desk.ts
+++ b/src/lib/work/entry/admission_desk.ts
@@ -22,6 +22,12 @@
 /** Thousandths in a core. */
 const MILLI = 1000;
 
+/** Slowness of the median target, against which all are measured. */
+const AVERAGE_SLOWNESS = 1;
+
+/** Shortest time in milliseconds after which a caller is asked to come again. */
+const LEAST_RETURN_MS = 1000;
+
 /** Share of a peer's work taken to be ahead while nothing waits here. */
 const PEER_SHARE = 0.5;
 
@@ -45,7 +51,9 @@
   ): JobAnswer | undefined {
     const {fleet} = this.options;
     const {timing} = job;
-    const targets = views.map(view => view.describeTarget());
+    // Nobody can vouch that an earlier attempt of its caller has not run.
+    if (job.expected.elapsedMs > 0) return undefined;
+    const targets = fleet.describeTargets(views);
     const verdict = judgeAdmission({
       width: sumCores(
         job.tasks
@@ -55,8 +63,7 @@
       aheadMs: this.estimateAhead(timing.startByMs, nowMs) + fleet.sumQueued(),
       cores: sumCores(targets.map(target => target.capacity.cpuMilli)),
       freeCores: sumCores(targets.map(target => target.free.cpuMilli)),
-      slackMs:
-        computeSlack(timing, fleet.computeSlowness()) * this.waitShare.value,
+      slackMs: computeSlack(timing, AVERAGE_SLOWNESS) * this.waitShare.value,
       hasTargets: targets.length > 0,
       isPlaceable: this.isPlaceable(job, targets),
     });
@@ -74,10 +81,12 @@
     job: ActiveJob,
     usable: readonly PlacementTarget[],
   ): boolean {
-    const known = this.options.fleet
-      .listViews()
-      .filter(view => view.report.service === job.rule.service)
-      .map(view => view.describeTarget());
+    const {fleet} = this.options;
+    const known = fleet.describeTargets(
+      fleet
+        .listViews()
+        .filter(view => view.report.service === job.rule.service),
+    );
     return job.request.steps.every(step =>
       [...usable, ...known].some(target => isEligible(step, target)),
     );
@@ -97,10 +106,25 @@
     return sum;
   }
 
+  /** Tells whether the answer to a job has no worth to its caller any more. */
+  isUseless(job: ActiveJob, nowMs: number): boolean {
+    const {fast} = this.options.fleet.speeds;
+    return judgeProspect(job, nowMs, fast) === Prospect.USELESS;
+  }
+
+  /** Estimates in milliseconds when there is room again. */
+  estimateReturn(nowMs: number): number {
+    const {fleet} = this.options;
+    const targets = fleet.describeTargets(fleet.listViews());
+    const cores = sumCores(targets.map(target => target.capacity.cpuMilli));
+    const aheadMs = this.sumBacklog(nowMs) + fleet.peers.sum(nowMs);
+    return Math.max(LEAST_RETURN_MS, aheadMs / Math.max(1, cores));
+  }
+
   /** Tells whether a job can still be in time. */
   isInTime(job: ActiveJob, nowMs: number): boolean {
-    const slowness = this.options.fleet.computeSlowness();
-    return judgeProspect(job, nowMs, slowness) === Prospect.IN_TIME;
+    const {fast} = this.options.fleet.speeds;
+    return judgeProspect(job, nowMs, fast) === Prospect.IN_TIME;
   }
 
   /** Estimates the work to be done before a job that must begin by then. */
--- a/src/lib/work/entry/agent_fleet.ts
+++ b/src/lib/work/entry/agent_fleet.ts
@@ -1,5 +1,4 @@
 /** The agents of an entry: greetings, silence, reports, ends. */
-import type {FleetLog} from '../../observe/fleet_log.js';
 import {FleetEvent} from '../../observe/fleet_log.js';
 import type {FleetConfiguration} from '../../core/fleet_configuration.js';
 import {
@@ -7,13 +6,12 @@
   EntryFrameKind,
   TargetPhase,
 } from '../../core/work_frames.js';
-import type {
-  AgentFrame,
-  EntryFrame,
-  RunEndReport,
-} from '../../core/work_frames.js';
+import type {AgentFrame, EntryFrame} from '../../core/work_frames.js';
+import {computeSpeeds} from '../../decisions/fleet_speeds.js';
+import type {FleetSpeeds} from '../../decisions/fleet_speeds.js';
+import type {PlacementTarget} from '../../decisions/place_task.js';
 import type {FrameStream} from '../link/frame_stream.js';
-import type {ActiveTask} from './active_job.js';
+import type {AgentFleetOptions} from './agent_fleet_options.js';
 import {AgentView} from './agent_view.js';
 import {PeerWork} from './peer_work.js';
 import {PROOF_MS} from './run_proof.js';
@@ -21,24 +19,6 @@
 import type {AgentGreeting} from './agent_view.js';
 import {AgentAction, AgentEvent, AgentState} from './work_charts.js';
 
-/** What the fleet needs. */
-export interface AgentFleetOptions {
-  readonly life: string;
-  /** Address by which agents reach this entry. */
-  readonly address: string;
-  readonly dataCentre: string;
-  readonly log: FleetLog;
-  readonly takeEnd: (view: AgentView, report: RunEndReport) => void;
-  readonly takeNews: (task: ActiveTask, news: TaskNews) => void;
-  readonly takeConfiguration: (configuration: FleetConfiguration) => void;
-  readonly getConfiguration: () => FleetConfiguration | undefined;
-  /** Describes what waits here, for the answer to a ping. */
-  readonly describeBacklog: () => Omit<
-    Extract<EntryFrame, {kind: EntryFrameKind.PONG}>,
-    'kind' | 'sentAtMs'
-  >;
-}
-
 /** Silence in milliseconds after which an agent counts as out of reach. */
 const SILENCE_MS = 500;
 
@@ -58,6 +38,7 @@
   private readonly views = new Map<string, AgentView>();
   /** What waits at the other entries. */
   readonly peers = PeerWork.create();
+  private latestSpeeds = computeSpeeds([]);
 
   private constructor(private readonly options: AgentFleetOptions) {}
 
@@ -92,13 +73,14 @@
     );
   }
 
-  /** Run time over estimate on the median target: a few that hang count little. */
-  computeSlowness(): number {
-    const sorted = this.listViews()
-      .filter(view => view.state === AgentState.PRESENT)
-      .map(view => view.report.slowness)
-      .sort((a, b) => a - b);
-    return sorted[Math.floor(sorted.length / 2)] ?? 1;
+  /** How fast the targets are, as of the last check. */
+  get speeds(): FleetSpeeds {
+    return this.latestSpeeds;
+  }
+
+  /** Shows the targets to placement, their slowness against the median one. */
+  describeTargets(views: readonly AgentView[]): PlacementTarget[] {
+    return views.map(view => view.describeTarget(this.latestSpeeds.median));
   }
 
   /** Work that waits in the agents' queues, in core-milliseconds. */
@@ -125,8 +107,20 @@
     if (view !== undefined) this.disconnect(view, detail);
   }
 
+  private measureSpeeds(): void {
+    const present = this.listViews().filter(
+      view =>
+        view.state === AgentState.PRESENT &&
+        view.report.phase === TargetPhase.READY,
+    );
+    this.latestSpeeds = computeSpeeds(
+      present.map(view => view.report.slowness),
+    );
+  }
+
   /** Treats silent agents as out of reach, and settles those long gone. */
   check(nowMs: number): void {
+    this.measureSpeeds();
     for (const view of this.listViews()) {
       const silentMs = nowMs - view.heardAtMs;
       if (view.state === AgentState.PRESENT && silentMs > SILENCE_MS) {
--- /dev/null
+++ b/src/lib/work/entry/agent_fleet_options.ts
@@ -0,0 +1,29 @@
+/** What the fleet of agents of an entry needs to be created. */
+import type {FleetConfiguration} from '../../core/fleet_configuration.js';
+import type {
+  EntryFrame,
+  EntryFrameKind,
+  RunEndReport,
+} from '../../core/work_frames.js';
+import type {FleetLog} from '../../observe/fleet_log.js';
+import type {ActiveTask} from './active_job.js';
+import type {AgentView} from './agent_view.js';
+import type {TaskNews} from './task_news.js';
+
+/** What the fleet needs. */
+export interface AgentFleetOptions {
+  readonly life: string;
+  /** Address by which agents reach this entry. */
+  readonly address: string;
+  readonly dataCentre: string;
+  readonly log: FleetLog;
+  readonly takeEnd: (view: AgentView, report: RunEndReport) => void;
+  readonly takeNews: (task: ActiveTask, news: TaskNews) => void;
+  readonly takeConfiguration: (configuration: FleetConfiguration) => void;
+  readonly getConfiguration: () => FleetConfiguration | undefined;
+  /** Describes what waits here, for the answer to a ping. */
+  readonly describeBacklog: () => Omit<
+    Extract<EntryFrame, {kind: EntryFrameKind.PONG}>,
+    'kind' | 'sentAtMs'
+  >;
+}
--- a/src/lib/work/entry/agent_view.ts
+++ b/src/lib/work/entry/agent_view.ts
@@ -154,8 +154,12 @@
     this.outbox = [];
   }
 
-  /** Shows the target to placement. */
-  describeTarget(): PlacementTarget {
+  /**
+   * Shows the target to placement.
+   *
+   * @param medianSlowness Run time over estimate on the fleet's median target.
+   */
+  describeTarget(medianSlowness: number): PlacementTarget {
     const {latest} = this;
     return {
       agent: this.life,
@@ -163,7 +167,7 @@
       labels: latest.labels,
       free: this.free,
       capacity: latest.capacity,
-      slowness: latest.slowness,
+      slowness: latest.slowness / medianSlowness,
       isSuspect: latest.isSuspect,
     };
   }
--- a/src/lib/work/entry/fleet_configuration_task.ts
+++ b/src/lib/work/entry/fleet_configuration_task.ts
@@ -5,6 +5,7 @@
 import {EntryRegistration} from '../../entry/entry_registration.js';
 import type {RegistrationMessage} from '../../entry/configuration_message.js';
 import {FleetEvent} from '../../observe/fleet_log.js';
+import type {QueueForecasts} from '../../decisions/forecast_book.js';
 import type {FleetLog} from '../../observe/fleet_log.js';
 import type {PlatformStore} from '../../store/platform_store.js';
 import {parseEntryAddress} from '../../records/build_view.js';
@@ -15,6 +16,7 @@
   OWN_PREFIX,
   readAddresses,
 } from '../registered_entries.js';
+import {ForecastKeeper} from './forecast_keeper.js';
 import {StoreWatch} from './store_watch.js';
 import type {StoreMirror} from './store_watch.js';
 
@@ -40,6 +42,7 @@
   readonly decode: DecodeConfiguration;
   readonly publishConfiguration: (configuration: FleetConfiguration) => void;
   readonly publishEntries: (addresses: readonly string[]) => void;
+  readonly publishForecasts: (forecasts: QueueForecasts) => void;
   readonly log: FleetLog;
   readonly reportFailure: (failure: unknown) => void;
   readonly startTimer: StartTimer;
@@ -70,6 +73,7 @@
 export class FleetConfigurationTask {
   private readonly task: Task<Turn>;
   private readonly registration: EntryRegistration;
+  private readonly forecasts: ForecastKeeper;
   private hasContact: boolean | undefined;
 
   private constructor(private readonly options: FleetConfigurationTaskOptions) {
@@ -106,6 +110,19 @@
     });
     this.task.store.add(() => operators.stop());
     this.task.store.add(() => entries.stop());
+    this.forecasts = ForecastKeeper.create({
+      store,
+      startTimer,
+      runInTask,
+      publish: options.publishForecasts,
+      reportFailure: failure =>
+        options.log(
+          FleetEvent.FORECASTS_NOT_KEPT,
+          'The forecasts of work were not exchanged with the store.',
+          {err: failure},
+        ),
+    });
+    this.task.store.add(() => this.forecasts.stop());
     this.registration = EntryRegistration.create({
       store,
       startTimer,
@@ -137,6 +154,11 @@
     this.task.post(() => this.registration.leave());
   }
 
+  /** Takes what this entry has learned of its queues. */
+  updateForecasts(forecasts: QueueForecasts): void {
+    this.task.post(() => this.forecasts.update(forecasts));
+  }
+
   /** Stops the watches, ends the lease and closes the client. */
   stop(): Promise<void> {
     return this.task.stop();
--- /dev/null
+++ b/src/lib/work/entry/forecast_codec.ts
@@ -0,0 +1,74 @@
+/** Forecasts as they are kept in the platform's store. */
+import type {QueueForecasts} from '../../decisions/forecast_book.js';
+import type {WorkForecast} from '../../decisions/work_forecast.js';
+
+/** Schema of the value; another one is not read. */
+const SCHEMA_VERSION = 1;
+
+/** Queues kept at most; one takes some 300 bytes of the store's megabyte. */
+const QUEUES_AT_MOST = 1000;
+
+const MATRIX_LENGTH = 6;
+const VECTOR_LENGTH = 3;
+
+/** Digits that are kept of each number. */
+const DIGITS = 9;
+
+/** Encodes forecasts, those that rest on the most jobs first. */
+export function encodeForecasts(forecasts: QueueForecasts): string {
+  const queues = [...forecasts]
+    .sort(([, a], [, b]) => b.count - a.count)
+    .slice(0, QUEUES_AT_MOST)
+    .map(([queue, forecast]) => ({queue, ...forecast}));
+  return JSON.stringify({schema: SCHEMA_VERSION, queues}, (_key, value) =>
+    typeof value === 'number' ? Number(value.toPrecision(DIGITS)) : value,
+  );
+}
+
+/** Decodes forecasts; what cannot be read is left out. */
+export function decodeForecasts(text: string): QueueForecasts {
+  const forecasts = new Map<string, WorkForecast>();
+  const document = parseObject(text);
+  if (document.schema !== SCHEMA_VERSION) return forecasts;
+  const rows = Array.isArray(document.queues) ? document.queues : [];
+  for (const row of rows) {
+    if (typeof row !== 'object' || row === null) continue;
+    const {queue, ...forecast} = row as Record<string, unknown>;
+    if (typeof queue === 'string' && isForecast(forecast)) {
+      forecasts.set(queue, forecast);
+    }
+  }
+  return forecasts;
+}
+
+function isForecast(
+  value: Record<string, unknown>,
+): value is Record<string, unknown> & WorkForecast {
+  const {count, matrix, vector, logRatio, modelError, estimateError} = value;
+  const numbers = [count, logRatio, modelError, estimateError];
+  return (
+    numbers.every(Number.isFinite) &&
+    isRow(matrix, MATRIX_LENGTH) &&
+    isRow(vector, VECTOR_LENGTH)
+  );
+}
+
+function isRow(value: unknown, length: number): boolean {
+  return (
+    Array.isArray(value) &&
+    value.length === length &&
+    value.every(Number.isFinite)
+  );
+}
+
+function parseObject(text: string): Record<string, unknown> {
+  try {
+    const value: unknown = JSON.parse(text);
+    if (typeof value === 'object' && value !== null) {
+      return value as Record<string, unknown>;
+    }
+  } catch {
+    // Bytes of another writer: they hold no forecast.
+  }
+  return {};
+}
--- a/src/lib/work/entry/job_ledger.ts
+++ b/src/lib/work/entry/job_ledger.ts
@@ -1,14 +1,15 @@
 /** The jobs of an entry: their tasks, callers and ends. */
 import {FleetEvent} from '../../observe/fleet_log.js';
-import type {FleetMetrics} from '../../observe/fleet_metrics.js';
-import type {LineFields, RequestLog} from '../../observe/request_log.js';
-import {NotStartedCause, RunEnd} from '../../core/work_frames.js';
+import type {LineFields} from '../../observe/request_log.js';
+import {isTargetsFault, RunEnd} from '../../core/work_frames.js';
 import type {RunEndReport} from '../../core/work_frames.js';
 import {JobEnd, JobReason} from '../../core/work_job.js';
 import type {JobAnswer} from '../../core/work_job.js';
 import {listUnblocked} from './active_job.js';
 import type {ActiveJob, ActiveTask, AnswerCaller} from './active_job.js';
 import type {AgentView} from './agent_view.js';
+import {EndedJobs} from './ended_jobs.js';
+import type {JobLedgerOptions} from './job_ledger_options.js';
 import {TaskNews} from './task_news.js';
 import {
   HAS_ATTEMPTS,
@@ -21,30 +22,11 @@
   TaskState,
 } from './work_charts.js';
 
-/** What the ledger needs. */
-export interface JobLedgerOptions {
-  readonly requests: RequestLog;
-  readonly metrics: FleetMetrics;
-  /** Asks the agent that holds a task's run to stop it. */
-  readonly sendStop: (task: ActiveTask) => void;
-  /** Is told of each job that was served, and whether it was in time. */
-  readonly reportServed: (isInTime: boolean) => void;
-  /** Takes a task off the agent that held its run. */
-  readonly release: (task: ActiveTask) => void;
-}
-
-/** Time in milliseconds for which the end of a job is remembered for questions. */
-const REMEMBER_MS = 10_000;
-interface EndedJob {
-  readonly state: JobState;
-  readonly endedAtMs: number;
-}
-
 /** Keeps the jobs whose callers wait. Owned by the scheduler. */
 export class JobLedger {
   private readonly jobs = new Map<string, ActiveJob>();
   private readonly pending = new Set<ActiveJob>();
-  private readonly ended = new Map<string, EndedJob>();
+  private readonly ended = EndedJobs.create();
 
   private constructor(private readonly options: JobLedgerOptions) {}
 
@@ -70,7 +52,7 @@
 
   /** Tells the state of a job in progress or ended lately. */
   findState(name: string): JobState | undefined {
-    return this.jobs.get(name)?.state ?? this.ended.get(name)?.state;
+    return this.jobs.get(name)?.state ?? this.ended.find(name);
   }
 
   /** Counts a queue's jobs of which nothing has been ordered. */
@@ -88,6 +70,9 @@
     this.record(job, FleetEvent.JOB_ADMITTED, 'Admitted.', {
       tasks: job.tasks.length,
       objectiveMs: Math.round(job.timing.objectiveMs),
+      runMs: Math.round(job.expected.runMs),
+      elapsedMs: Math.round(job.expected.elapsedMs),
+      deadlineMs: job.request.deadlineMs,
     });
   }
 
@@ -105,7 +90,7 @@
     const job = this.jobs.get(name);
     const answer = createFinalAnswer(JobEnd.FAILED, JobReason.NONE);
     if (job !== undefined) this.end(job, JobEvent.CANCEL, answer, nowMs);
-    return this.ended.has(name);
+    return this.ended.find(name) !== undefined;
   }
 
   /** Ends jobs whose callers have stopped waiting, and forgets old ends. */
@@ -114,10 +99,7 @@
       if (nowMs < job.timing.deadlineAtMs) continue;
       this.giveUp(job, JobReason.DEADLINE, nowMs);
     }
-    for (const [name, {endedAtMs}] of this.ended) {
-      if (nowMs - endedAtMs < REMEMBER_MS) break;
-      this.ended.delete(name);
-    }
+    this.ended.forgetOld(nowMs);
   }
 
   /** Gives up all jobs: the process ends. */
@@ -128,12 +110,29 @@
   }
 
   /** The answer tells truly whether any of the job may have run. */
-  private giveUp(job: ActiveJob, reason: JobReason, nowMs: number): void {
-    const isUntouched = job.state === JobState.WAITING;
+  private giveUp(
+    job: ActiveJob,
+    reason: JobReason,
+    nowMs: number,
+    retryAfterMs = 0,
+  ): void {
+    const isUntouched =
+      job.state === JobState.WAITING && job.expected.elapsedMs === 0;
     const event = isUntouched ? JobEvent.REFUSE : JobEvent.ABANDON;
     const end = isUntouched ? JobEnd.REFUSED : JobEnd.ABANDONED;
-    const answer = createFinalAnswer(end, reason);
-    this.end(job, event, answer, nowMs);
+    this.end(job, event, {end, reason, retryAfterMs}, nowMs);
+  }
+
+  /** Ends the jobs that have found no place and for which none is in sight. */
+  giveUpHopeless(
+    isHopeless: (job: ActiveJob) => boolean,
+    estimateReturn: () => number,
+    nowMs: number,
+  ): void {
+    for (const job of [...this.pending]) {
+      if (job.state !== JobState.WAITING || !isHopeless(job)) continue;
+      this.giveUp(job, JobReason.OVERLOADED, nowMs, estimateReturn());
+    }
   }
 
   /** Notes that a task was ordered. */
@@ -157,6 +156,10 @@
     switch (report.end) {
       case RunEnd.DONE:
         this.change(task, TaskEvent.DONE);
+        task.job.longestRunMs = Math.max(
+          task.job.longestRunMs,
+          this.options.scaleRun(view, report.durationMs),
+        );
         task.job.left -= 1;
         this.advance(task.job, nowMs);
         break;
@@ -256,7 +259,7 @@
     job.state = JOB_CHART.step(job.state, event).state;
     this.jobs.delete(name);
     this.pending.delete(job);
-    this.ended.set(name, {state: job.state, endedAtMs: nowMs});
+    this.ended.add(name, job.state, nowMs);
     for (const task of job.tasks) {
       this.change(task, TaskEvent.DROP);
       this.options.release(task);
@@ -272,7 +275,7 @@
     nowMs: number,
   ): void {
     const {state, timing, request} = job;
-    const tookMs = nowMs - timing.receivedAtMs;
+    const tookMs = nowMs - timing.sentAtMs;
     this.record(job, FleetEvent.JOB_ENDED, `The job has ended: ${state}.`, {
       state,
       reason,
@@ -282,18 +285,12 @@
     const labels = {queue: job.rule.name, state, reason: reason ?? ''};
     this.options.metrics.countJob(labels, tookMs);
     const isInTime = tookMs <= timing.objectiveMs;
-    if (state === JobState.COMPLETED) this.options.reportServed(isInTime);
+    if (state === JobState.COMPLETED) this.options.reportServed(job, isInTime);
     const isGood = state === JobState.COMPLETED && isInTime;
     this.options.requests.finish(request.job, request.job, !isGood);
   }
 }
 
-function isTargetsFault(cause: NotStartedCause): boolean {
-  return (
-    cause === NotStartedCause.HUNG || cause === NotStartedCause.TARGET_REFUSED
-  );
-}
-
 /** Makes an answer after which the caller need not come again. */
 function createFinalAnswer(end: JobEnd, reason: JobReason): JobAnswer {
   return {end, reason, retryAfterMs: 0};
--- a/src/lib/work/entry/scheduler.ts
+++ b/src/lib/work/entry/scheduler.ts
@@ -1,48 +1,28 @@
 /** The task of an entry that owns its jobs and its agents. */
-import type {ReadMonotonicMs, StartTimer} from '../../core/clock.js';
 import {repeatTimer} from '../../core/clock.js';
 import {Task} from '../../core/task.js';
 import type {Post} from '../../core/task.js';
-import type {ChooseTarget} from '../../decisions/place_task.js';
+import {ForecastBook} from '../../decisions/forecast_book.js';
+import {computeChain} from '../../decisions/job_timing.js';
+import type {ExpectedWork} from '../../decisions/work_forecast.js';
 import {FleetEvent} from '../../observe/fleet_log.js';
-import type {FleetLog} from '../../observe/fleet_log.js';
-import type {FleetMetrics} from '../../observe/fleet_metrics.js';
 import {RequestLog} from '../../observe/request_log.js';
 import type {FleetConfiguration} from '../../core/fleet_configuration.js';
+import type {JobRequest} from '../../core/work_job.js';
 import {EntryFrameKind} from '../../core/work_frames.js';
 import type {EntryFrame} from '../../core/work_frames.js';
 import type {FrameStream} from '../link/frame_stream.js';
 import {createActiveJob} from './active_job.js';
+import type {ActiveJob} from './active_job.js';
 import {AdmissionDesk, sumCores} from './admission_desk.js';
 import {AgentFleet} from './agent_fleet.js';
 import type {AgentView} from './agent_view.js';
 import {JobLedger} from './job_ledger.js';
 import {SchedulerMessageKind} from './scheduler_messages.js';
 import type {SchedulerMessage} from './scheduler_messages.js';
+import type {SchedulerOptions} from './scheduler_options.js';
 import {TaskPlacer} from './task_placer.js';
 
-/** What the scheduler needs to be created. */
-export interface SchedulerOptions {
-  readonly life: string;
-  /** Address by which agents reach this entry, `host:port`. */
-  readonly address: string;
-  readonly dataCentre: string;
-  /** Run time away from the preferred rack, as a multiple. */
-  readonly farFactor: number;
-  readonly chooseTarget: ChooseTarget;
-  readonly readMonotonicMs: ReadMonotonicMs;
-  readonly startTimer: StartTimer;
-  readonly log: FleetLog;
-  readonly metrics: FleetMetrics;
-  readonly reportFailure: (failure: unknown) => void;
-  /** Is told when the entry can take jobs and when it cannot. */
-  readonly reportReady: (isReady: boolean) => void;
-  /** Is handed a newer configuration, wherever it came from. */
-  readonly applyConfiguration: (configuration: FleetConfiguration) => void;
-  /** Is called when a stop was asked for and no job is left. */
-  readonly reportIdle: () => void;
-}
-
 /** Period of checks in milliseconds. */
 const TICK_MS = 50;
 
@@ -71,6 +51,7 @@
   private readonly admission: AdmissionDesk;
   private readonly placer: TaskPlacer;
   private readonly requests: RequestLog;
+  private readonly forecasts = ForecastBook.create();
   private readonly createdAtMs: number;
   private configuration: FleetConfiguration | undefined;
   private entries: readonly string[];
@@ -109,7 +90,9 @@
       metrics: options.metrics,
       sendStop: ({name, run, agent}) =>
         fleet.find(agent)?.send({kind: EntryFrameKind.STOP, task: name, run}),
-      reportServed: isInTime => this.admission.waitShare.record(isInTime),
+      scaleRun: ({report}, durationMs) =>
+        (durationMs * this.fleet.speeds.median) / report.slowness,
+      reportServed: (job, isInTime) => this.learn(job, isInTime),
       release: ({name, agent}) => fleet.find(agent)?.tasks.delete(name),
     });
     const {ledger} = this;
@@ -118,7 +101,6 @@
       ...options,
       fleet,
       ledger,
-      admission: this.admission,
       listViews: service => this.listViews(service),
     });
   }
@@ -183,6 +165,9 @@
           ...new Set([this.options.address, ...message.addresses]),
         ];
         break;
+      case SchedulerMessageKind.FORECASTS:
+        this.forecasts.merge(message.forecasts);
+        break;
       case SchedulerMessageKind.TICK:
         this.runChecks();
         break;
@@ -206,7 +191,7 @@
       return;
     }
     const {nowMs, ledger} = this;
-    const job = createActiveJob(request, rule, nowMs);
+    const job = createActiveJob(request, rule, this.forecast(request), nowMs);
     const isWarmingUp = nowMs - this.createdAtMs < WARM_UP_MS;
     const refusal = isWarmingUp
       ? undefined
@@ -224,6 +209,23 @@
     answer(refusal);
   }
 
+  private forecast({steps, deadlineMs, queue}: JobRequest): ExpectedWork {
+    const estimateMs = computeChain(steps);
+    return this.forecasts.forecast(queue, {estimateMs, deadlineMs});
+  }
+
+  private learn(job: ActiveJob, isInTime: boolean): void {
+    const {request, expected, longestRunMs} = job;
+    // What was late before it came tells nothing of the work here.
+    if (expected.elapsedMs > 0) return;
+    this.admission.waitShare.record(isInTime);
+    const {steps, queue, deadlineMs} = request;
+    // A chain of several steps is longer than its longest task.
+    if (steps.length > 1) return;
+    const estimateMs = computeChain(steps);
+    this.forecasts.record(queue, {estimateMs, deadlineMs}, longestRunMs);
+  }
+
   private takeConfiguration(configuration: FleetConfiguration): void {
     const revision = this.configuration?.revision ?? 0;
     if (configuration.revision <= revision) return;
@@ -235,6 +237,11 @@
   private runChecks(): void {
     this.fleet.check(this.nowMs);
     this.ledger.expire(this.nowMs);
+    this.ledger.giveUpHopeless(
+      job => this.admission.isUseless(job, this.nowMs),
+      () => this.admission.estimateReturn(this.nowMs),
+      this.nowMs,
+    );
     this.reportStatus();
     const isReady = this.configuration !== undefined && !this.isLeaving;
     this.options.reportReady(isReady);
@@ -245,7 +252,8 @@
     const {nowMs, fleet, ledger} = this;
     if (nowMs - this.reportedAtMs < STATUS_PERIOD_MS) return;
     this.reportedAtMs = nowMs;
-    const targets = fleet.listViews().map(view => view.describeTarget());
+    this.options.reportForecasts(this.forecasts.list());
+    const targets = fleet.describeTargets(fleet.listViews());
     this.options.log(FleetEvent.STATUS, 'Work at this entry.', {
       jobs: ledger.size,
       waitingJobs: ledger.waiting.size,
@@ -257,7 +265,7 @@
       // Slowness and free cores of each target.
       targets: targets.map(
         ({slowness, free}) =>
-          `${slowness}:${Math.round(free.cpuMilli / MILLI)}`,
+          `${slowness.toFixed(2)}:${Math.round(free.cpuMilli / MILLI)}`,
       ),
     });
   }
--- a/src/lib/work/entry/scheduler_messages.ts
+++ b/src/lib/work/entry/scheduler_messages.ts
@@ -4,6 +4,7 @@
   FleetConfiguration,
   QueueRule,
 } from '../../core/fleet_configuration.js';
+import type {QueueForecasts} from '../../decisions/forecast_book.js';
 import type {FrameStream} from '../link/frame_stream.js';
 import type {JobRequest} from '../../core/work_job.js';
 import type {AnswerCaller} from './active_job.js';
@@ -20,6 +21,7 @@
   AGENT_CLOSED = 'agent-closed',
   CONFIGURATION = 'configuration',
   ENTRIES = 'entries',
+  FORECASTS = 'forecasts',
   TICK = 'tick',
   LEAVE = 'leave',
   GIVE_UP = 'give-up',
@@ -74,6 +76,11 @@
       readonly kind: SchedulerMessageKind.ENTRIES;
       readonly addresses: readonly string[];
     }
+  | {
+      readonly kind: SchedulerMessageKind.FORECASTS;
+      /** What the store holds. */
+      readonly forecasts: QueueForecasts;
+    }
   | {readonly kind: SchedulerMessageKind.TICK}
   | {readonly kind: SchedulerMessageKind.LEAVE}
   /** The process ends now: every caller gets the answer that is true. */
--- a/src/lib/work/entry/task_placer.ts
+++ b/src/lib/work/entry/task_placer.ts
@@ -1,20 +1,22 @@
 /** Gives tasks that wait to agents with room. */
-import {chooseProbe, chooseQueue} from '../../decisions/place_task.js';
-import type {ChooseTarget, PlacementNeed} from '../../decisions/place_task.js';
-import {rankJob} from '../../decisions/rank_work.js';
+import {choosePlace} from '../../decisions/place_by_prospect.js';
+import type {
+  ChooseTarget,
+  PlacementTarget,
+} from '../../decisions/place_task.js';
+import {judgeProspect, rankJob} from '../../decisions/rank_work.js';
+import type {Prospect} from '../../decisions/rank_work.js';
 import {FleetEvent} from '../../observe/fleet_log.js';
 import type {ActiveJob, ActiveTask} from './active_job.js';
-import type {AdmissionDesk} from './admission_desk.js';
 import type {AgentFleet} from './agent_fleet.js';
 import type {AgentView} from './agent_view.js';
 import type {JobLedger} from './job_ledger.js';
-import {TaskState} from './work_charts.js';
+import {JobState, TaskState} from './work_charts.js';
 
 /** What the placer needs. */
 export interface TaskPlacerOptions {
   readonly fleet: AgentFleet;
   readonly ledger: JobLedger;
-  readonly admission: AdmissionDesk;
   /** Run time away from the preferred rack, as a multiple. */
   readonly farFactor: number;
   readonly chooseTarget: ChooseTarget;
@@ -25,6 +27,26 @@
 /** Time in milliseconds that an order may wait at an agent that has no room. */
 const PATIENCE_MS = 150;
 
+/**
+ * Jobs of a service that may find no place before the rest is left for the next
+ * turn. The first few may wait for a fast target or for much room, which later
+ * ones need not; looking further on a full fleet would only cost time.
+ */
+const MISSES_AT_MOST = 6;
+
+/** The targets of one service during one turn of placement. */
+interface TargetPool {
+  readonly views: readonly AgentView[];
+  readonly targets: PlacementTarget[];
+  misses: number;
+}
+
+interface RankedJob {
+  readonly job: ActiveJob;
+  readonly prospect: Prospect;
+  readonly rank: number;
+}
+
 /** Places tasks for the scheduler, which owns it. */
 export class TaskPlacer {
   private constructor(private readonly options: TaskPlacerOptions) {}
@@ -38,53 +60,75 @@
   place(nowMs: number): void {
     const {ledger, fleet} = this.options;
     if (ledger.waiting.size === 0) return;
-    const slowness = fleet.computeSlowness();
+    const {fast} = fleet.speeds;
     const ranked = [...ledger.waiting]
-      .map(job => ({job, rank: rankJob(job, nowMs, slowness)}))
+      .map(job => ({
+        job,
+        prospect: judgeProspect(job, nowMs, fast),
+        rank: rankJob(job, nowMs, fast),
+      }))
       .sort((a, b) => a.rank - b.rank);
-    const full = new Set<string>();
-    for (const {job, rank} of ranked) {
-      const {service} = job.rule;
-      if (full.has(service)) continue;
-      if (!this.placeJob(job, rank, nowMs)) full.add(service);
+    const pools = new Map<string, TargetPool>();
+    for (const work of ranked) {
+      const {service} = work.job.rule;
+      const pool = pools.get(service) ?? this.createPool(service);
+      pools.set(service, pool);
+      if (pool.misses >= MISSES_AT_MOST) continue;
+      if (!this.placeJob(work, pool, nowMs)) pool.misses += 1;
     }
   }
 
+  private createPool(service: string): TargetPool {
+    const views = this.options.listViews(service);
+    return {
+      views,
+      targets: this.options.fleet.describeTargets(views),
+      misses: 0,
+    };
+  }
+
   /** Places what can be placed; tells whether nothing was left for want of room. */
-  private placeJob(job: ActiveJob, rank: number, nowMs: number): boolean {
-    const views = this.options.listViews(job.rule.service);
+  private placeJob(work: RankedJob, pool: TargetPool, nowMs: number): boolean {
+    const {job, rank} = work;
     for (const task of job.tasks) {
       if (task.state !== TaskState.WAITING) continue;
-      if (task.avoided.size >= views.length) task.avoided.clear();
-      const view = this.chooseView(task, views, nowMs);
-      if (view === undefined) return false;
-      this.order(task, view, rank, nowMs);
+      if (task.avoided.size >= pool.views.length) task.avoided.clear();
+      const target = this.chooseTarget(task, work, pool, nowMs);
+      const at = pool.targets.findIndex(({agent}) => agent === target?.agent);
+      if (at < 0) return false;
+      this.order(task, pool.views[at], rank, nowMs);
+      const {median} = this.options.fleet.speeds;
+      pool.targets[at] = pool.views[at].describeTarget(median);
     }
     this.options.ledger.settle(job);
     return true;
   }
 
-  private chooseView(
+  private chooseTarget(
     task: ActiveTask,
-    views: readonly AgentView[],
+    {job, prospect}: RankedJob,
+    pool: TargetPool,
     nowMs: number,
-  ): AgentView | undefined {
-    const {timing, rule} = task.job;
-    const need: PlacementNeed = {
-      spec: task.spec,
-      timeLeftMs: timing.receivedAtMs + timing.objectiveMs - nowMs,
-      avoided: task.avoided,
-      countOn: agent => countTasksOn(task, agent),
-      farFactor: this.options.farFactor,
-    };
-    const targets = views.map(view => view.describeTarget());
-    const canProbe = task.failures + 1 < rule.attemptsAtMost;
-    const mayQueue = this.options.admission.isInTime(task.job, nowMs);
-    const target =
-      (canProbe ? chooseProbe(need, targets) : undefined) ??
-      this.options.chooseTarget(need, targets) ??
-      (mayQueue ? chooseQueue(need, targets) : undefined);
-    return views.find(view => view.life === target?.agent);
+  ): PlacementTarget | undefined {
+    const {timing, rule} = job;
+    const {farFactor, chooseTarget} = this.options;
+    return choosePlace(
+      {
+        need: {
+          spec: task.spec,
+          timeLeftMs: timing.sentAtMs + timing.objectiveMs - nowMs,
+          avoided: task.avoided,
+          countOn: agent => countTasksOn(task, agent),
+          farFactor,
+        },
+        prospect,
+        usefulMs: timing.uselessAtMs - nowMs,
+        isBegun: job.state !== JobState.WAITING,
+        canProbe: task.failures + 1 < rule.attemptsAtMost,
+      },
+      pool.targets,
+      chooseTarget,
+    );
   }
 
   private order(
--- a/src/lib/work/entry/work_entry.ts
+++ b/src/lib/work/entry/work_entry.ts
@@ -13,6 +13,7 @@
   ProcessState,
 } from '../../core/process_life.js';
 import type {Post} from '../../core/task.js';
+import type {QueueForecasts} from '../../decisions/forecast_book.js';
 import {chooseSlowestInTime} from '../../decisions/place_task.js';
 import type {ChooseTarget} from '../../decisions/place_task.js';
 import {FleetEvent} from '../../observe/fleet_log.js';
@@ -84,6 +85,8 @@
   private readonly scheduler: Scheduler;
   private configuration: FleetConfiguration | undefined;
   private isReady = false;
+  private updateForecasts: (forecasts: QueueForecasts) => void = () =>
+    undefined;
   private resolveStopped: () => void = () => undefined;
 
   private constructor(private readonly options: WorkEntryOptions) {
@@ -112,6 +115,7 @@
           dataCentresOut: configuration.dataCentresOut,
         });
       },
+      reportForecasts: forecasts => this.updateForecasts(forecasts),
       reportIdle: () => this.life.send(ProcessEvent.IDLE),
     });
     this.store.add(() => this.scheduler.stop());
@@ -138,11 +142,15 @@
           kind: SchedulerMessageKind.CONFIGURATION,
           configuration,
         }),
+      publishForecasts: forecasts =>
+        scheduler.post({kind: SchedulerMessageKind.FORECASTS, forecasts}),
       publishEntries: addresses =>
         scheduler.post({kind: SchedulerMessageKind.ENTRIES, addresses}),
       reportFailure: this.reportFailure,
     });
     this.store.add(() => configurationTask.stop());
+    this.updateForecasts = forecasts =>
+      configurationTask.updateForecasts(forecasts);
     const links = await options.openLinkServer(options.linkAddress, stream => {
       scheduler.greet(stream);
       return {
--- /dev/null
+++ b/test/decisions/place_by_prospect_test.ts
@@ -0,0 +1,108 @@
+import {expect} from 'chai';
+import {choosePlace} from '../../src/lib/decisions/place_by_prospect.js';
+import type {WaitingTask} from '../../src/lib/decisions/place_by_prospect.js';
+import {chooseSlowestInTime} from '../../src/lib/decisions/place_task.js';
+import type {PlacementTarget} from '../../src/lib/decisions/place_task.js';
+import {Prospect} from '../../src/lib/decisions/rank_work.js';
+
+const CORE = 1000;
+
+function createTarget(
+  agent: string,
+  slowness: number,
+  freeCores: number,
+): PlacementTarget {
+  const room = (cores: number) => ({
+    cpuMilli: cores * CORE,
+    memoryMb: 10_000,
+    accelerators: 0,
+  });
+  return {
+    agent,
+    life: `life of ${agent}`,
+    labels: [],
+    free: room(freeCores),
+    capacity: room(64),
+    slowness,
+    isSuspect: false,
+  };
+}
+
+function createTask(changes: Partial<WaitingTask> = {}): WaitingTask {
+  return {
+    need: {
+      spec: {
+        count: 1,
+        need: {cpuMilli: 6 * CORE, memoryMb: 10, accelerators: 0},
+        estimateMs: 286,
+        after: [],
+        requiredLabel: '',
+        preferredRack: '',
+        perTargetAtMost: 0,
+      },
+      timeLeftMs: 400,
+      avoided: new Set(),
+      countOn: () => 0,
+      farFactor: 1,
+    },
+    prospect: Prospect.IN_TIME,
+    usefulMs: 1400,
+    isBegun: false,
+    canProbe: true,
+    ...changes,
+  };
+}
+
+function choose(task: WaitingTask, targets: readonly PlacementTarget[]) {
+  return choosePlace(task, targets, chooseSlowestInTime)?.agent;
+}
+
+describe('choosePlace', () => {
+  // Pattern: a busy fleet of three speeds, on which a fast target has room
+  // every few milliseconds, while a run on a slow one would end too late.
+  it('lets work that can be in time wait for a target on which it is', () => {
+    const slow = createTarget('slow', 1.6, 60);
+    const full = createTarget('fast', 0.6, -20);
+    expect(choose(createTask(), [slow, full])).to.equal(undefined);
+    const free = createTarget('fast', 0.6, 10);
+    expect(choose(createTask(), [slow, free])).to.equal('fast');
+  });
+
+  it('queues work that can be in time at a target that is fast enough', () => {
+    const slow = createTarget('slow', 1.6, 0);
+    const fast = createTarget('fast', 0.6, 0);
+    expect(choose(createTask(), [slow, fast])).to.equal('fast');
+  });
+
+  // Pattern: the late jobs of an outage of two seconds among new jobs.
+  it('keeps a part of the fleet free of work that is late', () => {
+    const late = createTask({prospect: Prospect.LATE});
+    const busy = [createTarget('a', 1, 8), createTarget('b', 1, 10)];
+    expect(choose(late, busy)).to.equal(undefined);
+    const calm = [createTarget('a', 1, 8), createTarget('b', 1, 40)];
+    expect(choose(late, calm)).to.not.equal(undefined);
+  });
+
+  it('keeps more free of work whose answer has no worth any more', () => {
+    const useless = createTask({prospect: Prospect.USELESS, usefulMs: -1});
+    const targets = [createTarget('a', 1, 30), createTarget('b', 1, 0)];
+    const late = createTask({prospect: Prospect.LATE});
+    expect(choose(late, targets)).to.equal('a');
+    expect(choose(useless, targets)).to.equal(undefined);
+    expect(choose(useless, [createTarget('a', 1, 60)])).to.equal('a');
+  });
+
+  it('leaves the fast targets to others when work is late', () => {
+    const late = createTask({prospect: Prospect.LATE});
+    const targets = [
+      createTarget('fast', 0.6, 64),
+      createTarget('slow', 1.6, 64),
+    ];
+    expect(choose(late, targets)).to.equal('slow');
+  });
+
+  it('finishes what was begun, however late', () => {
+    const late = createTask({prospect: Prospect.LATE, isBegun: true});
+    expect(choose(late, [createTarget('a', 1, 7)])).to.equal('a');
+  });
+});
