Spread the tasks of a job over targets of about one speed

Change: among targets within a quarter in run time, the one with most room; an agent reports at most every 10 ms. Test: place_task_test.

--- a/src/lib/decisions/place_task.ts
+++ b/src/lib/decisions/place_task.ts
@@ -103,16 +103,33 @@
     target => !target.isSuspect && estimateShare(need, target) <= TIGHT_SHARE,
   );
   const safe = open.filter(target => estimateShare(need, target) <= SAFE_SHARE);
+  const readRun = (target: PlacementTarget) =>
+    estimateRun(need.spec, target, need.farFactor);
   if (safe.length === 0) {
-    return pickLeast(open, target => estimateShare(need, target));
+    const fastestMs = Math.min(...open.map(readRun));
+    return pickRoomiest(open, target => readRun(target) <= fastestMs * ALIKE);
   }
+  const slowestMs = Math.max(...safe.map(readRun));
+  return pickRoomiest(safe, target => readRun(target) * ALIKE >= slowestMs);
+};
+
+/**
+ * Targets whose run times differ by less than this factor count as equally
+ * fast; among them the one with the most room is taken. Pattern: the eight
+ * tasks of a search given to one agent are started one after another, which
+ * takes it some 30 ms on its fraction of a core.
+ */
+const ALIKE = 1.25;
+
+function pickRoomiest(
+  targets: readonly PlacementTarget[],
+  isAlike: (target: PlacementTarget) => boolean,
+): PlacementTarget | undefined {
   return pickLeast(
-    safe,
-    target =>
-      -estimateRun(need.spec, target, need.farFactor) -
-      target.free.cpuMilli * 1e-6,
+    targets.filter(isAlike),
+    ({free, capacity}) => -free.cpuMilli / Math.max(1, capacity.cpuMilli),
   );
-};
+}
 
 /** Share of a target's processors whose next work may already wait there. */
 const QUEUE_SHARE = 0.15;
--- a/src/lib/work/agent/owner_desk.ts
+++ b/src/lib/work/agent/owner_desk.ts
@@ -1,4 +1,5 @@
 /** The entries of an agent: greetings, orders taken, ends delivered, reports. */
+import type {ReadMonotonicMs, StartTimer} from '../../core/clock.js';
 import type {Post} from '../../core/task.js';
 import type {HeldRun} from '../../decisions/held_run.js';
 import type {FleetConfiguration} from '../../core/fleet_configuration.js';
@@ -14,12 +15,20 @@
 import {LinksMessageKind} from './runner_messages.js';
 import type {LinksMessage} from './runner_messages.js';
 
+/**
+ * Shortest time in milliseconds between two reports. Each goes to all entries;
+ * ends are told at once, and an entry counts its own orders itself.
+ */
+const REPORT_PERIOD_MS = 10;
+
 /** What the desk needs. */
 export interface OwnerDeskOptions {
   readonly agent: string;
   readonly life: string;
   readonly dataCentre: string;
   readonly postToLinks: Post<LinksMessage>;
+  readonly readMonotonicMs: ReadMonotonicMs;
+  readonly startTimer: StartTimer;
   /** Describes the target; the receiver's own sequence is added. */
   readonly describeTarget: () => Omit<TargetReport, 'through'>;
 }
@@ -29,6 +38,7 @@
   private readonly entries = EntryBook.create();
   private isReportDue = false;
   private lastReport = '';
+  private reportedAtMs = 0;
 
   private constructor(private readonly options: OwnerDeskOptions) {}
 
@@ -123,17 +133,18 @@
     this.entries.forgetOld(nowMs);
   }
 
-  /** Reports the target to all entries at the end of this turn, if it changed. */
+  /** Reports the target to all entries soon, if it changed. */
   scheduleReport(): void {
     if (this.isReportDue) return;
     this.isReportDue = true;
-    setImmediate(() => {
-      this.isReportDue = false;
-      this.report();
-    });
+    const sinceMs = this.options.readMonotonicMs() - this.reportedAtMs;
+    if (sinceMs >= REPORT_PERIOD_MS) setImmediate(this.report);
+    else this.options.startTimer(REPORT_PERIOD_MS - sinceMs, this.report);
   }
 
-  private report(): void {
+  private readonly report = (): void => {
+    this.isReportDue = false;
+    this.reportedAtMs = this.options.readMonotonicMs();
     const entries = this.entries.listEntries();
     const present = JSON.stringify([
       this.options.describeTarget(),
@@ -142,7 +153,7 @@
     if (present === this.lastReport) return;
     this.lastReport = present;
     for (const entry of entries) this.send(entry, this.describe(entry));
-  }
+  };
 
   private describe({through}: KnownEntry): AgentFrame {
     const report = {through, ...this.options.describeTarget()};
--- a/test/decisions/place_task_test.ts
+++ b/test/decisions/place_task_test.ts
@@ -122,3 +122,24 @@
     );
   });
 });
+
+describe('chooseSlowestInTime among targets of about one speed', () => {
+  // Pattern: the eight tasks of a search, whose agents start one after another.
+  it('spreads the tasks of a job', () => {
+    const targets = [1.5, 1.55, 1.6].map((slowness, at) =>
+      createTarget({agent: `a${at}`, slowness}),
+    );
+    const counts = new Map<string, number>();
+    for (let task = 0; task < 6; task += 1) {
+      const agent = chooseSlowestInTime(createNeed(), targets)?.agent ?? '';
+      counts.set(agent, (counts.get(agent) ?? 0) + 1);
+      const at = targets.findIndex(target => target.agent === agent);
+      const {free} = targets[at];
+      targets[at] = {
+        ...targets[at],
+        free: {...free, cpuMilli: free.cpuMilli - NEED.cpuMilli},
+      };
+    }
+    expect([...counts.values()]).to.deep.equal([2, 2, 2]);
+  });
+});
