--- a/src/lib/decisions/run_progress.ts
+++ b/src/lib/decisions/run_progress.ts
@@ -9,6 +9,15 @@
 const LEAST_FACTOR = 0.2;
 const GREATEST_FACTOR = 20;
 
+/** Runs whose progress must agree before it counts. */
+const LEAST_RUNS = 3;
+
+/** Factor by which progress must differ from the average to replace it. */
+const LEAST_CHANGE = 2;
+
+/** Time in milliseconds after which the progress of a run tells its speed. */
+const LEAST_ELAPSED_MS = 100;
+
 /** Averages run time over estimate; estimates are rough, so many are needed. */
 export class SlownessMeter {
   private logarithm = 0;
@@ -36,6 +45,21 @@
     this.logarithm += weight * (Math.log(bounded) - this.logarithm);
   }
 
+  /**
+   * Takes what the progress of runs tells before any of them has ended. A
+   * target that turns six times slower would otherwise look well for as long
+   * as its runs last.
+   */
+  recordProgress(ratios: readonly number[]): void {
+    if (ratios.length < LEAST_RUNS) return;
+    const sorted = [...ratios].sort((a, b) => a - b);
+    const median = sorted[Math.floor(sorted.length / 2)];
+    const change = Math.log(median) - this.logarithm;
+    if (Math.abs(change) < Math.log(LEAST_CHANGE)) return;
+    const bounded = Math.min(GREATEST_FACTOR, Math.max(LEAST_FACTOR, median));
+    this.logarithm = Math.log(bounded);
+  }
+
   /** Forgets everything: another target has begun. */
   reset(): void {
     this.logarithm = 0;
@@ -60,3 +84,22 @@
   const limitMs = STALL_FLOOR_MS + expectedMs * STALL_SHARE;
   return listedAtMs - run.advancedAtMs > limitMs;
 }
+
+/**
+ * Returns run time over estimate as a run's progress tells it, or undefined
+ * while that is too early to tell.
+ */
+export function estimateRatio(
+  run: HeldRun,
+  listedAtMs: number,
+): number | undefined {
+  const elapsedMs = listedAtMs - run.acceptedAtMs;
+  const isTelling =
+    run.state === RunState.RUNNING &&
+    elapsedMs >= LEAST_ELAPSED_MS &&
+    run.percent >= 1 &&
+    run.percent < 100;
+  if (!isTelling) return undefined;
+  const expectedMs = Math.max(1, run.order.estimateMs) * (run.percent / 100);
+  return elapsedMs / expectedMs;
+}
--- a/src/lib/observe/fleet_log.ts
+++ b/src/lib/observe/fleet_log.ts
@@ -29,6 +29,7 @@
   JOB_ENDED = 'job-ended',
   CALLER_GONE = 'caller-gone',
   TASK_PLACED = 'task-placed',
+  TASK_RECALLED = 'task-recalled',
   ORDER_FAILED = 'order-failed',
   RUN_STARTED = 'run-started',
   RUN_STOPPED = 'run-stopped',
--- a/src/lib/work/agent/target_opinion.ts
+++ b/src/lib/work/agent/target_opinion.ts
@@ -1,5 +1,9 @@
 /** What an agent thinks of its target: trust, and how slow it is. */
-import {isStalled, SlownessMeter} from '../../decisions/run_progress.js';
+import {
+  estimateRatio,
+  isStalled,
+  SlownessMeter,
+} from '../../decisions/run_progress.js';
 import type {HeldRun} from '../../decisions/held_run.js';
 import {TargetTrust, TrustState} from '../../decisions/target_trust.js';
 import type {RunBook} from '../../decisions/run_book.js';
@@ -66,8 +70,18 @@
     }
   }
 
+  /** Learns from the progress of what runs, as of a list of the target. */
+  private takeProgress(listedAtMs: number): void {
+    const ratios = this.options.book
+      .listRuns()
+      .map(run => estimateRatio(run, listedAtMs))
+      .filter(ratio => ratio !== undefined);
+    this.meter.recordProgress(ratios);
+  }
+
   /** Lists the runs that stand still, and blames the target for them. */
   findStalled(listedAtMs: number, nowMs: number): readonly HeldRun[] {
+    this.takeProgress(listedAtMs);
     const stalled = this.options.book
       .listRuns()
       .filter(run => isStalled(run, listedAtMs, this.slowness));
--- a/src/lib/work/entry/active_job.ts
+++ b/src/lib/work/entry/active_job.ts
@@ -23,6 +23,8 @@
   failures: number;
   /** Life of the agent that holds the latest run. */
   agent: string;
+  /** When the latest run was ordered, in milliseconds. */
+  placedAtMs: number;
   /** Sequence of the latest order. */
   sequence: number;
   /** Lives of targets on which a run went wrong. */
@@ -86,6 +88,7 @@
         run: 0,
         failures: 0,
         agent: '',
+        placedAtMs: 0,
         sequence: 0,
         avoided: new Set(),
       });
--- a/src/lib/work/entry/job_ledger.ts
+++ b/src/lib/work/entry/job_ledger.ts
@@ -136,8 +136,9 @@
   }
 
   /** Notes that a task was ordered. */
-  place(task: ActiveTask): void {
+  place(task: ActiveTask, nowMs: number): void {
     const {job} = task;
+    task.placedAtMs = nowMs;
     task.run += 1;
     this.change(task, TaskEvent.PLACE);
     job.state = JOB_CHART.step(job.state, JobEvent.PLACE).state;
--- a/src/lib/work/entry/scheduler.ts
+++ b/src/lib/work/entry/scheduler.ts
@@ -13,7 +13,7 @@
 import type {EntryFrame} from '../../core/work_frames.js';
 import type {FrameStream} from '../link/frame_stream.js';
 import {createActiveJob} from './active_job.js';
-import type {ActiveJob} from './active_job.js';
+import type {ActiveJob, ActiveTask} from './active_job.js';
 import {AdmissionDesk, sumCores} from './admission_desk.js';
 import {AgentFleet} from './agent_fleet.js';
 import type {AgentView} from './agent_view.js';
@@ -21,6 +21,7 @@
 import {SchedulerMessageKind} from './scheduler_messages.js';
 import type {SchedulerMessage} from './scheduler_messages.js';
 import type {SchedulerOptions} from './scheduler_options.js';
+import {TaskMover} from './task_mover.js';
 import {TaskPlacer} from './task_placer.js';
 
 /** Period of checks in milliseconds. */
@@ -50,6 +51,7 @@
   private readonly fleet: AgentFleet;
   private readonly admission: AdmissionDesk;
   private readonly placer: TaskPlacer;
+  private readonly mover: TaskMover;
   private readonly requests: RequestLog;
   private readonly forecasts = ForecastBook.create();
   private readonly createdAtMs: number;
@@ -88,8 +90,7 @@
     this.ledger = JobLedger.create({
       requests: this.requests,
       metrics: options.metrics,
-      sendStop: ({name, run, agent}) =>
-        fleet.find(agent)?.send({kind: EntryFrameKind.STOP, task: name, run}),
+      sendStop: this.sendStop,
       scaleRun: ({report}, durationMs) =>
         (durationMs * this.fleet.speeds.median) / report.slowness,
       reportServed: (job, isInTime) => this.learn(job, isInTime),
@@ -97,6 +98,11 @@
     });
     const {ledger} = this;
     this.admission = AdmissionDesk.create({fleet, ledger});
+    this.mover = TaskMover.create({
+      fleet,
+      ledger,
+      sendStop: this.sendStop,
+    });
     this.placer = TaskPlacer.create({
       ...options,
       fleet,
@@ -226,6 +232,11 @@
     this.forecasts.record(queue, {estimateMs, deadlineMs}, longestRunMs);
   }
 
+  private readonly sendStop = ({name, run, agent}: ActiveTask): void => {
+    const frame = {kind: EntryFrameKind.STOP, task: name, run} as const;
+    this.fleet.find(agent)?.send(frame);
+  };
+
   private takeConfiguration(configuration: FleetConfiguration): void {
     const revision = this.configuration?.revision ?? 0;
     if (configuration.revision <= revision) return;
@@ -236,6 +247,7 @@
 
   private runChecks(): void {
     this.fleet.check(this.nowMs);
+    this.mover.move(this.nowMs);
     this.ledger.expire(this.nowMs);
     this.ledger.giveUpHopeless(
       job => this.admission.isUseless(job, this.nowMs),
--- a/src/lib/work/entry/task_placer.ts
+++ b/src/lib/work/entry/task_placer.ts
@@ -139,7 +139,7 @@
   ): void {
     const {job, spec} = task;
     const {request, rule} = job;
-    this.options.ledger.place(task);
+    this.options.ledger.place(task, nowMs);
     view.sendOrder(task, {
       task: task.name,
       run: task.run,
--- /dev/null
+++ b/test/decisions/run_progress_test.ts
@@ -0,0 +1,44 @@
+import {expect} from 'chai';
+import {RunState} from '../../src/lib/decisions/held_run.js';
+import type {HeldRun} from '../../src/lib/decisions/held_run.js';
+import {
+  estimateRatio,
+  SlownessMeter,
+} from '../../src/lib/decisions/run_progress.js';
+
+function createRun(percent: number, acceptedAtMs: number): HeldRun {
+  return {
+    order: {estimateMs: 300},
+    state: RunState.RUNNING,
+    percent,
+    acceptedAtMs,
+  } as HeldRun;
+}
+
+describe('The slowness of a target', () => {
+  it('is told by the progress of a run', () => {
+    expect(estimateRatio(createRun(50, 0), 150)).to.equal(1);
+    expect(estimateRatio(createRun(10, 0), 180)).to.be.closeTo(6, 1e-9);
+    expect(estimateRatio(createRun(0, 0), 180)).to.equal(undefined);
+    expect(estimateRatio(createRun(20, 0), 50)).to.equal(undefined);
+  });
+
+  // Pattern: a target turns six times slower for some seconds.
+  it('follows a target that turns slow before any run has ended there', () => {
+    const meter = SlownessMeter.create();
+    for (let run = 0; run < 20; run += 1) meter.record(300, 300);
+    meter.recordProgress([6, 7, 5.5]);
+    expect(meter.factor).to.equal(6);
+    meter.recordProgress([1, 1.1, 0.9]);
+    expect(meter.factor).to.equal(1);
+  });
+
+  it('keeps to the ends of runs while progress agrees with them', () => {
+    const meter = SlownessMeter.create();
+    for (let run = 0; run < 50; run += 1) meter.record(480, 300);
+    const before = meter.factor;
+    meter.recordProgress([1.2, 2, 1.4]);
+    meter.recordProgress([9, 9]);
+    expect(meter.factor).to.equal(before);
+  });
+});
