--- a/src/lib/cli/command_line.ts
+++ b/src/lib/cli/command_line.ts
@@ -4,6 +4,7 @@
 import type {BindAction, CommandContext} from './command_context.js';
 import {addChartCommands} from './commands/chart_commands.js';
 import {addCompletionCommand} from './commands/completion_command.js';
+import {addExplainCommand} from './commands/explain_command.js';
 import {addFleetCommands} from './commands/fleet_commands.js';
 import {addJobCommands} from './commands/job_commands.js';
 import {addRecordCommands} from './commands/record_commands.js';
@@ -77,6 +78,7 @@
     addFleetCommands,
     addChartCommands,
     addSettingsCommands,
+    addExplainCommand,
     addCompletionCommand,
   ];
   for (const add of adders) add(program, context, bindAction);
--- /dev/null
+++ b/src/lib/cli/commands/explain_command.ts
@@ -0,0 +1,27 @@
+/** The command that tells the story of a request. */
+import {printStory, readStory} from '../../observe/request_story.js';
+import type {AddCommands} from '../command_context.js';
+import {ExitCode} from '../exit_code.js';
+import {createSuccess} from '../verdict.js';
+
+/** Adds `explain`. */
+export const addExplainCommand: AddCommands = (
+  program,
+  context,
+  bindAction,
+) => {
+  const command = program
+    .command('explain')
+    .description('tell from logs what became of a request, in order')
+    .argument('<id>', "the request's id or its job's")
+    .argument('<files...>', 'logs of all processes; - is standard input');
+  bindAction(command, (id: string, files: readonly string[]) => {
+    const story = readStory(files.map(context.readFile), id);
+    if (story.length > 0) return createSuccess(printStory(story), story);
+    return {
+      exitCode: ExitCode.FAILED,
+      text: `No line speaks of ${id}: it went well and was not sampled, its lines were left out, or it never arrived.`,
+      document: [],
+    };
+  });
+};
--- a/src/lib/decisions/forecast_book.ts
+++ b/src/lib/decisions/forecast_book.ts
@@ -1,7 +1,7 @@
 /** The forecasts of an entry, by queue. */
 import {
   FIRST_WORK_FORECAST,
-  forecastWork,
+  estimateWork,
   recordWork,
 } from './work_forecast.js';
 import type {
@@ -25,8 +25,8 @@
   }
 
   /** Returns what to expect of a job. */
-  forecast(queue: string, work: DeclaredWork): ExpectedWork {
-    return forecastWork(this.find(queue), work);
+  estimate(queue: string, work: DeclaredWork): ExpectedWork {
+    return estimateWork(this.find(queue), work);
   }
 
   /** Learns from a job that ended. */
--- a/src/lib/decisions/work_forecast.ts
+++ b/src/lib/decisions/work_forecast.ts
@@ -89,7 +89,8 @@
   const squares = [a * a, a * b, a * c, b * b, b * c, c * c];
   const count = forecast.count + 1;
   const share = Math.max(LEAST_WEIGHT, 1 / count);
-  const average = (old: number, value: number) => old + share * (value - old);
+  const updateAverage = (old: number, value: number) =>
+    old + share * (value - old);
   const modelMs = Math.max(LEAST_RUN_MS, applyModel(forecast, work));
   const ratio = Math.log(runMs / Math.max(LEAST_RUN_MS, work.estimateMs));
   return {
@@ -100,9 +101,12 @@
     vector: forecast.vector.map(
       (value, at) => value * KEPT_SHARE + [a, b, c][at] * runMs * weight,
     ),
-    logRatio: average(forecast.logRatio, ratio),
-    modelError: average(forecast.modelError, Math.log(runMs / modelMs) ** 2),
-    estimateError: average(
+    logRatio: updateAverage(forecast.logRatio, ratio),
+    modelError: updateAverage(
+      forecast.modelError,
+      Math.log(runMs / modelMs) ** 2,
+    ),
+    estimateError: updateAverage(
       forecast.estimateError,
       (ratio - forecast.logRatio) ** 2,
     ),
@@ -110,7 +114,7 @@
 }
 
 /** Returns what to expect of a job. */
-export function forecastWork(
+export function estimateWork(
   forecast: WorkForecast,
   work: DeclaredWork,
 ): ExpectedWork {
@@ -124,7 +128,7 @@
   if (!isUseful) return {runMs: plainMs, elapsedMs: 0};
   const modelMs = applyModel(forecast, work);
   if (modelMs < plainMs * PASSED_SHARE) {
-    const slope = solveModel(forecast)[1];
+    const slope = computeFactors(forecast)[1];
     const elapsedMs = slope > 0 ? (plainMs - modelMs) / slope : 0;
     const isPassed = elapsedMs >= LEAST_ELAPSED_MS;
     return {runMs: plainMs, elapsedMs: isPassed ? elapsedMs : 0};
@@ -137,7 +141,7 @@
 }
 
 function applyModel(forecast: WorkForecast, work: DeclaredWork): number {
-  const factors = solveModel(forecast);
+  const factors = computeFactors(forecast);
   return listFeatures(work).reduce(
     (sum, feature, at) => sum + feature * factors[at],
     0,
@@ -145,7 +149,7 @@
 }
 
 /** Solves the normal equations by Cramer's rule; the prior keeps them regular. */
-function solveModel({matrix, vector}: WorkForecast): readonly number[] {
+function computeFactors({matrix, vector}: WorkForecast): readonly number[] {
   const [a, b, c, d, e, f] = matrix;
   const rows = [
     [a + PRIOR_JOBS, b, c],
--- a/src/lib/observe/fleet_log_writer.ts
+++ b/src/lib/observe/fleet_log_writer.ts
@@ -2,8 +2,8 @@
 import {write} from 'node:fs';
 import type {ProcessIdentity} from '../core/identity.js';
 import {LogLevel} from '../settings/settings_schema.js';
-import {FLEET_LEVELS} from './fleet_log.js';
-import type {FleetEvent, FleetLog} from './fleet_log.js';
+import {FLEET_LEVELS, FleetEvent} from './fleet_log.js';
+import type {FleetLog} from './fleet_log.js';
 
 /** Bytes that may wait for a slow reader; beyond that lines are left out. */
 const WAITING_BYTES_AT_MOST = 256 * 1024;
@@ -35,6 +35,11 @@
     return new LineSink(descriptor, writeBytes);
   }
 
+  /** Whether the reader keeps up, so that a line about lost lines arrives. */
+  get hasRoom(): boolean {
+    return this.bytes < WAITING_BYTES_AT_MOST / 2;
+  }
+
   /** Number of lines left out since this was read last. */
   takeLeftOut(): number {
     const {leftOut} = this;
@@ -106,6 +111,14 @@
     incarnation: identity.incarnation,
     dataCentre: identity.dataCentre,
   }) as unknown as LevelWriters;
-  return (event: FleetEvent, message, fields) =>
+  const write: FleetLog = (event, message, fields) =>
     logger[FLEET_LEVELS[event] ?? LogLevel.INFO]({event, ...fields}, message);
+  return (event, message, fields) => {
+    const unread = sink.hasRoom ? sink.takeLeftOut() : 0;
+    if (unread > 0) {
+      const text = 'The reader of the log was behind.';
+      write(FleetEvent.LINES_LEFT_OUT, text, {counts: {unread}});
+    }
+    write(event, message, fields);
+  };
 }
--- a/src/lib/observe/fleet_metrics.ts
+++ b/src/lib/observe/fleet_metrics.ts
@@ -84,7 +84,7 @@
 ): FleetMetrics {
   let metrics: FleetMetrics | undefined;
   const waiting: Array<(ready: FleetMetrics) => void> = [];
-  const use = (count: (ready: FleetMetrics) => void) => {
+  const hand = (count: (ready: FleetMetrics) => void) => {
     if (metrics === undefined) waiting.push(count);
     else count(metrics);
   };
@@ -93,10 +93,10 @@
     for (const count of waiting.splice(0)) count(ready);
   });
   return {
-    countJob: (labels, tookMs) => use(ready => ready.countJob(labels, tookMs)),
+    countJob: (labels, tookMs) => hand(ready => ready.countJob(labels, tookMs)),
     countRefusal: (queue, reason) =>
-      use(ready => ready.countRefusal(queue, reason)),
-    countRun: (end, tookMs) => use(ready => ready.countRun(end, tookMs)),
+      hand(ready => ready.countRefusal(queue, reason)),
+    countRun: (end, tookMs) => hand(ready => ready.countRun(end, tookMs)),
   };
 }
 
--- a/src/lib/work/entry/forecast_keeper.ts
+++ b/src/lib/work/entry/forecast_keeper.ts
@@ -42,9 +42,9 @@
 
   private constructor(private readonly options: ForecastKeeperOptions) {
     this.stopTimer = repeatTimer(options.startTimer, PERIOD_MS, () =>
-      this.exchange(),
+      this.refresh(),
     );
-    this.exchange();
+    this.refresh();
   }
 
   /** Creates a keeper; it reads the store at once. */
@@ -62,7 +62,7 @@
     this.stopTimer();
   }
 
-  private exchange(): void {
+  private refresh(): void {
     const {store, runInTask, reportFailure} = this.options;
     void store.list(KEY).then(
       ({values}) => runInTask(() => this.take(values[0])),
--- a/src/lib/work/entry/scheduler.ts
+++ b/src/lib/work/entry/scheduler.ts
@@ -14,13 +14,14 @@
 import type {FrameStream} from '../link/frame_stream.js';
 import {createActiveJob} from './active_job.js';
 import type {ActiveJob, ActiveTask} from './active_job.js';
-import {AdmissionDesk, sumCores} from './admission_desk.js';
+import {AdmissionDesk} from './admission_desk.js';
 import {AgentFleet} from './agent_fleet.js';
 import type {AgentView} from './agent_view.js';
 import {JobLedger} from './job_ledger.js';
 import {SchedulerMessageKind} from './scheduler_messages.js';
 import type {SchedulerMessage} from './scheduler_messages.js';
 import type {SchedulerOptions} from './scheduler_options.js';
+import {describeWork} from './work_description.js';
 import {TaskMover} from './task_mover.js';
 import {TaskPlacer} from './task_placer.js';
 
@@ -42,8 +43,6 @@
 
 const MAILBOX_CAPACITY = 100_000;
 
-const MILLI = 1000;
-
 /** Owns the jobs that callers wait for, and every order given for them. */
 export class Scheduler {
   private readonly task: Task<SchedulerMessage>;
@@ -197,7 +196,12 @@
       return;
     }
     const {nowMs, ledger} = this;
-    const job = createActiveJob(request, rule, this.forecast(request), nowMs);
+    const job = createActiveJob(
+      request,
+      rule,
+      this.estimateWork(request),
+      nowMs,
+    );
     const isWarmingUp = nowMs - this.createdAtMs < WARM_UP_MS;
     const refusal = isWarmingUp
       ? undefined
@@ -215,9 +219,9 @@
     answer(refusal);
   }
 
-  private forecast({steps, deadlineMs, queue}: JobRequest): ExpectedWork {
+  private estimateWork({steps, deadlineMs, queue}: JobRequest): ExpectedWork {
     const estimateMs = computeChain(steps);
-    return this.forecasts.forecast(queue, {estimateMs, deadlineMs});
+    return this.forecasts.estimate(queue, {estimateMs, deadlineMs});
   }
 
   private learn(job: ActiveJob, isInTime: boolean): void {
@@ -261,25 +265,12 @@
   }
 
   private reportStatus(): void {
-    const {nowMs, fleet, ledger} = this;
+    const {nowMs, fleet, ledger, admission} = this;
     if (nowMs - this.reportedAtMs < STATUS_PERIOD_MS) return;
     this.reportedAtMs = nowMs;
     this.options.reportForecasts(this.forecasts.list());
-    const targets = fleet.describeTargets(fleet.listViews());
-    this.options.log(FleetEvent.STATUS, 'Work at this entry.', {
-      jobs: ledger.size,
-      waitingJobs: ledger.waiting.size,
-      backlogMs: Math.round(this.admission.sumBacklog(nowMs)),
-      waitShare: Math.round(this.admission.waitShare.value * 100) / 100,
-      peerBacklogMs: Math.round(fleet.peers.sum(nowMs)),
-      cores: sumCores(targets.map(target => target.capacity.cpuMilli)),
-      freeCores: sumCores(targets.map(target => target.free.cpuMilli)),
-      // Slowness and free cores of each target.
-      targets: targets.map(
-        ({slowness, free}) =>
-          `${slowness.toFixed(2)}:${Math.round(free.cpuMilli / MILLI)}`,
-      ),
-    });
+    const fields = describeWork(fleet, ledger, admission, nowMs);
+    this.options.log(FleetEvent.STATUS, 'Work at this entry.', fields);
   }
 
   private schedulePlacement(): void {
--- a/test/decisions/place_by_prospect_test.ts
+++ b/test/decisions/place_by_prospect_test.ts
@@ -12,7 +12,7 @@
   slowness: number,
   freeCores: number,
 ): PlacementTarget {
-  const room = (cores: number) => ({
+  const createRoom = (cores: number) => ({
     cpuMilli: cores * CORE,
     memoryMb: 10_000,
     accelerators: 0,
@@ -21,8 +21,8 @@
     agent,
     life: `life of ${agent}`,
     labels: [],
-    free: room(freeCores),
-    capacity: room(64),
+    free: createRoom(freeCores),
+    capacity: createRoom(64),
     slowness,
     isSuspect: false,
   };
--- a/test/decisions/work_forecast_test.ts
+++ b/test/decisions/work_forecast_test.ts
@@ -1,7 +1,7 @@
 import {expect} from 'chai';
 import {
   FIRST_WORK_FORECAST,
-  forecastWork,
+  estimateWork,
   recordWork,
 } from '../../src/lib/decisions/work_forecast.js';
 import type {WorkForecast} from '../../src/lib/decisions/work_forecast.js';
@@ -37,7 +37,7 @@
   let sum = 0;
   for (let job = 0; job < 200; job += 1) {
     const {runMs, ...work} = draw();
-    const expected = forecastWork(forecast, work);
+    const expected = estimateWork(forecast, work);
     sum += Math.abs(Math.log(expected.runMs / runMs)) / 200;
   }
   return sum;
@@ -76,8 +76,8 @@
       for (let job = 0; job < 200; job += 1) {
         const {runMs, ...work} = drawJob(meanMs);
         const late = {...work, deadlineMs: work.deadlineMs - 1500};
-        if (forecastWork(forecast, late).elapsedMs > 0) again += 1;
-        if (forecastWork(forecast, work).elapsedMs > 0) mistaken += 1;
+        if (estimateWork(forecast, late).elapsedMs > 0) again += 1;
+        if (estimateWork(forecast, work).elapsedMs > 0) mistaken += 1;
         expect(runMs).to.be.above(0);
       }
       expect(again, `of ${meanMs} ms`).to.be.above(170);
@@ -90,7 +90,7 @@
     for (const estimateMs of [0, 1e9, 0, 5, 1e-9]) {
       for (const deadlineMs of [0, 1e9, 1]) {
         forecast = recordWork(forecast, {estimateMs, deadlineMs}, 50);
-        const {runMs} = forecastWork(forecast, {estimateMs, deadlineMs});
+        const {runMs} = estimateWork(forecast, {estimateMs, deadlineMs});
         expect(runMs).to.be.above(0).and.below(Infinity);
       }
     }
--- a/test/observe/request_log_test.ts
+++ b/test/observe/request_log_test.ts
@@ -1,6 +1,10 @@
 import {expect} from 'chai';
 import {FleetEvent} from '../../src/lib/observe/fleet_log.js';
-import {LineSink} from '../../src/lib/observe/fleet_log_writer.js';
+import {
+  createFleetLog,
+  LineSink,
+} from '../../src/lib/observe/fleet_log_writer.js';
+import {drawIdentity} from '../../src/lib/core/identity.js';
 import {isSampled, RequestLog} from '../../src/lib/observe/request_log.js';
 
 const PLAIN_JOB = '0000000000000001';
@@ -81,3 +85,34 @@
     expect(parts.join('')).to.equal('abcdefgh\n');
   });
 });
+
+describe('createFleetLog', () => {
+  it('tells how many lines a reader that was behind has missed', async () => {
+    const written: string[] = [];
+    let finish: (() => void) | undefined;
+    const sink = LineSink.create(1, (_descriptor, bytes, done) => {
+      written.push(bytes.toString());
+      finish = () => done(null, bytes.length);
+    });
+    const identity = drawIdentity('entry-1', 'zone-a');
+    const log = await createFleetLog({program: 'test', identity, sink});
+    const detail = 'x'.repeat(1000);
+    for (let line = 0; line < 400; line += 1) {
+      log(FleetEvent.STATUS, 'Work.', {detail});
+    }
+    while (finish !== undefined) {
+      const done: () => void = finish;
+      finish = undefined;
+      done();
+    }
+    log(FleetEvent.STATUS, 'The reader is back.');
+    const lines = written
+      .join('')
+      .trim()
+      .split('\n')
+      .map(line => JSON.parse(line));
+    const [missed] = lines.filter(({event}) => event === 'lines-left-out');
+    const whole = lines.filter(({detail: text}) => text === detail);
+    expect(missed.counts.unread).to.equal(400 - whole.length);
+  });
+});
--- a/test/work/forecast_keeper_test.ts
+++ b/test/work/forecast_keeper_test.ts
@@ -10,6 +10,7 @@
   encodeForecasts,
 } from '../../src/lib/work/entry/forecast_codec.js';
 import {ForecastKeeper} from '../../src/lib/work/entry/forecast_keeper.js';
+import {StoreError} from '../../src/lib/core/errors.js';
 import type {ConditionalWrite} from '../../src/lib/store/platform_store.js';
 
 function learn(jobs: number): QueueForecasts {
@@ -30,7 +31,7 @@
   const keeper = ForecastKeeper.create({
     store: {
       list: async () => {
-        if (state.isDown) throw new Error('down');
+        if (state.isDown) throw new StoreError('The store is down.');
         const values =
           stored === undefined
             ? []
