Judge progress by job, let opinions of slow targets fade, take a typical target for the median

The median also jumps from one kind of target to the next when two leave. Tests: run_progress_test, fleet_speeds_test, fleet_test (a target turns ten times slower).

--- a/src/lib/decisions/move_task.ts
+++ b/src/lib/decisions/move_task.ts
@@ -2,17 +2,17 @@
 
 /** A run in progress, times in milliseconds. */
 export interface SlowRun {
-  /** Expected run time on the median target. */
+  /** Expected run time on a typical target. */
   readonly estimateMs: number;
   /** Time since it was ordered. */
   readonly elapsedMs: number;
-  /** Run time on its target, against the median one. */
+  /** Run time on its target, against a typical one. */
   readonly slowness: number;
 }
 
 /**
  * Slowness from which a target is left. The slowest sound targets take 1.6
- * times as long as the median one; those with a fault six times.
+ * times as long as a typical one; those with a fault six times.
  */
 const LEAST_SLOWNESS = 2.5;
 
@@ -22,7 +22,7 @@
 
 /**
  * Tells whether to stop a run and begin the task anew on another target. The
- * slowness must be against the median: where all estimates are too low, all
+ * slowness must be against a typical target: where all estimates are too low, all
  * targets look slow, and to move would never end.
  */
 export function isWorthMoving(run: SlowRun): boolean {
--- a/src/lib/decisions/rank_work.ts
+++ b/src/lib/decisions/rank_work.ts
@@ -27,7 +27,7 @@
 /**
  * Judges a job's prospect.
  *
- * @param slowness Run time on the faster targets, against the median one.
+ * @param slowness Run time on the faster targets, against a typical one.
  */
 export function judgeProspect(
   {timing}: RankedWork,
--- a/src/lib/decisions/run_progress.ts
+++ b/src/lib/decisions/run_progress.ts
@@ -9,12 +9,18 @@
 const LEAST_FACTOR = 0.2;
 const GREATEST_FACTOR = 20;
 
-/** Runs whose progress must agree before it counts. */
-const LEAST_RUNS = 3;
+/** Jobs of which runs must tell the same before it counts. */
+const LEAST_JOBS = 3;
 
 /** Factor by which progress must differ from the average to replace it. */
 const LEAST_CHANGE = 2;
 
+/**
+ * Time in milliseconds without work in which the opinion of a slow target fades
+ * to half; faults of this kind last some seconds.
+ */
+const HALF_LIFE_MS = 1000;
+
 /** Time in milliseconds after which the progress of a run tells its speed. */
 const LEAST_ELAPSED_MS = 100;
 
@@ -46,13 +52,14 @@
   }
 
   /**
-   * Takes what the progress of runs tells before any of them has ended. A
+   * Takes what the progress of runs tells before any of them has ended, one of
+   * each job, since the estimates of a job are wrong by the same factor. A
    * target that turns six times slower would otherwise look well for as long
    * as its runs last.
    */
-  recordProgress(ratios: readonly number[]): void {
-    if (ratios.length < LEAST_RUNS) return;
-    const sorted = [...ratios].sort((a, b) => a - b);
+  recordProgress(ratiosByJob: ReadonlyMap<string, number>): void {
+    if (ratiosByJob.size < LEAST_JOBS) return;
+    const sorted = [...ratiosByJob.values()].sort((a, b) => a - b);
     const median = sorted[Math.floor(sorted.length / 2)];
     const change = Math.log(median) - this.logarithm;
     if (Math.abs(change) < Math.log(LEAST_CHANGE)) return;
@@ -60,6 +67,14 @@
     this.logarithm = Math.log(bounded);
   }
 
+  /**
+   * Lets an old opinion of a slow target fade: without work it would never be
+   * found to be sound again.
+   */
+  forgetSlowness(idleMs: number): void {
+    if (this.logarithm > 0) this.logarithm *= 0.5 ** (idleMs / HALF_LIFE_MS);
+  }
+
   /** Forgets everything: another target has begun. */
   reset(): void {
     this.logarithm = 0;
--- a/src/lib/decisions/work_forecast.ts
+++ b/src/lib/decisions/work_forecast.ts
@@ -1,6 +1,6 @@
 /**
  * Learns, queue by queue, how long the longest task of a job runs on the
- * median target, from the caller's estimate and from how long the caller is
+ * typical target, from the caller's estimate and from how long the caller is
  * ready to wait: callers that expect longer work wait longer, and that often
  * tells more than a declared run time that is 40 % off.
  */
@@ -15,7 +15,7 @@
 
 /** What is expected of a job, in milliseconds. */
 export interface ExpectedWork {
-  /** Run time of its longest chain on the median target. */
+  /** Run time of its longest chain on a typical target. */
   readonly runMs: number;
   /**
    * Time since the caller first sent it; above 0 only where its remaining
@@ -76,7 +76,7 @@
   estimateError: 0,
 };
 
-/** Learns from a job that ended: the time of its longest task on the median target. */
+/** Learns from a job that ended: the time of its longest task on a typical target. */
 export function recordWork(
   forecast: WorkForecast,
   work: DeclaredWork,
--- a/src/lib/work/agent/target_opinion.ts
+++ b/src/lib/work/agent/target_opinion.ts
@@ -27,6 +27,7 @@
 export class TargetOpinion {
   private readonly trust = TargetTrust.create();
   private readonly meter = SlownessMeter.create();
+  private advancedAtMs = 0;
 
   private constructor(private readonly options: TargetOpinionOptions) {}
 
@@ -72,10 +73,11 @@
 
   /** Learns from the progress of what runs, as of a list of the target. */
   private takeProgress(listedAtMs: number): void {
-    const ratios = this.options.book
-      .listRuns()
-      .map(run => estimateRatio(run, listedAtMs))
-      .filter(ratio => ratio !== undefined);
+    const ratios = new Map<string, number>();
+    for (const run of this.options.book.listRuns()) {
+      const ratio = estimateRatio(run, listedAtMs);
+      if (ratio !== undefined) ratios.set(run.order.job, ratio);
+    }
     this.meter.recordProgress(ratios);
   }
 
@@ -91,8 +93,12 @@
     return stalled;
   }
 
-  /** Lets the pause of a suspect target end in time. */
+  /** Lets the pause of a suspect target end, and old opinions fade. */
   advance(nowMs: number): void {
+    const idleMs = nowMs - this.advancedAtMs;
+    this.advancedAtMs = nowMs;
+    if (this.options.book.listRuns().length === 0)
+      this.meter.forgetSlowness(idleMs);
     this.logChange(this.trust.advance(nowMs));
   }
 
--- a/src/lib/work/entry/active_job.ts
+++ b/src/lib/work/entry/active_job.ts
@@ -37,7 +37,7 @@
   readonly rule: QueueRule;
   readonly timing: JobTiming;
   readonly expected: ExpectedWork;
-  /** Longest run of a task so far, as it would be on the median target. */
+  /** Longest run of a task so far, as it would be on a typical target. */
   longestRunMs: number;
   readonly tasks: ActiveTask[];
   /** Callers that wait for the answer, by number. */
--- a/src/lib/work/entry/admission_desk.ts
+++ b/src/lib/work/entry/admission_desk.ts
@@ -22,7 +22,7 @@
 /** Thousandths in a core. */
 const MILLI = 1000;
 
-/** Slowness of the median target, against which all are measured. */
+/** Slowness of a typical target, against which all are measured. */
 const AVERAGE_SLOWNESS = 1;
 
 /** Shortest time in milliseconds after which a caller is asked to come again. */
--- a/src/lib/work/entry/agent_fleet.ts
+++ b/src/lib/work/entry/agent_fleet.ts
@@ -78,9 +78,9 @@
     return this.latestSpeeds;
   }
 
-  /** Shows the targets to placement, their slowness against the median one. */
+  /** Shows the targets to placement, their slowness against a typical one. */
   describeTargets(views: readonly AgentView[]): PlacementTarget[] {
-    return views.map(view => view.describeTarget(this.latestSpeeds.median));
+    return views.map(view => view.describeTarget(this.latestSpeeds.typical));
   }
 
   /** Work that waits in the agents' queues, in core-milliseconds. */
--- a/src/lib/work/entry/agent_view.ts
+++ b/src/lib/work/entry/agent_view.ts
@@ -157,9 +157,9 @@
   /**
    * Shows the target to placement.
    *
-   * @param medianSlowness Run time over estimate on the fleet's median target.
+   * @param typicalSlowness Run time over estimate on a typical target of the fleet.
    */
-  describeTarget(medianSlowness: number): PlacementTarget {
+  describeTarget(typicalSlowness: number): PlacementTarget {
     const {latest} = this;
     return {
       agent: this.life,
@@ -167,7 +167,7 @@
       labels: latest.labels,
       free: this.free,
       capacity: latest.capacity,
-      slowness: latest.slowness / medianSlowness,
+      slowness: latest.slowness / typicalSlowness,
       isSuspect: latest.isSuspect,
     };
   }
--- a/src/lib/work/entry/job_ledger_options.ts
+++ b/src/lib/work/entry/job_ledger_options.ts
@@ -10,7 +10,7 @@
   readonly metrics: FleetMetrics;
   /** Asks the agent that holds a task's run to stop it. */
   readonly sendStop: (task: ActiveTask) => void;
-  /** Returns how long a run would have taken on the median target. */
+  /** Returns how long a run would have taken on a typical target. */
   readonly scaleRun: (view: AgentView, durationMs: number) => number;
   /** Is told of each job that was served, and whether it was in time. */
   readonly reportServed: (job: ActiveJob, isInTime: boolean) => void;
--- a/src/lib/work/entry/scheduler.ts
+++ b/src/lib/work/entry/scheduler.ts
@@ -91,7 +91,7 @@
       metrics: options.metrics,
       sendStop: this.sendStop,
       scaleRun: ({report}, durationMs) =>
-        (durationMs * this.fleet.speeds.median) / report.slowness,
+        (durationMs * this.fleet.speeds.typical) / report.slowness,
       reportServed: (job, isInTime) => this.learn(job, isInTime),
       release: ({name, agent}) => fleet.find(agent)?.tasks.delete(name),
     });
--- a/src/lib/work/entry/task_mover.ts
+++ b/src/lib/work/entry/task_mover.ts
@@ -35,7 +35,7 @@
   private check(view: AgentView, task: ActiveTask, nowMs: number): void {
     const isRecalled = task.avoided.has(view.report.life);
     if (task.state !== TaskState.PLACED || isRecalled) return;
-    const slowness = view.report.slowness / this.options.fleet.speeds.median;
+    const slowness = view.report.slowness / this.options.fleet.speeds.typical;
     const elapsedMs = nowMs - task.placedAtMs;
     const {estimateMs} = task.spec;
     if (!isWorthMoving({estimateMs, elapsedMs, slowness})) return;
--- a/src/lib/work/entry/task_placer.ts
+++ b/src/lib/work/entry/task_placer.ts
@@ -97,8 +97,8 @@
       const at = pool.targets.findIndex(({agent}) => agent === target?.agent);
       if (at < 0) return false;
       this.order(task, pool.views[at], rank, nowMs);
-      const {median} = this.options.fleet.speeds;
-      pool.targets[at] = pool.views[at].describeTarget(median);
+      const {typical} = this.options.fleet.speeds;
+      pool.targets[at] = pool.views[at].describeTarget(typical);
     }
     this.options.ledger.settle(job);
     return true;
--- a/src/lib/work/entry/work_description.ts
+++ b/src/lib/work/entry/work_description.ts
@@ -23,7 +23,7 @@
     peerBacklogMs: Math.round(fleet.peers.sum(nowMs)),
     cores: sumCores(targets.map(target => target.capacity.cpuMilli)),
     freeCores: sumCores(targets.map(target => target.free.cpuMilli)),
-    // Slowness against the median target, and free cores, of each target.
+    // Slowness against a typical target, and free cores, of each target.
     targets: targets.map(
       ({slowness, free}) =>
         `${slowness.toFixed(2)}:${Math.round(free.cpuMilli / MILLI)}`,
--- a/test/decisions/fleet_speeds_test.ts
+++ b/test/decisions/fleet_speeds_test.ts
@@ -1,14 +1,29 @@
 import {expect} from 'chai';
 import {computeSpeeds} from '../../src/lib/decisions/fleet_speeds.js';
 
+const KINDS = [0.6, 0.6, 0.6, 0.6, 1, 1, 1, 1, 1.6, 1.6, 1.6];
+
 describe('computeSpeeds', () => {
-  it('takes the median, whatever a few targets that hang do', () => {
-    const {median, fast} = computeSpeeds([0.6, 1.6, 1, 20, 1, 0.6, 1.6]);
-    expect({median, fast}).to.deep.equal({median: 1, fast: 1});
-    expect(computeSpeeds([0.6, 0.6, 1, 1, 1.6, 1.6]).fast).to.equal(0.6);
+  it('takes the typical target out of several kinds', () => {
+    const {typical, fast} = computeSpeeds(KINDS);
+    expect(typical).to.be.closeTo(0.95, 0.05);
+    expect(fast * typical).to.be.closeTo(0.6, 1e-9);
+  });
+
+  // Pattern: two targets of the middle kind are emptied and taken away.
+  it('changes little when two targets leave', () => {
+    const {typical} = computeSpeeds(
+      KINDS.filter((_, at) => at !== 4 && at !== 5),
+    );
+    expect(typical).to.be.closeTo(computeSpeeds(KINDS).typical, 0.05);
+  });
+
+  it('changes little when one target hangs', () => {
+    const {typical} = computeSpeeds([...KINDS.slice(1), 20]);
+    expect(typical / computeSpeeds(KINDS).typical).to.be.within(0.8, 1.25);
   });
 
-  it('takes a fleet without targets for an average one', () => {
-    expect(computeSpeeds([])).to.deep.equal({median: 1, fast: 1});
+  it('takes a fleet without targets for a typical one', () => {
+    expect(computeSpeeds([])).to.deep.equal({typical: 1, fast: 1});
   });
 });
--- a/test/decisions/run_progress_test.ts
+++ b/test/decisions/run_progress_test.ts
@@ -6,6 +6,10 @@
   SlownessMeter,
 } from '../../src/lib/decisions/run_progress.js';
 
+function listByJob(ratios: readonly number[]): ReadonlyMap<string, number> {
+  return new Map(ratios.map((ratio, at) => [`job-${at}`, ratio]));
+}
+
 function createRun(percent: number, acceptedAtMs: number): HeldRun {
   return {
     order: {estimateMs: 300},
@@ -27,9 +31,9 @@
   it('follows a target that turns slow before any run has ended there', () => {
     const meter = SlownessMeter.create();
     for (let run = 0; run < 20; run += 1) meter.record(300, 300);
-    meter.recordProgress([6, 7, 5.5]);
+    meter.recordProgress(listByJob([6, 7, 5.5]));
     expect(meter.factor).to.equal(6);
-    meter.recordProgress([1, 1.1, 0.9]);
+    meter.recordProgress(listByJob([1, 1.1, 0.9]));
     expect(meter.factor).to.equal(1);
   });
 
@@ -37,8 +41,17 @@
     const meter = SlownessMeter.create();
     for (let run = 0; run < 50; run += 1) meter.record(480, 300);
     const before = meter.factor;
-    meter.recordProgress([1.2, 2, 1.4]);
-    meter.recordProgress([9, 9]);
+    meter.recordProgress(listByJob([1.2, 2, 1.4]));
+    meter.recordProgress(listByJob([9, 9]));
     expect(meter.factor).to.equal(before);
   });
+
+  // Pattern: a target is passed over as slow, so that no run tells that the
+  // fault is over.
+  it('fades while nothing runs there', () => {
+    const meter = SlownessMeter.create();
+    meter.recordProgress(listByJob([6, 6, 6]));
+    for (let at = 0; at < 60; at += 1) meter.forgetSlowness(50);
+    expect(meter.factor).to.be.below(1.3);
+  });
 });
--- a/test/fleet/fleet_test.ts
+++ b/test/fleet/fleet_test.ts
@@ -98,6 +98,32 @@
     expect(countBreaches()).to.equal(0);
   });
 
+  // Pattern: one of several targets turns ten times slower with long tasks on it.
+  it('takes tasks off a target that has turned slow', async () => {
+    let factor = 1;
+    const readRun = (payload: string) => Number(payload.split('/')[0]);
+    const entry = await fleet.startEntry('entry-1');
+    const slow = await fleet.startTarget('t1', {
+      computeRunMs: payload => readRun(payload) * factor,
+    });
+    for (const name of ['t2', 't3', 't4']) await fleet.startTarget(name);
+    const submit = async () => {
+      const body = createJobBody(4, 150);
+      const reply = await call(entry.callers, 'POST', drawJobPath(), body);
+      return reply.status;
+    };
+    await waitUntil('all targets have run tasks', async () => {
+      await Promise.all([submit(), submit(), submit()]);
+      return fleet.targets.every(({done}) => done.length >= 4);
+    });
+    factor = 10;
+    const statuses = await Promise.all(Array.from({length: 4}, () => submit()));
+    expect(statuses).to.deep.equal([200, 200, 200, 200]);
+    expect(slow.target.done.length).to.be.above(0);
+    expect(fleet.hasLogged(FleetEvent.TASK_RECALLED, 'entry-1')).to.equal(true);
+    expect(countBreaches()).to.equal(0);
+  });
+
   it('starts nothing on a target that drains', async () => {
     const {entry, first} = await startSmallFleet();
     first.target.state = 'draining';
