--- a/deploy/launcher.cjs
+++ b/deploy/launcher.cjs
@@ -7,8 +7,8 @@
  * leaves the cache of what was compiled for that.
  */
 'use strict';
-const {readFileSync, writeFileSync} = require('node:fs');
-const {Script} = require('node:vm');
+const {readFileSync, writeFileSync} = process.getBuiltinModule('node:fs');
+const {Script} = process.getBuiltinModule('node:vm');
 
 const WRITE_CACHE = '--write-cache';
 
--- a/src/lib/work/agent/target_opinion.ts
+++ b/src/lib/work/agent/target_opinion.ts
@@ -97,8 +97,9 @@
   advance(nowMs: number): void {
     const idleMs = nowMs - this.advancedAtMs;
     this.advancedAtMs = nowMs;
-    if (this.options.book.listRuns().length === 0)
+    if (this.options.book.listRuns().length === 0) {
       this.meter.forgetSlowness(idleMs);
+    }
     this.logChange(this.trust.advance(nowMs));
   }
 
