Ask once whether a target may get a task, and judge a job's prospect once

chooseQueue repeated the conditions of listOpen, and placement judged each waiting job twice in a turn, once for its prospect and once for its rank. Behaviour is unchanged.

--- a/src/lib/decisions/place_task.ts
+++ b/src/lib/decisions/place_task.ts
@@ -55,18 +55,22 @@
   return spec.estimateMs * target.slowness * (isFar ? farFactor : 1);
 }
 
+/** Tells whether the target may get the task, whether or not it has room. */
+function isAllowed(need: PlacementNeed, target: PlacementTarget): boolean {
+  const {spec, avoided, countOn} = need;
+  return (
+    isEligible(spec, target) &&
+    !avoided.has(target.life) &&
+    (spec.perTargetAtMost === 0 || countOn(target.agent) < spec.perTargetAtMost)
+  );
+}
+
 function listOpen(
   need: PlacementNeed,
   targets: readonly PlacementTarget[],
 ): PlacementTarget[] {
-  const {spec} = need;
   return targets.filter(
-    target =>
-      isEligible(spec, target) &&
-      isFitting(spec.need, target.free) &&
-      !need.avoided.has(target.life) &&
-      (spec.perTargetAtMost === 0 ||
-        need.countOn(target.agent) < spec.perTargetAtMost),
+    target => isFitting(need.spec.need, target.free) && isAllowed(need, target),
   );
 }
 
@@ -136,8 +140,8 @@
 
 /**
  * Takes a place in the short queue of a target that is full but fast enough:
- * the one that is least behind. Pattern: under a burst each task of 80 ms would otherwise be
- * followed by a pause of several messages between entry and agent.
+ * the one that is least behind. Pattern: under a burst each task of 80 ms would
+ * otherwise be followed by a pause of several messages between entry and agent.
  */
 export const chooseQueue: ChooseTarget = (need, targets) => {
   const computeLag = (target: PlacementTarget) =>
@@ -145,12 +149,9 @@
   const open = targets.filter(
     target =>
       !target.isSuspect &&
-      isEligible(need.spec, target) &&
-      !need.avoided.has(target.life) &&
       computeLag(target) < QUEUE_SHARE &&
       estimateShare(need, target) <= SAFE_SHARE &&
-      (need.spec.perTargetAtMost === 0 ||
-        need.countOn(target.agent) < need.spec.perTargetAtMost),
+      isAllowed(need, target),
   );
   return pickLeast(open, target => computeLag(target) * target.slowness);
 };
--- a/src/lib/decisions/rank_work.ts
+++ b/src/lib/decisions/rank_work.ts
@@ -54,5 +54,10 @@
   nowMs: number,
   slowness: number,
 ): number {
-  return job.timing.startByMs + GROUP_MS[judgeProspect(job, nowMs, slowness)];
+  return rankByProspect(job, judgeProspect(job, nowMs, slowness));
+}
+
+/** Ranks a job whose prospect is known. */
+export function rankByProspect(job: RankedWork, prospect: Prospect): number {
+  return job.timing.startByMs + GROUP_MS[prospect];
 }
--- a/src/lib/work/entry/agent_fleet.ts
+++ b/src/lib/work/entry/agent_fleet.ts
@@ -33,6 +33,7 @@
 
 /** Time in milliseconds after which a lapsed agent is forgotten. */
 const FORGET_AFTER_MS = 30_000;
+
 /** Keeps the lives of agents that have greeted. Owned by the scheduler. */
 export class AgentFleet {
   private readonly views = new Map<string, AgentView>();
--- a/src/lib/work/entry/task_placer.ts
+++ b/src/lib/work/entry/task_placer.ts
@@ -4,7 +4,7 @@
   ChooseTarget,
   PlacementTarget,
 } from '../../decisions/place_task.js';
-import {judgeProspect, rankJob} from '../../decisions/rank_work.js';
+import {judgeProspect, rankByProspect} from '../../decisions/rank_work.js';
 import type {Prospect} from '../../decisions/rank_work.js';
 import {FleetEvent} from '../../observe/fleet_log.js';
 import type {ActiveJob, ActiveTask} from './active_job.js';
@@ -62,11 +62,10 @@
     if (ledger.waiting.size === 0) return;
     const {fast} = fleet.speeds;
     const ranked = [...ledger.waiting]
-      .map(job => ({
-        job,
-        prospect: judgeProspect(job, nowMs, fast),
-        rank: rankJob(job, nowMs, fast),
-      }))
+      .map(job => {
+        const prospect = judgeProspect(job, nowMs, fast);
+        return {job, prospect, rank: rankByProspect(job, prospect)};
+      })
       .sort((a, b) => a.rank - b.rank);
     const pools = new Map<string, TargetPool>();
     for (const work of ranked) {
