--- a/src/lib/work/entry/fleet_configuration_task.ts
+++ b/src/lib/work/entry/fleet_configuration_task.ts
@@ -149,11 +149,6 @@
     return new FleetConfigurationTask(options);
   }
 
-  /** Withdraws the registration; the process serves on but is not found. */
-  leave(): void {
-    this.task.post(() => this.registration.leave());
-  }
-
   /** Takes what this entry has learned of its queues. */
   updateForecasts(forecasts: QueueForecasts): void {
     this.task.post(() => this.forecasts.update(forecasts));
