Let the entry and the agent share one life of a process

WorkEntry and WorkAgent held the states' lines in the log, the release and the failures by copy. FleetProcess holds them; what differs is passed in as a name and a function. The older AgentProcess and EntryProcess write another log with other events, and stay. Behaviour is unchanged.

--- a/src/lib/work/agent/work_agent.ts
+++ b/src/lib/work/agent/work_agent.ts
@@ -1,18 +1,14 @@
 /** An agent that runs work on the target beside it: its tasks and its life. */
 import type {ReadMonotonicMs, StartTimer} from '../../core/clock.js';
-import {DisposableStore} from '../../core/disposable_store.js';
 import type {ProcessIdentity} from '../../core/identity.js';
-import {
-  ProcessAction,
-  ProcessEvent,
-  ProcessLife,
-  ProcessState,
-} from '../../core/process_life.js';
+import {ProcessAction, ProcessEvent} from '../../core/process_life.js';
 import {FleetEvent} from '../../observe/fleet_log.js';
 import type {FleetLog} from '../../observe/fleet_log.js';
 import type {FleetMetrics} from '../../observe/fleet_metrics.js';
 import type {AgentFrame, EntryFrame} from '../../core/work_frames.js';
 import type {OpenFrameStream} from '../link/frame_stream.js';
+import {FleetProcess} from '../fleet_process.js';
+import type {FleetProcessAction} from '../fleet_process.js';
 import {EntryLinks} from './entry_links.js';
 import {WorkMessageKind} from './runner_messages.js';
 import type {ConnectTarget, TargetBeat} from './target_port.js';
@@ -57,32 +53,32 @@
   /** Settles when the agent has stopped. */
   readonly stopped: Promise<void>;
 
-  private readonly store = DisposableStore.create();
-  private readonly life: ProcessLife;
+  private readonly process: FleetProcess;
   private readonly runner: WorkRunner;
   private readonly links: EntryLinks;
-  private resolveStopped: () => void = () => undefined;
 
   private constructor(private readonly options: WorkAgentOptions) {
     const {identity, log} = options;
-    this.stopped = new Promise(resolve => (this.resolveStopped = resolve));
-    this.life = ProcessLife.create({
+    this.process = FleetProcess.create({
+      name: 'agent',
       noticeMs: NOTICE_MS,
       drainMs: options.stopWithinMs - STOP_MARGIN_MS,
       startTimer: options.startTimer,
+      log,
       perform: action => this.perform(action),
-      reportState: state => this.followState(state),
     });
+    const {store, reportFailure} = this.process;
+    this.stopped = this.process.stopped;
     this.runner = WorkRunner.create({
       ...options,
       agent: identity.id,
       life: identity.incarnation,
       dataCentre: identity.dataCentre,
       postToLinks: message => this.links.post(message),
-      reportIdle: () => this.life.send(ProcessEvent.IDLE),
-      reportFailure: this.reportFailure,
+      reportIdle: () => this.process.send(ProcessEvent.IDLE),
+      reportFailure,
     });
-    this.store.add(() => this.runner.stop());
+    store.add(() => this.runner.stop());
     this.links = EntryLinks.create({
       ...options,
       open: options.openStream,
@@ -97,9 +93,9 @@
           : `A link ended: ${detail}.`;
         log(event, text, {entry});
       },
-      reportFailure: this.reportFailure,
+      reportFailure,
     });
-    this.store.add(() => this.links.stop());
+    store.add(() => this.links.stop());
   }
 
   /** Creates an agent that does not listen yet. */
@@ -113,7 +109,7 @@
    * @throws AddressError if an address cannot be listened on.
    */
   async start(): Promise<void> {
-    const {runner, options} = this;
+    const {runner, options, process} = this;
     const door = await options.openBeatDoor({
       takeBeat: beat => runner.post({kind: WorkMessageKind.BEAT, beat}),
       takeLeave: id => runner.post({kind: WorkMessageKind.TARGET_LEFT, id}),
@@ -122,59 +118,25 @@
           target: id,
         }),
     });
-    this.store.add(() => door.close());
-    this.life.send(ProcessEvent.READY);
+    process.store.add(() => door.close());
+    process.send(ProcessEvent.READY);
   }
 
   /** Begins a graceful stop; a second call changes nothing. */
   requestStop(): void {
-    this.life.send(ProcessEvent.STOP);
+    this.process.send(ProcessEvent.STOP);
   }
 
-  private perform(action: ProcessAction): void {
+  private perform(action: FleetProcessAction): void {
     switch (action) {
       case ProcessAction.REFUSE_READINESS:
         this.runner.post({kind: WorkMessageKind.LEAVE});
         break;
       case ProcessAction.REFUSE_WORK:
         break;
-      case ProcessAction.HAND_OVER:
-        this.life.send(ProcessEvent.RELEASED);
-        break;
       case ProcessAction.REPORT_UNFINISHED:
         this.options.log(FleetEvent.STOPPING, 'Runs are left to their lease.');
         break;
     }
   }
-
-  private followState(state: ProcessState): void {
-    const {log} = this.options;
-    switch (state) {
-      case ProcessState.STARTING:
-      case ProcessState.SERVING:
-        log(FleetEvent.STARTED, `The agent is ${state}.`);
-        break;
-      case ProcessState.LEAVING:
-      case ProcessState.DRAINING:
-      case ProcessState.RELEASING:
-        log(FleetEvent.STOPPING, `The agent is ${state}.`);
-        break;
-      case ProcessState.STOPPED:
-        void this.release();
-        break;
-    }
-  }
-
-  private async release(): Promise<void> {
-    try {
-      await this.store.dispose();
-    } catch (failure) {
-      this.reportFailure(failure);
-    }
-    this.options.log(FleetEvent.STOPPED, 'The agent has stopped.');
-    this.resolveStopped();
-  }
-
-  private readonly reportFailure = (failure: unknown): void =>
-    this.options.log(FleetEvent.FAILURE, 'A task failed.', {err: failure});
 }
--- a/src/lib/work/entry/work_entry.ts
+++ b/src/lib/work/entry/work_entry.ts
@@ -4,12 +4,10 @@
   ReadMonotonicMs,
   StartTimer,
 } from '../../core/clock.js';
-import {DisposableStore} from '../../core/disposable_store.js';
 import type {ProcessIdentity} from '../../core/identity.js';
 import {
   ProcessAction,
   ProcessEvent,
-  ProcessLife,
   ProcessState,
 } from '../../core/process_life.js';
 import type {Post} from '../../core/task.js';
@@ -23,6 +21,8 @@
 import type {FleetConfiguration} from '../../core/fleet_configuration.js';
 import type {AgentFrame, EntryFrame} from '../../core/work_frames.js';
 import type {AcceptFrameStream, FrameServer} from '../link/frame_stream.js';
+import {FleetProcess} from '../fleet_process.js';
+import type {FleetProcessAction} from '../fleet_process.js';
 import {FleetConfigurationTask} from './fleet_configuration_task.js';
 import type {DecodeConfiguration} from './fleet_configuration_task.js';
 import {Scheduler} from './scheduler.js';
@@ -83,32 +83,32 @@
   /** Settles when the entry has stopped. */
   readonly stopped: Promise<void>;
 
-  private readonly store = DisposableStore.create();
-  private readonly life: ProcessLife;
+  private readonly process: FleetProcess;
   private readonly scheduler: Scheduler;
   private configuration: FleetConfiguration | undefined;
   private isReady = false;
   private updateForecasts: (forecasts: QueueForecasts) => void = () =>
     undefined;
-  private resolveStopped: () => void = () => undefined;
 
   private constructor(private readonly options: WorkEntryOptions) {
     const {identity, log} = options;
-    this.stopped = new Promise(resolve => (this.resolveStopped = resolve));
-    this.life = ProcessLife.create({
+    this.process = FleetProcess.create({
+      name: 'entry',
       noticeMs: NOTICE_MS,
       drainMs: options.stopWithinMs - NOTICE_MS - STOP_MARGIN_MS,
       startTimer: options.startTimer,
+      log,
       perform: action => this.perform(action),
-      reportState: state => this.followState(state),
     });
+    const {store, reportFailure} = this.process;
+    this.stopped = this.process.stopped;
     this.scheduler = Scheduler.create({
       ...options,
       life: identity.incarnation,
       address: options.linkAddress,
       dataCentre: identity.dataCentre,
       chooseTarget: options.chooseTarget ?? chooseSlowestInTime,
-      reportFailure: this.reportFailure,
+      reportFailure,
       reportReady: isReady => (this.isReady = isReady),
       applyConfiguration: configuration => {
         this.configuration = configuration;
@@ -119,9 +119,9 @@
         });
       },
       reportForecasts: forecasts => this.updateForecasts(forecasts),
-      reportIdle: () => this.life.send(ProcessEvent.IDLE),
+      reportIdle: () => this.process.send(ProcessEvent.IDLE),
     });
-    this.store.add(() => this.scheduler.stop());
+    store.add(() => this.scheduler.stop());
   }
 
   /** Creates an entry that does not listen yet. */
@@ -136,6 +136,7 @@
    */
   async start(): Promise<void> {
     const {options, scheduler} = this;
+    const {store, reportFailure} = this.process;
     const configurationTask = FleetConfigurationTask.create({
       ...options,
       address: options.linkAddress,
@@ -149,9 +150,9 @@
         scheduler.post({kind: SchedulerMessageKind.FORECASTS, forecasts}),
       publishEntries: addresses =>
         scheduler.post({kind: SchedulerMessageKind.ENTRIES, addresses}),
-      reportFailure: this.reportFailure,
+      reportFailure,
     });
-    this.store.add(() => configurationTask.stop());
+    store.add(() => configurationTask.stop());
     this.updateForecasts = forecasts =>
       configurationTask.updateForecasts(forecasts);
     const links = await options.openLinkServer(options.linkAddress, stream => {
@@ -171,66 +172,33 @@
           }),
       };
     });
-    this.store.add(() => links.close());
+    store.add(() => links.close());
     const doors = await options.openDoors({
       post: scheduler.post,
       getConfiguration: () => this.configuration,
-      isLeaving: () => this.life.state !== ProcessState.SERVING,
-      isReady: () => this.isReady && this.life.state === ProcessState.SERVING,
+      isLeaving: () => this.process.state !== ProcessState.SERVING,
+      isReady: () =>
+        this.isReady && this.process.state === ProcessState.SERVING,
     });
-    for (const door of doors) this.store.add(() => door.close());
-    this.life.send(ProcessEvent.READY);
+    for (const door of doors) store.add(() => door.close());
+    this.process.send(ProcessEvent.READY);
   }
 
   /** Begins a graceful stop; a second call changes nothing. */
   requestStop(): void {
-    this.life.send(ProcessEvent.STOP);
+    this.process.send(ProcessEvent.STOP);
   }
 
-  private perform(action: ProcessAction): void {
+  private perform(action: FleetProcessAction): void {
     switch (action) {
       case ProcessAction.REFUSE_READINESS:
         break;
       case ProcessAction.REFUSE_WORK:
         this.scheduler.post({kind: SchedulerMessageKind.LEAVE});
         break;
-      case ProcessAction.HAND_OVER:
-        this.life.send(ProcessEvent.RELEASED);
-        break;
       case ProcessAction.REPORT_UNFINISHED:
         this.scheduler.post({kind: SchedulerMessageKind.GIVE_UP});
         break;
     }
   }
-
-  private followState(state: ProcessState): void {
-    const {log} = this.options;
-    switch (state) {
-      case ProcessState.STARTING:
-      case ProcessState.SERVING:
-        log(FleetEvent.STARTED, `The entry is ${state}.`);
-        break;
-      case ProcessState.LEAVING:
-      case ProcessState.DRAINING:
-      case ProcessState.RELEASING:
-        log(FleetEvent.STOPPING, `The entry is ${state}.`);
-        break;
-      case ProcessState.STOPPED:
-        void this.release();
-        break;
-    }
-  }
-
-  private async release(): Promise<void> {
-    try {
-      await this.store.dispose();
-    } catch (failure) {
-      this.reportFailure(failure);
-    }
-    this.options.log(FleetEvent.STOPPED, 'The entry has stopped.');
-    this.resolveStopped();
-  }
-
-  private readonly reportFailure = (failure: unknown): void =>
-    this.options.log(FleetEvent.FAILURE, 'A task failed.', {err: failure});
 }
