Start no order of an entry that may have given its runs up

Cause: an agent judged its contact with the owner of a run only at its tick. On resuming from a freeze it first read the orders that lay in its sockets and started them, up to 20 ms before the tick stopped them; their entry had by then taken the runs for over (600 + 824 + 250 ms after the last ping) and placed them elsewhere. A hello that lay in the socket counted as contact at its arrival.

Ruled out: a late order at the target (a start carries a deadline of 800 ms and is refused as late afterwards); two runs by one entry's own counting (run 1 and run 2 differ by the give-up).

Change: contact is proven only by what the agent sent itself and got back: the send time of an answered ping, or the time at which it began to open the link whose hello arrived (decisions/owner_contact.ts). It is checked for each order and each queued run before it starts. The agent pings right after its hello, so that no order is refused for want of the first answer.

--- a/src/lib/core/clock.ts
+++ b/src/lib/core/clock.ts
@@ -1,12 +1,18 @@
 /** Clocks, timers and random numbers as functions that are passed to their users. */
 import {performance} from 'node:perf_hooks';
 
-/** Reads a monotonic clock in milliseconds; never decreases, and advances while the process is suspended. */
+/** Reads a monotonic clock in milliseconds; never decreases, and advances while the process is stopped. */
 export type ReadMonotonicMs = () => number;
 
 /** Reads the wall clock in milliseconds since the Unix epoch; only for display. */
 export type ReadWallMs = () => number;
 
+/**
+ * Reads the system clock in milliseconds since the Unix epoch. It may be stepped,
+ * and it counts the time of a suspended host, which the monotonic clock may not.
+ */
+export type ReadSystemMs = () => number;
+
 /** Stops a timer that has not fired. */
 export type StopTimer = () => void;
 
@@ -32,6 +38,9 @@
 export const readWallMs: ReadWallMs = () =>
   Math.round(performance.timeOrigin + performance.now());
 
+/** Reads the host's system clock in milliseconds since the Unix epoch. */
+export const readSystemMs: ReadSystemMs = () => Date.now();
+
 /** Starts a timer on the event loop. */
 export const startTimer: StartTimer = (delayMs, fire) => {
   const handle = setTimeout(fire, delayMs);
--- a/src/lib/decisions/run_registry.ts
+++ b/src/lib/decisions/run_registry.ts
@@ -56,12 +56,10 @@
 
   /** Free capacity less the needs of queued orders; may be negative. */
   get uncommitted(): Resources {
-    return this.listRuns()
-      .filter(run => run.state === RunState.QUEUED)
-      .reduce(
-        (rest, run) => subtractResources(rest, run.order.need),
-        this.free,
-      );
+    return this.listQueued().reduce(
+      (rest, run) => subtractResources(rest, run.order.need),
+      this.free,
+    );
   }
 
   /** Lists all runs that have not ended. */
@@ -71,7 +69,7 @@
 
   /** Returns the number of orders that wait for capacity. */
   countQueued(): number {
-    return this.listRuns().filter(run => run.state === RunState.QUEUED).length;
+    return this.listQueued().length;
   }
 
   /** Finds a run that has not ended. */
@@ -109,12 +107,21 @@
     return run;
   }
 
-  /** Starts queued runs that fit, by latest start; none overtakes one that does not fit. */
-  startNext(nowMs: number): void {
-    const queued = this.listRuns()
-      .filter(run => run.state === RunState.QUEUED)
-      .sort((a, b) => a.startByMs - b.startByMs);
-    for (const run of queued) {
+  /**
+   * Starts queued runs that fit, by latest start; none overtakes one that does
+   * not fit.
+   *
+   * @param mayStart Returns whether the owner of a run still counts on it;
+   *     without, the run ends as not started.
+   */
+  startNext(nowMs: number, mayStart: (run: HeldRun) => boolean): void {
+    const queued = this.listQueued();
+    for (const run of queued.sort((a, b) => a.startByMs - b.startByMs)) {
+      if (!mayStart(run)) {
+        const cause = RunEndCause.OWNER_UNREACHABLE;
+        this.applyEvent(run, RunEvent.STOP, nowMs, cause);
+        continue;
+      }
       if (!isWithinCapacity(run.order.need, this.free)) return;
       run.startSentAtMs = nowMs;
       run.advancedAtMs = nowMs;
@@ -124,8 +131,8 @@
 
   /** Ends queued runs whose wait limit has passed. */
   expire(nowMs: number): void {
-    for (const run of this.listRuns()) {
-      if (run.state !== RunState.QUEUED || nowMs < run.expiresAtMs) continue;
+    for (const run of this.listQueued()) {
+      if (nowMs < run.expiresAtMs) continue;
       run.cause = RunEndCause.NO_CAPACITY;
       this.change(run, RunEvent.EXPIRED, nowMs);
     }
@@ -133,8 +140,7 @@
 
   /** Ends all queued runs as not started. */
   returnQueued(cause: RunEndCause, nowMs: number): void {
-    for (const run of this.listRuns()) {
-      if (run.state !== RunState.QUEUED) continue;
+    for (const run of this.listQueued()) {
       this.applyEvent(run, RunEvent.STOP, nowMs, cause);
     }
   }
@@ -190,6 +196,10 @@
     this.processedThrough = 0;
   }
 
+  private listQueued(): HeldRun[] {
+    return this.listRuns().filter(run => run.state === RunState.QUEUED);
+  }
+
   private applyEnd(row: ListedEnd, nowMs: number): void {
     if (row.number <= this.processedThrough) return;
     this.processedThrough = row.number;
@@ -283,13 +293,9 @@
 
   private report(run: HeldRun, end: RunEnd, nowMs: number): void {
     const {task, run: number, job} = run.order;
-    const durationMs =
-      run.startSentAtMs === 0 ? 0 : Math.round(nowMs - run.startSentAtMs);
-    const {cause} = run;
-    this.emit({
-      kind: RunCommandKind.REPORT_END,
-      run,
-      report: {task, run: number, job, end, cause, durationMs},
-    });
+    const isSent = run.startSentAtMs > 0;
+    const durationMs = isSent ? Math.round(nowMs - run.startSentAtMs) : 0;
+    const report = {task, run: number, job, end, cause: run.cause, durationMs};
+    this.emit({kind: RunCommandKind.REPORT_END, run, report});
   }
 }
--- a/src/lib/observe/fleet_log.ts
+++ b/src/lib/observe/fleet_log.ts
@@ -8,6 +8,7 @@
   STOPPED = 'stopped',
   FAILURE = 'failure',
   SETTINGS_RELOADED = 'settings-reloaded',
+  RESUMED = 'resumed',
   CONFIGURATION_APPLIED = 'configuration-taken',
   CONFIGURATION_REJECTED = 'configuration-rejected',
   STORE_LOST = 'store-lost',
--- a/src/lib/work/agent/entry_link_manager.ts
+++ b/src/lib/work/agent/entry_link_manager.ts
@@ -227,13 +227,14 @@
 
   private markOpen(link: EntryLink, incarnation: string): void {
     link.incarnation = incarnation;
-    const {linkId, address} = link;
+    const {linkId, address, openedAtMs} = link;
     this.options.reportLink(address, true, '');
     this.options.post({
       kind: RunnerMessageKind.LINK_OPENED,
       linkId,
       entry: incarnation,
       address,
+      openedAtMs,
     });
   }
 
--- a/src/lib/work/agent/entry_registry.ts
+++ b/src/lib/work/agent/entry_registry.ts
@@ -9,7 +9,7 @@
   linkId: number | undefined;
   /**
    * Local send time of the latest ping that this incarnation has answered, or
-   * the time at which its link opened, if that is later.
+   * the time at which the agent began to open its link, if that is later.
    */
   lastContactMs: number;
   /** Highest sequence number of the orders received from it. */
@@ -45,17 +45,21 @@
   }
 
   /** Records an opened link and returns the state of its entry. */
-  openLink(incarnation: string, linkId: number, nowMs: number): KnownEntry {
+  openLink(
+    incarnation: string,
+    linkId: number,
+    openedAtMs: number,
+  ): KnownEntry {
     const known = this.entries.get(incarnation);
     if (known !== undefined) {
       known.linkId = linkId;
-      known.lastContactMs = nowMs;
+      known.lastContactMs = Math.max(known.lastContactMs, openedAtMs);
       return known;
     }
     const entry: KnownEntry = {
       incarnation,
       linkId,
-      lastContactMs: nowMs,
+      lastContactMs: openedAtMs,
       lastOrderSequence: 0,
       unacknowledgedEnds: new Map(),
       backlog: 0,
--- a/src/lib/work/agent/entry_reporter.ts
+++ b/src/lib/work/agent/entry_reporter.ts
@@ -73,16 +73,16 @@
 
   /**
    * Records an opened link, and sends the entry its runs, the run ends that it
-   * has not acknowledged, the configuration and a target report.
+   * has not acknowledged, a ping, the configuration and a target report.
    */
   openLink(
     incarnation: string,
     linkId: number,
     runs: readonly HeldRun[],
     configuration: FleetConfiguration | undefined,
-    nowMs: number,
+    openedAtMs: number,
   ): void {
-    const entry = this.entries.openLink(incarnation, linkId, nowMs);
+    const entry = this.entries.openLink(incarnation, linkId, openedAtMs);
     const {agent, incarnation: agentIncarnation, dataCentre} = this.options;
     this.send(entry, {
       kind: AgentFrameKind.HELLO,
@@ -99,6 +99,8 @@
       ends: [...entry.unacknowledgedEnds.values()],
       through: entry.lastOrderSequence,
     });
+    const sentAtMs = this.options.readMonotonicMs();
+    this.send(entry, {kind: AgentFrameKind.PING, sentAtMs, backlogs: []});
     if (configuration !== undefined) {
       this.send(entry, {kind: AgentFrameKind.CONFIGURATION, configuration});
     }
--- a/src/lib/work/agent/runner_messages.ts
+++ b/src/lib/work/agent/runner_messages.ts
@@ -45,6 +45,8 @@
       /** Incarnation of the entry. */
       readonly entry: string;
       readonly address: string;
+      /** Monotonic time in milliseconds at which the agent began to open it. */
+      readonly openedAtMs: number;
     }
   | {
       readonly kind: RunnerMessageKind.LINK_CLOSED;
--- a/src/lib/work/agent/work_agent.ts
+++ b/src/lib/work/agent/work_agent.ts
@@ -1,5 +1,9 @@
 /** An agent that runs work on the target beside it: tasks and lifecycle. */
-import type {ReadMonotonicMs, StartTimer} from '../../core/clock.js';
+import type {
+  ReadMonotonicMs,
+  ReadSystemMs,
+  StartTimer,
+} from '../../core/clock.js';
 import type {ProcessIdentity} from '../../core/identity.js';
 import {ProcessAction, ProcessEvent} from '../../core/process_lifecycle.js';
 import {FleetEvent} from '../../observe/fleet_log.js';
@@ -39,6 +43,7 @@
   ) => Promise<HeartbeatListener>;
   readonly openStream: OpenFrameStream<AgentFrame, EntryFrame>;
   readonly readMonotonicMs: ReadMonotonicMs;
+  readonly readSystemMs: ReadSystemMs;
   readonly startTimer: StartTimer;
   readonly log: FleetLog;
   readonly metrics: FleetMetrics;
--- a/src/lib/work/agent/work_runner.ts
+++ b/src/lib/work/agent/work_runner.ts
@@ -1,12 +1,9 @@
 /** The agent's task that runs work on the target beside it. */
-import type {ReadMonotonicMs, StartTimer} from '../../core/clock.js';
 import {repeatTimer} from '../../core/clock.js';
 import {Task} from '../../core/task.js';
 import type {Post} from '../../core/task.js';
 import {RunEvent} from '../../decisions/held_run.js';
 import {FleetEvent} from '../../observe/fleet_log.js';
-import type {FleetLog} from '../../observe/fleet_log.js';
-import type {FleetMetrics} from '../../observe/fleet_metrics.js';
 import {RequestLog} from '../../observe/request_log.js';
 import type {FleetConfiguration} from '../../core/fleet_configuration.js';
 import {
@@ -22,36 +19,15 @@
 } from '../../core/work_frames.js';
 import type {KnownEntry} from './entry_registry.js';
 import {EntryReporter} from './entry_reporter.js';
+import {OwnerContacts} from './owner_contacts.js';
 import {RunnerMessageKind} from './runner_messages.js';
-import type {LinkMessage, RunnerMessage} from './runner_messages.js';
+import type {RunnerMessage} from './runner_messages.js';
 import {TargetController} from './target_controller.js';
-import type {ConnectTarget} from './target_api.js';
-
-/** Dependencies and settings of the work runner. */
-export interface WorkRunnerOptions {
-  readonly agent: string;
-  readonly incarnation: string;
-  readonly dataCentre: string;
-  readonly connectTarget: ConnectTarget;
-  readonly postToLinks: Post<LinkMessage>;
-  readonly readMonotonicMs: ReadMonotonicMs;
-  readonly startTimer: StartTimer;
-  readonly log: FleetLog;
-  readonly metrics: FleetMetrics;
-  /** Called when a drain is complete: nothing runs, all ends are delivered. */
-  readonly reportIdle: () => void;
-  readonly reportFailure: (failure: unknown) => void;
-}
+import type {WorkRunnerOptions} from './work_runner_options.js';
 
 /** Period of the periodic checks in milliseconds. */
 const TICK_PERIOD_MS = 50;
 
-/**
- * Time in milliseconds without contact with an entry after which its runs are
- * stopped. The entry relies on this limit before it repeats them elsewhere.
- */
-export const OWNER_CONTACT_TIMEOUT_MS = 600;
-
 /** Period in milliseconds of the status line in the log. */
 const STATUS_PERIOD_MS = 1000;
 
@@ -70,6 +46,7 @@
   private readonly target: TargetController;
   private readonly entries: EntryReporter;
   private configuration: FleetConfiguration | undefined;
+  private readonly contacts: OwnerContacts;
   private isDraining = false;
   private lastStatusMs = 0;
 
@@ -96,6 +73,10 @@
         phase: this.computePhase(),
       }),
     });
+    this.contacts = OwnerContacts.create({
+      ...options,
+      findLastContactMs: owner => this.entries.find(owner)?.lastContactMs,
+    });
   }
 
   /** Creates a runner that waits for the target's first heartbeat. */
@@ -128,6 +109,7 @@
 
   private handle(message: RunnerMessage): void {
     const nowMs = this.options.readMonotonicMs();
+    this.contacts.checkSuspension(nowMs);
     const {target, entries} = this;
     switch (message.kind) {
       case RunnerMessageKind.HEARTBEAT:
@@ -157,9 +139,9 @@
         }
         break;
       case RunnerMessageKind.LINK_OPENED: {
-        const {entry, linkId} = message;
+        const {entry, linkId, openedAtMs} = message;
         const runs = target.runs.listRuns();
-        entries.openLink(entry, linkId, runs, this.configuration, nowMs);
+        entries.openLink(entry, linkId, runs, this.configuration, openedAtMs);
         break;
       }
       case RunnerMessageKind.LINK_CLOSED:
@@ -176,7 +158,9 @@
         target.runs.returnQueued(RunEndCause.STOPPING, nowMs);
         break;
     }
-    target.runs.startNext(nowMs);
+    target.runs.startNext(nowMs, run =>
+      this.contacts.isFresh(run.owner, nowMs),
+    );
     entries.scheduleReport();
   }
 
@@ -216,7 +200,7 @@
   private handleOrder(entry: KnownEntry, order: RunOrder, nowMs: number): void {
     if (order.sequence <= entry.lastOrderSequence) return;
     entry.lastOrderSequence = order.sequence;
-    const cause = this.checkOrder(order);
+    const cause = this.checkOrder(order, entry.incarnation, nowMs);
     if (cause === RunEndCause.NONE) {
       this.target.runs.addOrder(order, entry.incarnation, nowMs);
       return;
@@ -227,8 +211,15 @@
     this.entries.deliverEnd(entry.incarnation, report);
   }
 
-  private checkOrder(order: RunOrder): RunEndCause {
+  private checkOrder(
+    order: RunOrder,
+    owner: string,
+    nowMs: number,
+  ): RunEndCause {
     const {target} = this;
+    if (!this.contacts.isFresh(owner, nowMs)) {
+      return RunEndCause.OWNER_UNREACHABLE;
+    }
     if (this.isDraining) return RunEndCause.STOPPING;
     const isServing =
       target.phase === TargetPhase.READY &&
@@ -277,9 +268,8 @@
   private stopOrphaned(nowMs: number): void {
     const cause = RunEndCause.OWNER_UNREACHABLE;
     for (const run of this.target.runs.listRuns()) {
-      const contactMs = this.entries.find(run.owner)?.lastContactMs ?? 0;
-      const isUnreachable = nowMs - contactMs > OWNER_CONTACT_TIMEOUT_MS;
-      if (!isUnreachable || run.cause === cause) continue;
+      if (run.cause === cause) continue;
+      if (!this.contacts.isLost(run.owner, nowMs)) continue;
       this.target.stopRun(run, cause, 'No contact with the entry.', nowMs);
     }
   }
--- a/src/lib/work/entry/run_expiry.ts
+++ b/src/lib/work/entry/run_expiry.ts
@@ -1,6 +1,6 @@
 /** Time after which a run at an unreachable agent is certainly over. */
+import {OWNER_CONTACT_TIMEOUT_MS} from '../../decisions/owner_contact.js';
 import {LEASE_MS} from '../agent/target_client.js';
-import {OWNER_CONTACT_TIMEOUT_MS} from '../agent/work_runner.js';
 
 /** Maximum share by which a target's clock may run slower than the local one. */
 const MAX_CLOCK_DRIFT = 0.03;
--- a/test/decisions/run_registry_test.ts
+++ b/test/decisions/run_registry_test.ts
@@ -32,7 +32,7 @@
   registry.setCapacity(CAPACITY);
   const add = (task: string, changes?: Partial<RunOrder>) => {
     const run = registry.addOrder(createOrder(task, changes), 'entry', 0);
-    registry.startNext(0);
+    registry.startNext(0, () => true);
     return run;
   };
   const listKinds = () => commands.map(command => command.kind);
@@ -68,7 +68,7 @@
       0,
       1,
     );
-    registry.startNext(1);
+    registry.startNext(1, () => true);
     expect(urgent.state).to.equal(RunState.STARTING);
     expect(relaxed.state).to.equal(RunState.QUEUED);
   });
--- a/test/fleet/fleet_fixture.ts
+++ b/test/fleet/fleet_fixture.ts
@@ -13,6 +13,7 @@
 import {createTargetConnector} from '../../platform/target_http_client.js';
 import {
   readMonotonicMs,
+  readSystemMs,
   startDeferredTimer,
   startTimer,
 } from '../../src/lib/core/clock.js';
@@ -180,6 +181,7 @@
         openHeartbeatListener({address: announceAddress, ...handlers}),
       openStream: openLineStream,
       readMonotonicMs,
+      readSystemMs,
       startTimer,
       log,
       metrics: NO_OP_FLEET_METRICS,
