Wait for the peers' announcements before a session is said to have ended

Ruled out: asking each peer in turn (a peer that does not hold the sessions answers `session-ended` too, so the answers cannot be told apart without a new message); keeping readiness back until all peers have announced (a store outage would keep a restarted entry out).

Change: such a request waits until the holder is announced, or all peers in the view have announced what they hold, or 2 s have passed (entry/holder_directory.ts, taken out of the peer manager).

Tests: four in peer_manager_test and request_router_test; they cannot pass without the message.

--- a/src/lib/decisions/run_registry.ts
+++ b/src/lib/decisions/run_registry.ts
@@ -20,7 +20,7 @@
 import {RunCommandKind} from './run_command.js';
 import type {ListedEnd, ListedRun, RunCommand} from './run_command.js';
 
-/** Maximum number of ends that a target lists; a list of this length may be incomplete. */
+/** Maximum number of ends that a target lists; such a list may be incomplete. */
 const MAX_LISTED_ENDS = 500;
 
 /** Tracks the runs of one target incarnation and keeps them within its capacity. */
@@ -115,11 +115,11 @@
    *     without, the run ends as not started.
    */
   startNext(nowMs: number, mayStart: (run: HeldRun) => boolean): void {
-    const queued = this.listQueued();
-    for (const run of queued.sort((a, b) => a.startByMs - b.startByMs)) {
+    const queued = this.listQueued().sort((a, b) => a.startByMs - b.startByMs);
+    for (const run of queued) {
       if (!mayStart(run)) {
-        const cause = RunEndCause.OWNER_UNREACHABLE;
-        this.applyEvent(run, RunEvent.STOP, nowMs, cause);
+        run.cause = RunEndCause.OWNER_UNREACHABLE;
+        this.change(run, RunEvent.STOP, nowMs);
         continue;
       }
       if (!isWithinCapacity(run.order.need, this.free)) return;
@@ -204,9 +204,8 @@
     if (row.number <= this.processedThrough) return;
     this.processedThrough = row.number;
     const run = this.findRun(row.task, row.run);
-    if (run !== undefined) {
+    if (run !== undefined)
       this.change(run, RunEvent.END_LISTED, nowMs, row.end);
-    }
   }
 
   private applyProgress(row: ListedRun, nowMs: number): void {
--- a/src/lib/entry/entry_process.ts
+++ b/src/lib/entry/entry_process.ts
@@ -142,6 +142,12 @@
       sessionLifetimeMs: this.settings.sessions.lifetimeMs,
       postToDispatcher: message => this.dispatcher.post(message),
       findHolder: incarnation => this.peers.findHolder(incarnation),
+      awaitHolder: (incarnation, resume) =>
+        this.peers.post({
+          kind: PeerMessageKind.AWAIT_HOLDER,
+          incarnation,
+          resume,
+        }),
       forward: (address, request, answer) =>
         this.peers.post({
           kind: PeerMessageKind.FORWARD,
--- a/src/lib/entry/peer_manager.ts
+++ b/src/lib/entry/peer_manager.ts
@@ -13,8 +13,9 @@
 import {describeUnreachableOwner} from './answer_encoding.js';
 import {HandOverOutcome, PeerMessageKind} from './peer_messages.js';
 import type {MajorityWaiter, PeerMessage} from './peer_messages.js';
-import {HolderKind} from './request_router.js';
-import type {Answer, CallerRequest, Holder} from './request_router.js';
+import type {Holder} from './holder.js';
+import {HolderDirectory} from './holder_directory.js';
+import type {Answer, CallerRequest} from './request_router.js';
 import type {KeyTableSnapshot} from './dispatcher_messages.js';
 
 /** Dependencies of the peer manager. */
@@ -53,12 +54,10 @@
   private readonly statuses = new Map<string, PeerStatus>();
   private view: ConfigurationView | undefined;
   private waiters: MajorityWaiter[] = [];
-  /** Ended incarnations whose sessions are held here. */
-  private ownHeldIncarnations: readonly string[] = [];
-  /** Addresses of peers that hold sessions of ended incarnations. */
-  private readonly holderAddresses = new Map<string, string>();
+  private readonly holders: HolderDirectory;
 
   private constructor(private readonly options: PeerManagerOptions) {
+    this.holders = HolderDirectory.create(options);
     this.task = Task.create<PeerMessage>({
       name: 'peer manager',
       capacity: MAILBOX_CAPACITY,
@@ -71,6 +70,7 @@
   static create(options: PeerManagerOptions): PeerManager {
     const manager = new PeerManager(options);
     manager.task.store.add(() => manager.closeAll());
+    manager.task.store.add(() => manager.holders.close());
     return manager;
   }
 
@@ -86,12 +86,7 @@
 
   /** Finds the holder of the sessions of an ended entry incarnation. */
   findHolder(incarnation: string): Holder {
-    if (this.ownHeldIncarnations.includes(incarnation)) {
-      return {kind: HolderKind.SELF, address: this.options.address};
-    }
-    const address = this.holderAddresses.get(incarnation);
-    if (address === undefined) return NO_HOLDER;
-    return {kind: HolderKind.PEER, address};
+    return this.holders.find(incarnation);
   }
 
   /** Resolves to whether a majority of the entries holds a revision in time. */
@@ -131,13 +126,14 @@
         this.retryAnnouncement(message.address, message.revision);
         break;
       case PeerMessageKind.OWN_HELD:
-        this.ownHeldIncarnations = message.incarnations;
+        this.holders.setOwn(message.incarnations);
         if (this.view !== undefined) this.announceToAll(this.view);
         break;
       case PeerMessageKind.PEER_HELD:
-        for (const incarnation of message.incarnations) {
-          this.holderAddresses.set(incarnation, message.address);
-        }
+        this.holders.record(message.address, message.incarnations);
+        break;
+      case PeerMessageKind.AWAIT_HOLDER:
+        this.holders.await(message.incarnation, message.resume);
         break;
       case PeerMessageKind.HAND_OVER:
         void this.handOver(message.keyTables).then(message.reportOutcome);
@@ -172,10 +168,7 @@
     for (const incarnation of this.statuses.keys()) {
       if (!live.has(incarnation)) this.statuses.delete(incarnation);
     }
-    const addresses = new Set(view.entries.map(entry => entry.address));
-    for (const [incarnation, address] of this.holderAddresses) {
-      if (!addresses.has(address)) this.holderAddresses.delete(incarnation);
-    }
+    this.holders.setPeers(this.listPeers(view).map(({address}) => address));
     this.settleWaiters();
     this.announceToAll(view);
   }
@@ -216,7 +209,7 @@
     const configuration = {
       view,
       senderAddress: this.options.address,
-      heldIncarnations: this.ownHeldIncarnations,
+      heldIncarnations: this.holders.own,
     };
     const result = await this.open(address).announce(
       configuration,
@@ -294,5 +287,3 @@
     this.connections.clear();
   }
 }
-
-const NO_HOLDER: Holder = {kind: HolderKind.NONE, address: ''};
--- a/src/lib/entry/peer_messages.ts
+++ b/src/lib/entry/peer_messages.ts
@@ -26,6 +26,8 @@
   OWN_HELD = 'own-held',
   /** A peer has announced the ended incarnations whose sessions it holds. */
   PEER_HELD = 'peer-held',
+  /** A request waits until the holder of an incarnation's sessions is known. */
+  AWAIT_HOLDER = 'await-holder',
   HAND_OVER = 'hand-over',
 }
 
@@ -40,6 +42,11 @@
       readonly address: string;
       readonly incarnations: readonly string[];
     }
+  | {
+      readonly kind: PeerMessageKind.AWAIT_HOLDER;
+      readonly incarnation: string;
+      readonly resume: () => void;
+    }
   | {
       readonly kind: PeerMessageKind.HAND_OVER;
       readonly keyTables: readonly KeyTableSnapshot[];
--- a/src/lib/entry/request_router.ts
+++ b/src/lib/entry/request_router.ts
@@ -15,6 +15,8 @@
   DispatcherReply,
   LocalKey,
 } from './dispatcher_messages.js';
+import {HolderKind} from './holder.js';
+import type {AwaitHolder, FindHolder} from './holder.js';
 import {
   ValidationFailure,
   parseJobDraft,
@@ -59,24 +61,10 @@
   readonly forward: ForwardRequest;
   /** Finds the holder of the sessions of an ended entry incarnation. */
   readonly findHolder: FindHolder;
+  /** Calls `resume` at last when no peer can announce any more that it holds them. */
+  readonly awaitHolder: AwaitHolder;
 }
 
-/** Kinds of holder of an ended incarnation's sessions. */
-export enum HolderKind {
-  SELF = 'self',
-  PEER = 'peer',
-  NONE = 'nobody',
-}
-
-/** The holder of an ended incarnation's sessions, with its address if any. */
-export interface Holder {
-  readonly kind: HolderKind;
-  readonly address: string;
-}
-
-/** Finds the holder of the sessions that an incarnation has handed over. */
-export type FindHolder = (incarnation: string) => Holder;
-
 /** Sender of a request. */
 export enum RequestOrigin {
   CALLER = 'caller',
@@ -126,6 +114,29 @@
     }
     const key = this.readKey(request.key, answer);
     if (key === undefined) return;
+    const resume = () => this.handleKeyed(request, key, origin, answer);
+    if (!this.isHolderUnknown(key)) return resume();
+    const {awaitHolder} = this.options;
+    const outcome = awaitHolder(key.token.ownerIncarnation, resume);
+    if (outcome !== PostOutcome.QUEUED) answer(refuseOverloaded(request.key));
+  }
+
+  /** Whether the session is of this entry's earlier life, and its holder unknown. */
+  private isHolderUnknown({token}: SessionKey): boolean {
+    const {identity, address, findHolder} = this.options;
+    return (
+      token.ownerAddress === address &&
+      token.ownerIncarnation !== identity.incarnation &&
+      findHolder(token.ownerIncarnation).kind === HolderKind.NONE
+    );
+  }
+
+  private handleKeyed(
+    request: CallerRequest,
+    key: SessionKey,
+    origin: RequestOrigin,
+    answer: Answer,
+  ): void {
     const {ownerAddress, ownerIncarnation, serial, team} = key.token;
     const holder = this.options.findHolder(ownerIncarnation);
     const isOwn = ownerIncarnation === this.options.identity.incarnation;
@@ -137,7 +148,7 @@
       holder.kind === HolderKind.PEER ? holder.address : ownerAddress;
     const isOwnAddress = address === this.options.address;
     if (isOwnAddress || origin === RequestOrigin.PEER) {
-      return answer(refuseEndedOwner(request.key));
+      return answer(refuseEndedOwner(request.key ?? ''));
     }
     const outcome = this.options.forward(address, request, answer);
     if (outcome !== PostOutcome.QUEUED) answer(refuseOverloaded(request.key));
@@ -190,13 +201,12 @@
   }
 
   private encodeReplyTo(
-    request: CallerRequest,
+    {kind, key}: CallerRequest,
     reply: DispatcherReply,
   ): EncodedAnswer {
     if (reply.kind === ReplyKind.SESSION) return this.encodeSession(reply);
-    const isSubmission = request.kind === RequestKind.SUBMIT;
-    const status = isSubmission ? STATUS_ACCEPTED : STATUS_OK;
-    return encodeReply(reply, request.key, status);
+    const isSubmission = kind === RequestKind.SUBMIT;
+    return encodeReply(reply, key, isSubmission ? STATUS_ACCEPTED : STATUS_OK);
   }
 
   private encodeSession(reply: DispatcherReply): EncodedAnswer {
@@ -243,8 +253,8 @@
   }
 }
 
-// Answers that a mailbox is full. This request started nothing, but only the
-// key table knows whether a job has run under its key, and it was not consulted.
+// This request started nothing, but only the key table, which was not consulted,
+// knows whether a job has run under its key.
 function refuseOverloaded(key: string | undefined): EncodedAnswer {
   return encodeProblem({
     problem: Problem.OVERLOADED,
--- a/test/entry/caller_listener_test.ts
+++ b/test/entry/caller_listener_test.ts
@@ -13,7 +13,8 @@
   SubmitMessage,
 } from '../../src/lib/entry/dispatcher_messages.js';
 import {DispatcherMessageKind} from '../../src/lib/entry/dispatcher_messages.js';
-import {HolderKind, RequestRouter} from '../../src/lib/entry/request_router.js';
+import {HolderKind} from '../../src/lib/entry/holder.js';
+import {RequestRouter} from '../../src/lib/entry/request_router.js';
 
 const MAX_BODY_BYTES = 1000;
 const RESULT_BYTES = 4 * 1024 * 1024;
@@ -55,6 +56,10 @@
     postToDispatcher: post,
     forward: () => PostOutcome.QUEUED,
     findHolder: () => ({kind: HolderKind.NONE, address: ''}),
+    awaitHolder: (_incarnation, resume) => {
+      resume();
+      return PostOutcome.QUEUED;
+    },
   });
   return openCallerListener({
     host: '127.0.0.1',
--- a/test/entry/peer_manager_test.ts
+++ b/test/entry/peer_manager_test.ts
@@ -4,7 +4,7 @@
   PeerMessageKind,
 } from '../../src/lib/entry/peer_messages.js';
 import {PeerManager} from '../../src/lib/entry/peer_manager.js';
-import {HolderKind} from '../../src/lib/entry/request_router.js';
+import {HolderKind} from '../../src/lib/entry/holder.js';
 import {StoreContact} from '../../src/lib/records/configuration_view.js';
 import type {ConfigurationView} from '../../src/lib/records/configuration_view.js';
 import {PeerCallOutcome} from '../../src/lib/wire/peer_client.js';
@@ -178,4 +178,53 @@
       HolderKind.NONE,
     );
   });
+
+  // Guards against answering that a session has ended while a peer holds it: a
+  // restarted entry is asked before that peer has seen its registration.
+  describe('asked for the sessions of an earlier life of this entry', () => {
+    function awaitHolder({manager}: Fixture): () => boolean {
+      let isResumed = false;
+      manager.post({
+        kind: PeerMessageKind.AWAIT_HOLDER,
+        incarnation: 'earlier-incarnation',
+        resume: () => (isResumed = true),
+      });
+      return () => isResumed;
+    }
+
+    it('waits until the peer that holds them announces it', async () => {
+      const fixture = createFixture();
+      const isResumed = awaitHolder(fixture);
+      await settleMailboxes();
+      expect(isResumed()).to.equal(false);
+      fixture.manager.post({
+        kind: PeerMessageKind.PEER_HELD,
+        address: 'z:1',
+        incarnations: ['earlier-incarnation'],
+      });
+      await settleMailboxes();
+      expect(isResumed()).to.equal(true);
+    });
+
+    it('waits no longer once all peers have announced what they hold', async () => {
+      const fixture = createFixture();
+      const isResumed = awaitHolder(fixture);
+      fixture.manager.post({kind: PeerMessageKind.VIEW, view: createView(7)});
+      const kind = PeerMessageKind.PEER_HELD;
+      fixture.manager.post({kind, address: 'y:1', incarnations: []});
+      await settleMailboxes();
+      expect(isResumed()).to.equal(false);
+      fixture.manager.post({kind, address: 'z:1', incarnations: []});
+      await settleMailboxes();
+      expect(isResumed()).to.equal(true);
+    });
+
+    it('waits for a limited time', async () => {
+      const fixture = createFixture();
+      const isResumed = awaitHolder(fixture);
+      await settleMailboxes();
+      fixture.fireTimers();
+      expect(isResumed()).to.equal(true);
+    });
+  });
 });
--- a/test/entry/request_router_test.ts
+++ b/test/entry/request_router_test.ts
@@ -2,13 +2,13 @@
 import {Outcome, Problem} from '../../src/lib/core/job.js';
 import {PostOutcome} from '../../src/lib/core/task.js';
 import type {EncodedAnswer} from '../../src/lib/entry/answer_encoding.js';
+import {HolderKind} from '../../src/lib/entry/holder.js';
+import type {Holder} from '../../src/lib/entry/holder.js';
 import {
-  HolderKind,
   RequestRouter,
   RequestKind,
   RequestOrigin,
 } from '../../src/lib/entry/request_router.js';
-import type {Holder} from '../../src/lib/entry/request_router.js';
 import {composeKey, mintSession} from '../../src/lib/wire/session_key.js';
 
 const SECRET = 'a secret of the tests';
@@ -24,7 +24,9 @@
 function createFixture(
   outcome: PostOutcome,
   holder: Holder = {kind: HolderKind.NONE, address: ''},
+  announced: Holder = holder,
 ): Fixture {
+  let current = holder;
   const posted: string[] = [];
   const forwarded: string[] = [];
   const router = RequestRouter.create({
@@ -40,7 +42,12 @@
       if (outcome === PostOutcome.QUEUED) forwarded.push(address);
       return outcome;
     },
-    findHolder: () => holder,
+    findHolder: () => current,
+    awaitHolder: (_incarnation, resume) => {
+      current = announced;
+      resume();
+      return PostOutcome.QUEUED;
+    },
   });
   return {router, posted, forwarded};
 }
@@ -84,6 +91,14 @@
     expect(fixture.forwarded).to.deep.equal(['z:1']);
   });
 
+  it('waits for the holder of the sessions of its earlier life', () => {
+    const none = {kind: HolderKind.NONE, address: ''};
+    const announced = {kind: HolderKind.PEER, address: 'z:1'};
+    const fixture = createFixture(PostOutcome.QUEUED, none, announced);
+    submit(fixture, createKey('x:1', 'earlier-incarnation'));
+    expect(fixture.forwarded).to.deep.equal(['z:1']);
+  });
+
   it('answers for an ended incarnation whose sessions it holds', () => {
     const holder = {kind: HolderKind.SELF, address: 'x:1'};
     const fixture = createFixture(PostOutcome.QUEUED, holder);
