--- a/src/lib/core/work_frames.ts
+++ b/src/lib/core/work_frames.ts
@@ -86,16 +86,20 @@
   readonly durationMs: number;
 }
 
-/** Capacity and load of a target, as reported by its agent. */
-export interface TargetReport {
-  /** Highest sequence of the receiving entry's orders that this report includes. */
-  readonly through: number;
+/** What an agent reports of its target only when it changes. */
+export interface TargetDescription {
   readonly phase: TargetPhase;
   readonly service: string;
   /** Incarnation of the target; each restart makes a new one. */
   readonly life: string;
   readonly labels: readonly string[];
   readonly capacity: Resources;
+}
+
+/** Load of a target, as reported by its agent. */
+export interface TargetLoad {
+  /** Highest sequence of the receiving entry's orders that this report includes. */
+  readonly through: number;
   readonly free: Resources;
   /** Number of orders that wait for free capacity. */
   readonly waiting: number;
@@ -105,6 +109,17 @@
   readonly isSuspect: boolean;
 }
 
+/** Capacity and load of a target. */
+export type TargetReport = TargetDescription & TargetLoad;
+
+/** What an agent needs to know of a configuration. */
+export interface ConfigurationSummary {
+  /** Store revision of the configuration; the higher one is newer. */
+  readonly revision: number;
+  /** Data centres in which no new task may start. */
+  readonly dataCentresOut: readonly string[];
+}
+
 /** Kinds of message from an entry to an agent. */
 export enum EntryFrameKind {
   HELLO = 'hello',
@@ -112,6 +127,9 @@
   ORDER = 'order',
   STOP = 'stop',
   ACKNOWLEDGE = 'acknowledge',
+  ENTRIES = 'entries',
+  SUMMARY = 'summary',
+  CONFIGURATION_REQUEST = 'configuration-request',
   CONFIGURATION = 'configuration',
 }
 
@@ -127,10 +145,21 @@
       readonly kind: EntryFrameKind.PONG;
       /** Send time copied from the ping, by the agent's clock. */
       readonly sentAtMs: number;
-      /** Addresses of all known entries, the sender included. */
-      readonly entries: readonly string[];
       /** Processor time queued at this entry, in thousandths of core-seconds. */
       readonly backlog: number;
+      /** Revision of the configuration in force; 0 for none. */
+      readonly revision: number;
+    }
+  | {
+      readonly kind: EntryFrameKind.ENTRIES;
+      /** Addresses of entries that the agent may link to; sent when they change. */
+      readonly entries: readonly string[];
+    }
+  | ({readonly kind: EntryFrameKind.SUMMARY} & ConfigurationSummary)
+  | {
+      /** Asks for a configuration of at least this revision. */
+      readonly kind: EntryFrameKind.CONFIGURATION_REQUEST;
+      readonly revision: number;
     }
   | {readonly kind: EntryFrameKind.ORDER; readonly order: RunOrder}
   | ({readonly kind: EntryFrameKind.STOP} & RunId)
@@ -144,17 +173,13 @@
 export enum AgentFrameKind {
   HELLO = 'hello',
   PING = 'ping',
+  TARGET = 'target',
   REPORT = 'report',
   END = 'end',
+  CONFIGURATION_REQUEST = 'configuration-request',
   CONFIGURATION = 'configuration',
 }
 
-/** Backlog of another entry, as last reported to the agent. */
-export interface PeerBacklog {
-  readonly entry: string;
-  readonly backlog: number;
-}
-
 /** A message from an agent to an entry. */
 export type AgentFrame =
   | {
@@ -172,10 +197,19 @@
   | {
       readonly kind: AgentFrameKind.PING;
       readonly sentAtMs: number;
-      readonly backlogs: readonly PeerBacklog[];
+      /** Sum of the backlogs of the agent's other entries, in core-milliseconds. */
+      readonly peerBacklog: number;
+      /** Highest revision of a configuration that the agent knows of; 0 for none. */
+      readonly revision: number;
     }
-  | {readonly kind: AgentFrameKind.REPORT; readonly report: TargetReport}
+  | {readonly kind: AgentFrameKind.TARGET; readonly target: TargetDescription}
+  | {readonly kind: AgentFrameKind.REPORT; readonly report: TargetLoad}
   | {readonly kind: AgentFrameKind.END; readonly report: RunEndReport}
+  | {
+      /** Asks for a configuration of at least this revision, for another entry. */
+      readonly kind: AgentFrameKind.CONFIGURATION_REQUEST;
+      readonly revision: number;
+    }
   | {
       readonly kind: AgentFrameKind.CONFIGURATION;
       readonly configuration: FleetConfiguration;
--- a/src/lib/decisions/place_task.ts
+++ b/src/lib/decisions/place_task.ts
@@ -37,7 +37,10 @@
 ) => PlacementTarget | undefined;
 
 /** Returns whether the target has the label and total capacity for the step. */
-export function isEligible(spec: StepSpec, target: PlacementTarget): boolean {
+export function isEligible(
+  spec: StepSpec,
+  target: Pick<PlacementTarget, 'labels' | 'capacity'>,
+): boolean {
   const {requiredLabel} = spec;
   const hasLabel =
     requiredLabel === '' || target.labels.includes(requiredLabel);
--- a/src/lib/decisions/run_registry.ts
+++ b/src/lib/decisions/run_registry.ts
@@ -204,8 +204,8 @@
     if (row.number <= this.processedThrough) return;
     this.processedThrough = row.number;
     const run = this.findRun(row.task, row.run);
-    if (run !== undefined)
-      this.change(run, RunEvent.END_LISTED, nowMs, row.end);
+    if (run === undefined) return;
+    this.change(run, RunEvent.END_LISTED, nowMs, row.end);
   }
 
   private applyProgress(row: ListedRun, nowMs: number): void {
--- a/src/lib/observe/fleet_log.ts
+++ b/src/lib/observe/fleet_log.ts
@@ -11,6 +11,7 @@
   RESUMED = 'resumed',
   CONFIGURATION_APPLIED = 'configuration-taken',
   CONFIGURATION_REJECTED = 'configuration-rejected',
+  CONFIGURATION_REQUESTED = 'configuration-requested',
   STORE_LOST = 'store-lost',
   STORE_RECOVERED = 'store-regained',
   FORECASTS_NOT_STORED = 'forecasts-not-kept',
--- a/src/lib/work/agent/entry_link.ts
+++ b/src/lib/work/agent/entry_link.ts
@@ -6,7 +6,6 @@
 /** A link to the entry at one address. Changed by the link manager only. */
 export interface EntryLink {
   readonly address: string;
-  isSeed: boolean;
   linkId: number;
   stream: FrameStream<AgentFrame> | undefined;
   /** The entry's incarnation; empty until its hello has arrived. */
@@ -16,11 +15,30 @@
   retryAtMs: number;
   /** Time of the disconnect, or of the discovery before the first link. */
   disconnectedSinceMs: number;
-  /** Time of the last frame from the address, or when it was last listed. */
-  lastSeenMs: number;
+  /** Whether the last connection or attempt failed, and none has succeeded since. */
+  hasFailed: boolean;
+  /** Whether the agent keeps or opens the link; otherwise it closes once idle. */
+  isWanted: boolean;
   outbox: AgentFrame[];
 }
 
+/** Creates a link that is to be opened at once. */
+export function createLink(address: string, nowMs: number): EntryLink {
+  return {
+    address,
+    linkId: 0,
+    stream: undefined,
+    incarnation: '',
+    openedAtMs: 0,
+    lastReceivedAtMs: 0,
+    retryAtMs: nowMs,
+    disconnectedSinceMs: nowMs,
+    hasFailed: false,
+    isWanted: true,
+    outbox: [],
+  };
+}
+
 /** Returns when the current connection attempt counts as failed. */
 export function computeConnectDeadline({
   openedAtMs,
--- a/src/lib/work/agent/entry_link_manager.ts
+++ b/src/lib/work/agent/entry_link_manager.ts
@@ -1,31 +1,37 @@
 /** The agent's task that owns the streams to the entries. */
-import type {ReadMonotonicMs, StartTimer, StopTimer} from '../../core/clock.js';
+import type {
+  DrawRandom,
+  ReadMonotonicMs,
+  StartTimer,
+  StopTimer,
+} from '../../core/clock.js';
 import {Task} from '../../core/task.js';
 import type {Post} from '../../core/task.js';
-import {AgentFrameKind, EntryFrameKind} from '../../core/work_frames.js';
-import type {
-  AgentFrame,
-  EntryFrame,
-  PeerBacklog,
-} from '../../core/work_frames.js';
+import {EntryFrameKind} from '../../core/work_frames.js';
+import type {AgentFrame, EntryFrame} from '../../core/work_frames.js';
 import {computeReconnectPause} from '../../decisions/reconnect_pause.js';
 import type {OpenFrameStream} from '../link/frame_stream.js';
-import {computeConnectDeadline} from './entry_link.js';
+import {computeConnectDeadline, createLink} from './entry_link.js';
 import type {EntryLink} from './entry_link.js';
+import {EntryLookUp} from './entry_look_up.js';
+import {LinkSelection} from './link_selection.js';
 import {LinkMessageKind, RunnerMessageKind} from './runner_messages.js';
 import type {LinkMessage, RunnerMessage} from './runner_messages.js';
 
 /** Dependencies of the link manager. */
 export interface EntryLinkManagerOptions {
+  /** Name of the agent, which determines its preference of entries. */
+  readonly agent: string;
   /** Initial addresses, `host:port`; these are never dropped. */
   readonly seeds: readonly string[];
   readonly open: OpenFrameStream<AgentFrame, EntryFrame>;
   /** Looks up the entries' addresses; called while no link is open. */
   readonly findEntries: () => Promise<readonly string[]>;
-  readonly listBacklogs: () => readonly PeerBacklog[];
+  readonly createPing: (entry: string, sentAtMs: number) => AgentFrame;
   readonly post: Post<RunnerMessage>;
   readonly readMonotonicMs: ReadMonotonicMs;
   readonly startTimer: StartTimer;
+  readonly drawRandom: DrawRandom;
   readonly reportLink: (
     address: string,
     isOpen: boolean,
@@ -43,46 +49,43 @@
 /** Time in milliseconds without a frame after which a link is reopened. */
 const LINK_TIMEOUT_MS = 400;
 
-/**
- * Time in milliseconds since the last frame from an address, or since it was
- * last listed, after which it is dropped.
- */
-const ADDRESS_RETENTION_MS = 20_000;
-
-/** Period in milliseconds of the look-ups of entries while no link is open. */
-const LOOK_UP_PERIOD_MS = 2000;
-
 const MAILBOX_CAPACITY = 100_000;
 
 /**
- * Keeps one stream open to each known entry: sends pings, reopens streams that
- * time out, and batches the frames sent within one turn of the event loop into
- * one message.
+ * Keeps one stream open to each entry of the agent's subset: sends pings, reopens
+ * streams that time out, and batches the frames sent within one turn of the event
+ * loop into one message.
  */
 export class EntryLinkManager {
   private readonly task: Task<LinkMessage>;
   private readonly links = new Map<string, EntryLink>();
   private readonly linkById = new Map<number, EntryLink>();
+  private readonly selection: LinkSelection;
   private lastLinkId = 0;
-  private lastLookUpMs = 0;
+  private readonly lookUp: EntryLookUp;
   private lastPingMs = 0;
   private stopTimer: StopTimer = () => undefined;
   private isFlushDue = false;
 
   private constructor(private readonly options: EntryLinkManagerOptions) {
+    this.selection = LinkSelection.create(options.agent, options.seeds);
     this.task = Task.create<LinkMessage>({
       name: 'entry links',
       capacity: MAILBOX_CAPACITY,
       handle: message => this.handle(message),
       reportFailure: options.reportFailure,
     });
+    const kind = LinkMessageKind.ADD_ADDRESSES;
+    const publish = (addresses: readonly string[]) =>
+      void this.post({kind, addresses});
+    const nowMs = options.readMonotonicMs();
+    this.lookUp = EntryLookUp.create({...options, publish}, nowMs);
   }
 
   /** Creates the manager and starts to connect to the seeds. */
   static create(options: EntryLinkManagerOptions): EntryLinkManager {
     const manager = new EntryLinkManager(options);
     const {task} = manager;
-    for (const address of options.seeds) manager.add(address, true);
     task.store.add(() => manager.closeAll());
     task.store.add(() => manager.stopTimer());
     task.post({kind: LinkMessageKind.TICK});
@@ -105,8 +108,13 @@
       case LinkMessageKind.SEND:
         this.enqueue(message.linkId, message.frame);
         break;
+      case LinkMessageKind.CLOSE: {
+        const link = this.linkById.get(message.linkId);
+        if (link?.isWanted === false) this.close(link, 'not needed');
+        break;
+      }
       case LinkMessageKind.ADD_ADDRESSES:
-        for (const address of message.addresses) this.add(address, false);
+        this.selection.add(message.addresses, this.options.readMonotonicMs());
         break;
       case LinkMessageKind.RECEIVED:
         this.receive(message.linkId, message.frames);
@@ -120,26 +128,26 @@
     }
   }
 
-  private add(address: string, isSeed: boolean): void {
-    const nowMs = this.options.readMonotonicMs();
-    const known = this.links.get(address);
-    if (known !== undefined) {
-      known.lastSeenMs = nowMs;
-      return;
+  /** Creates the links that are wanted, and releases those that are not. */
+  private selectLinks(nowMs: number): void {
+    this.selection.removeStale(nowMs);
+    const wanted = new Set(
+      this.selection.listWanted(
+        address => this.links.get(address)?.hasFailed !== true,
+      ),
+    );
+    for (const address of wanted) {
+      if (this.links.has(address)) continue;
+      this.links.set(address, createLink(address, nowMs));
+    }
+    for (const link of this.links.values()) {
+      const isWanted = wanted.has(link.address);
+      if (link.isWanted === isWanted) continue;
+      link.isWanted = isWanted;
+      if (link.incarnation === '') continue;
+      const {incarnation: entry} = link;
+      this.options.post({kind: RunnerMessageKind.LINK_WANTED, entry, isWanted});
     }
-    this.links.set(address, {
-      address,
-      isSeed,
-      linkId: 0,
-      stream: undefined,
-      incarnation: '',
-      openedAtMs: 0,
-      lastReceivedAtMs: 0,
-      retryAtMs: nowMs,
-      disconnectedSinceMs: nowMs,
-      lastSeenMs: nowMs,
-      outbox: [],
-    });
   }
 
   private checkAll(): void {
@@ -147,8 +155,9 @@
     // A timer has millisecond resolution and may fire up to 1 ms early.
     const isPingDue = nowMs - this.lastPingMs >= PING_PERIOD_MS - 1;
     if (isPingDue) this.lastPingMs = nowMs;
+    this.selectLinks(nowMs);
     for (const link of this.links.values()) this.check(link, isPingDue, nowMs);
-    this.lookUp(nowMs);
+    this.lookUp.advance(this.hasOpenLink(), nowMs);
     const delayMs = Math.max(MIN_CHECK_DELAY_MS, this.computeDueMs() - nowMs);
     this.stopTimer = this.options.startTimer(delayMs, () =>
       this.post({kind: LinkMessageKind.TICK}),
@@ -167,10 +176,14 @@
     return dueMs;
   }
 
+  private hasOpenLink(): boolean {
+    const links = [...this.links.values()];
+    return links.some(({incarnation}) => incarnation !== '');
+  }
+
   private check(link: EntryLink, isPingDue: boolean, nowMs: number): void {
     if (link.stream === undefined) {
-      const isStale = nowMs - link.lastSeenMs > ADDRESS_RETENTION_MS;
-      if (isStale && !link.isSeed) this.links.delete(link.address);
+      if (!link.isWanted) this.links.delete(link.address);
       else if (nowMs >= link.retryAtMs) this.open(link, nowMs);
       return;
     }
@@ -183,12 +196,8 @@
       return;
     }
     if (!isPingDue) return;
-    const backlogs = this.options.listBacklogs();
-    this.enqueue(link.linkId, {
-      kind: AgentFrameKind.PING,
-      sentAtMs: nowMs,
-      backlogs: backlogs.filter(({entry}) => entry !== link.incarnation),
-    });
+    const ping = this.options.createPing(link.incarnation, nowMs);
+    this.enqueue(link.linkId, ping);
   }
 
   private open(link: EntryLink, nowMs: number): void {
@@ -213,11 +222,10 @@
     if (link === undefined || link.linkId !== linkId) return;
     const nowMs = this.options.readMonotonicMs();
     link.lastReceivedAtMs = nowMs;
-    link.lastSeenMs = nowMs;
     for (const frame of frames) {
       if (frame.kind === EntryFrameKind.HELLO) this.markOpen(link, frame.life);
-      else if (frame.kind === EntryFrameKind.PONG) {
-        for (const address of frame.entries) this.add(address, false);
+      else if (frame.kind === EntryFrameKind.ENTRIES) {
+        this.selection.setList(linkId, frame.entries, nowMs);
       }
       if (link.incarnation === '') continue;
       const entry = link.incarnation;
@@ -227,7 +235,9 @@
 
   private markOpen(link: EntryLink, incarnation: string): void {
     link.incarnation = incarnation;
+    link.hasFailed = false;
     const {linkId, address, openedAtMs} = link;
+    this.selection.add([address], openedAtMs);
     this.options.reportLink(address, true, '');
     this.options.post({
       kind: RunnerMessageKind.LINK_OPENED,
@@ -248,8 +258,10 @@
     this.linkById.delete(linkId);
     if (link === undefined || link.linkId !== linkId) return;
     const {incarnation, address} = link;
+    this.selection.removeList(linkId);
     link.stream = undefined;
     link.incarnation = '';
+    link.hasFailed = link.isWanted;
     link.outbox = [];
     const nowMs = this.options.readMonotonicMs();
     if (incarnation !== '') link.disconnectedSinceMs = nowMs;
@@ -264,18 +276,6 @@
     });
   }
 
-  private lookUp(nowMs: number): void {
-    const isLinked = [...this.links.values()].some(
-      link => link.incarnation !== '',
-    );
-    if (isLinked || nowMs - this.lastLookUpMs < LOOK_UP_PERIOD_MS) return;
-    this.lastLookUpMs = nowMs;
-    void this.options.findEntries().then(
-      addresses => this.post({kind: LinkMessageKind.ADD_ADDRESSES, addresses}),
-      failure => this.options.reportFailure(failure),
-    );
-  }
-
   private enqueue(linkId: number, frame: AgentFrame): void {
     const link = this.linkById.get(linkId);
     if (link === undefined || link.incarnation === '') return;
--- a/src/lib/work/agent/entry_registry.ts
+++ b/src/lib/work/agent/entry_registry.ts
@@ -18,6 +18,17 @@
   readonly unacknowledgedEnds: Map<string, RunEndReport>;
   /** Processor time of the work queued there, in core-milliseconds. */
   backlog: number;
+  /** Revision of the configuration in force there, as last reported. */
+  revision: number;
+  /** Local time of the last target report to it. */
+  lastReportMs: number;
+  /** The description and the load last reported on the open link, as JSON. */
+  lastTarget: string;
+  lastLoad: string;
+  /** Local time since which the link is to be closed; 0 while it is wanted. */
+  releasedAtMs: number;
+  /** Whether the next report follows a change that this entry waits for. */
+  isReportUrgent: boolean;
 }
 
 /** Time in milliseconds without contact after which an entry is removed. */
@@ -53,6 +64,9 @@
     const known = this.entries.get(incarnation);
     if (known !== undefined) {
       known.linkId = linkId;
+      known.releasedAtMs = 0;
+      known.lastTarget = '';
+      known.lastLoad = '';
       known.lastContactMs = Math.max(known.lastContactMs, openedAtMs);
       return known;
     }
@@ -63,6 +77,12 @@
       lastOrderSequence: 0,
       unacknowledgedEnds: new Map(),
       backlog: 0,
+      revision: 0,
+      lastReportMs: 0,
+      lastTarget: '',
+      lastLoad: '',
+      releasedAtMs: 0,
+      isReportUrgent: false,
     };
     this.entries.set(incarnation, entry);
     return entry;
--- a/src/lib/work/agent/entry_reporter.ts
+++ b/src/lib/work/agent/entry_reporter.ts
@@ -2,25 +2,24 @@
 import type {ReadMonotonicMs, StartTimer} from '../../core/clock.js';
 import type {Post} from '../../core/task.js';
 import type {HeldRun} from '../../decisions/held_run.js';
-import type {FleetConfiguration} from '../../core/fleet_configuration.js';
 import {AgentFrameKind} from '../../core/work_frames.js';
 import type {
   AgentFrame,
-  PeerBacklog,
   RunEndReport,
   TargetReport,
 } from '../../core/work_frames.js';
+import {ConfigurationRelay} from './configuration_relay.js';
 import {EntryRegistry} from './entry_registry.js';
 import type {KnownEntry} from './entry_registry.js';
 import {LinkMessageKind} from './runner_messages.js';
 import type {LinkMessage} from './runner_messages.js';
+import {TargetReporter} from './target_reporter.js';
 
 /**
- * Minimum time in milliseconds between two target reports, as each goes to all
- * entries. Nothing urgent waits for one: run ends are sent at once, and an
- * entry accounts for its own orders itself.
+ * Time in milliseconds between the report that an entry gets no more capacity
+ * and the end of its link: orders in flight still arrive.
  */
-const REPORT_PERIOD_MS = 10;
+const RELEASE_NOTICE_MS = 500;
 
 /** Dependencies of the reporter. */
 export interface EntryReporterOptions {
@@ -37,11 +36,18 @@
 /** Sends frames to the entries on behalf of the work runner, which owns it. */
 export class EntryReporter {
   private readonly entries = EntryRegistry.create();
-  private isReportScheduled = false;
-  private lastReport = '';
-  private lastReportMs = 0;
-
-  private constructor(private readonly options: EntryReporterOptions) {}
+  /** Carries configurations between entries. */
+  readonly configurations: ConfigurationRelay;
+  private readonly reporter: TargetReporter;
+
+  private constructor(private readonly options: EntryReporterOptions) {
+    const common = {
+      listEntries: () => this.entries.listEntries(),
+      send: (entry: KnownEntry, frame: AgentFrame) => this.send(entry, frame),
+    };
+    this.configurations = ConfigurationRelay.create(common);
+    this.reporter = TargetReporter.create({...options, ...common});
+  }
 
   /** Creates a reporter that knows no entry. */
   static create(options: EntryReporterOptions): EntryReporter {
@@ -53,12 +59,15 @@
     return this.entries.find(incarnation);
   }
 
-  /** Lists the backlogs of the linked entries that have one. */
-  listBacklogs(): readonly PeerBacklog[] {
-    return this.entries
-      .listEntries()
-      .filter(entry => entry.linkId !== undefined && entry.backlog > 0)
-      .map(({incarnation, backlog}) => ({entry: incarnation, backlog}));
+  /** Creates a ping to an entry. */
+  createPing(incarnation: string, sentAtMs: number): AgentFrame {
+    let peerBacklog = 0;
+    for (const entry of this.entries.listEntries()) {
+      const isOther = entry.incarnation !== incarnation;
+      if (isOther && entry.linkId !== undefined) peerBacklog += entry.backlog;
+    }
+    const {revision} = this.configurations.summary;
+    return {kind: AgentFrameKind.PING, sentAtMs, peerBacklog, revision};
   }
 
   /** Returns whether every linked entry has acknowledged all run ends. */
@@ -73,13 +82,12 @@
 
   /**
    * Records an opened link, and sends the entry its runs, the run ends that it
-   * has not acknowledged, a ping, the configuration and a target report.
+   * has not acknowledged, a ping and a target report.
    */
   openLink(
     incarnation: string,
     linkId: number,
     runs: readonly HeldRun[],
-    configuration: FleetConfiguration | undefined,
     openedAtMs: number,
   ): void {
     const entry = this.entries.openLink(incarnation, linkId, openedAtMs);
@@ -100,11 +108,8 @@
       through: entry.lastOrderSequence,
     });
     const sentAtMs = this.options.readMonotonicMs();
-    this.send(entry, {kind: AgentFrameKind.PING, sentAtMs, backlogs: []});
-    if (configuration !== undefined) {
-      this.send(entry, {kind: AgentFrameKind.CONFIGURATION, configuration});
-    }
-    this.send(entry, this.describe(entry));
+    this.send(entry, this.createPing(incarnation, sentAtMs));
+    this.reporter.report(entry);
   }
 
   /** Records a closed link. */
@@ -118,6 +123,7 @@
     const entry = this.entries.find(owner);
     if (entry !== undefined) {
       this.send(entry, {kind: AgentFrameKind.END, report});
+      entry.isReportUrgent = true;
     }
   }
 
@@ -126,14 +132,23 @@
     this.entries.removeEnd(owner, task, run);
   }
 
-  /** Sends the configuration to all entries except the one it came from. */
-  publishConfiguration(
-    configuration: FleetConfiguration,
-    source: string,
-  ): void {
+  /** Marks whether the link to an entry is wanted or to be closed once idle. */
+  markWanted(incarnation: string, isWanted: boolean, nowMs: number): void {
+    const entry = this.entries.find(incarnation);
+    if (entry !== undefined) entry.releasedAtMs = isWanted ? 0 : nowMs;
+  }
+
+  /** Closes the links to be closed that no run and no run end needs. */
+  closeReleased(runs: readonly HeldRun[], nowMs: number): void {
     for (const entry of this.entries.listEntries()) {
-      if (entry.incarnation === source) continue;
-      this.send(entry, {kind: AgentFrameKind.CONFIGURATION, configuration});
+      const {releasedAtMs, linkId, incarnation, unacknowledgedEnds} = entry;
+      if (releasedAtMs === 0 || linkId === undefined) continue;
+      const isNeeded =
+        nowMs - releasedAtMs < RELEASE_NOTICE_MS ||
+        unacknowledgedEnds.size > 0 ||
+        runs.some(({owner}) => owner === incarnation);
+      if (isNeeded) continue;
+      this.options.postToLinks({kind: LinkMessageKind.CLOSE, linkId});
     }
   }
 
@@ -144,29 +159,7 @@
 
   /** Schedules a target report to all entries; skipped if nothing changed. */
   scheduleReport(): void {
-    if (this.isReportScheduled) return;
-    this.isReportScheduled = true;
-    const sinceMs = this.options.readMonotonicMs() - this.lastReportMs;
-    if (sinceMs >= REPORT_PERIOD_MS) setImmediate(this.report);
-    else this.options.startTimer(REPORT_PERIOD_MS - sinceMs, this.report);
-  }
-
-  private readonly report = (): void => {
-    this.isReportScheduled = false;
-    this.lastReportMs = this.options.readMonotonicMs();
-    const entries = this.entries.listEntries();
-    const current = JSON.stringify([
-      this.options.describeTarget(),
-      entries.map(entry => entry.lastOrderSequence),
-    ]);
-    if (current === this.lastReport) return;
-    this.lastReport = current;
-    for (const entry of entries) this.send(entry, this.describe(entry));
-  };
-
-  private describe({lastOrderSequence: through}: KnownEntry): AgentFrame {
-    const report = {through, ...this.options.describeTarget()};
-    return {kind: AgentFrameKind.REPORT, report};
+    this.reporter.schedule();
   }
 
   private send(entry: KnownEntry, frame: AgentFrame): void {
--- a/src/lib/work/agent/runner_messages.ts
+++ b/src/lib/work/agent/runner_messages.ts
@@ -11,6 +11,7 @@
   HOLD_ANSWER = 'hold-answer',
   LINK_OPENED = 'link-opened',
   LINK_CLOSED = 'link-closed',
+  LINK_WANTED = 'link-wanted',
   FRAME = 'frame',
   TICK = 'tick',
   DRAIN = 'leave',
@@ -55,6 +56,12 @@
       /** Whether the entry's address refused the connection. */
       readonly isRefused: boolean;
     }
+  | {
+      /** An open link is to be kept, or to be closed once no run needs it. */
+      readonly kind: RunnerMessageKind.LINK_WANTED;
+      readonly entry: string;
+      readonly isWanted: boolean;
+    }
   | {
       readonly kind: RunnerMessageKind.FRAME;
       readonly linkId: number;
@@ -67,6 +74,7 @@
 /** Kinds of message to the link manager. */
 export enum LinkMessageKind {
   SEND = 'send',
+  CLOSE = 'close',
   ADD_ADDRESSES = 'learn',
   RECEIVED = 'received',
   STREAM_FAILED = 'broken',
@@ -80,6 +88,7 @@
       readonly linkId: number;
       readonly frame: AgentFrame;
     }
+  | {readonly kind: LinkMessageKind.CLOSE; readonly linkId: number}
   | {
       readonly kind: LinkMessageKind.ADD_ADDRESSES;
       readonly addresses: readonly string[];
--- a/src/lib/work/agent/target_status.ts
+++ b/src/lib/work/agent/target_status.ts
@@ -26,7 +26,7 @@
     capacity: runs.totalCapacity,
     free: health.computeFreeCapacity(),
     waiting: runs.countQueued(),
-    slowness: health.slowness,
+    slowness: Math.round(health.slowness * 1000) / 1000,
     isSuspect: health.isSuspect,
   };
 }
--- a/src/lib/work/agent/work_agent.ts
+++ b/src/lib/work/agent/work_agent.ts
@@ -1,5 +1,6 @@
 /** An agent that runs work on the target beside it: tasks and lifecycle. */
 import type {
+  DrawRandom,
   ReadMonotonicMs,
   ReadSystemMs,
   StartTimer,
@@ -45,6 +46,7 @@
   readonly readMonotonicMs: ReadMonotonicMs;
   readonly readSystemMs: ReadSystemMs;
   readonly startTimer: StartTimer;
+  readonly drawRandom: DrawRandom;
   readonly log: FleetLog;
   readonly metrics: FleetMetrics;
 }
@@ -92,8 +94,9 @@
     store.add(() => this.runner.stop());
     this.links = EntryLinkManager.create({
       ...options,
+      agent: identity.id,
       open: options.openStream,
-      listBacklogs: this.runner.listBacklogs,
+      createPing: this.runner.createPing,
       post: this.runner.post,
       reportLink: (entry, isOpen, detail) => {
         const event = isOpen
--- a/src/lib/work/agent/work_runner.ts
+++ b/src/lib/work/agent/work_runner.ts
@@ -5,7 +5,6 @@
 import {RunEvent} from '../../decisions/held_run.js';
 import {FleetEvent} from '../../observe/fleet_log.js';
 import {RequestLog} from '../../observe/request_log.js';
-import type {FleetConfiguration} from '../../core/fleet_configuration.js';
 import {
   EntryFrameKind,
   RunEndCause,
@@ -13,8 +12,9 @@
   TargetPhase,
 } from '../../core/work_frames.js';
 import type {
+  AgentFrame,
+  ConfigurationSummary,
   EntryFrame,
-  PeerBacklog,
   RunOrder,
 } from '../../core/work_frames.js';
 import type {KnownEntry} from './entry_registry.js';
@@ -45,7 +45,6 @@
   private readonly task: Task<RunnerMessage>;
   private readonly target: TargetController;
   private readonly entries: EntryReporter;
-  private configuration: FleetConfiguration | undefined;
   private readonly contacts: OwnerContacts;
   private isDraining = false;
   private lastStatusMs = 0;
@@ -98,9 +97,9 @@
     return this.task.post;
   }
 
-  /** Lists the backlogs of the entries, for the pings to the other entries. */
-  readonly listBacklogs = (): readonly PeerBacklog[] =>
-    this.entries.listBacklogs();
+  /** Creates a ping to an entry, for the link manager. */
+  readonly createPing = (entry: string, sentAtMs: number): AgentFrame =>
+    this.entries.createPing(entry, sentAtMs);
 
   /** Stops the timers and closes the connections to the target. */
   stop(): Promise<void> {
@@ -141,12 +140,15 @@
       case RunnerMessageKind.LINK_OPENED: {
         const {entry, linkId, openedAtMs} = message;
         const runs = target.runs.listRuns();
-        entries.openLink(entry, linkId, runs, this.configuration, openedAtMs);
+        entries.openLink(entry, linkId, runs, openedAtMs);
         break;
       }
       case RunnerMessageKind.LINK_CLOSED:
         entries.closeLink(message.entry, message.linkId);
         break;
+      case RunnerMessageKind.LINK_WANTED:
+        entries.markWanted(message.entry, message.isWanted, nowMs);
+        break;
       case RunnerMessageKind.FRAME:
         this.handleFrame(message.entry, message.frame, nowMs);
         break;
@@ -177,6 +179,7 @@
       case EntryFrameKind.PONG:
         entry.lastContactMs = Math.max(entry.lastContactMs, frame.sentAtMs);
         entry.backlog = frame.backlog;
+        entry.revision = Math.max(entry.revision, frame.revision);
         break;
       case EntryFrameKind.ORDER:
         this.handleOrder(entry, frame.order, nowMs);
@@ -191,8 +194,17 @@
       case EntryFrameKind.ACKNOWLEDGE:
         this.entries.acknowledge(incarnation, frame.task, frame.run);
         break;
+      case EntryFrameKind.ENTRIES:
+        break;
+      case EntryFrameKind.SUMMARY:
+        entry.revision = Math.max(entry.revision, frame.revision);
+        this.applySummary(frame, nowMs);
+        break;
+      case EntryFrameKind.CONFIGURATION_REQUEST:
+        this.entries.configurations.request(entry, frame.revision, nowMs);
+        break;
       case EntryFrameKind.CONFIGURATION:
-        this.applyConfiguration(frame.configuration, incarnation, nowMs);
+        this.entries.configurations.deliver(frame.configuration);
         break;
     }
   }
@@ -234,29 +246,22 @@
   }
 
   private isEvacuated(): boolean {
-    const evacuated = this.configuration?.dataCentresOut ?? [];
-    return evacuated.includes(this.options.dataCentre);
+    const {dataCentresOut} = this.entries.configurations.summary;
+    return dataCentresOut.includes(this.options.dataCentre);
   }
 
-  private applyConfiguration(
-    configuration: FleetConfiguration,
-    source: string,
-    nowMs: number,
-  ): void {
-    const revision = this.configuration?.revision ?? 0;
-    if (configuration.revision <= revision) return;
-    this.configuration = configuration;
-    if (this.isEvacuated()) {
-      this.target.runs.returnQueued(RunEndCause.DATA_CENTRE_OUT, nowMs);
-    }
-    // Reaches entries that cannot read the change from the store.
-    this.entries.publishConfiguration(configuration, source);
+  private applySummary(summary: ConfigurationSummary, nowMs: number): void {
+    if (!this.entries.configurations.applySummary(summary)) return;
+    if (!this.isEvacuated()) return;
+    this.target.runs.returnQueued(RunEndCause.DATA_CENTRE_OUT, nowMs);
   }
 
   private runChecks(nowMs: number): void {
     this.target.advance(nowMs);
     this.stopOrphaned(nowMs);
     this.entries.removeStale(nowMs);
+    this.entries.closeReleased(this.target.runs.listRuns(), nowMs);
+    this.entries.configurations.advance(nowMs);
     this.reportStatus(nowMs);
     const isIdle = this.target.runs.listRuns().length === 0;
     if (this.isDraining && isIdle && this.entries.hasDeliveredEnds()) {
--- a/src/lib/work/entry/admission_controller.ts
+++ b/src/lib/work/entry/admission_controller.ts
@@ -2,12 +2,11 @@
 import {judgeAdmission} from '../../decisions/admit_work.js';
 import {computeSlack} from '../../decisions/job_timing.js';
 import {isEligible} from '../../decisions/place_task.js';
-import type {PlacementTarget} from '../../decisions/place_task.js';
 import {judgeFeasibility, Feasibility} from '../../decisions/rank_work.js';
 import {SlackShare} from '../../decisions/slack_share.js';
 import {JobEnd, JobReason} from '../../core/work_job.js';
-import type {JobAnswer} from '../../core/work_job.js';
-import type {ActiveJob, ActiveTask} from './active_job.js';
+import type {JobAnswer, StepSpec} from '../../core/work_job.js';
+import type {ActiveJob} from './active_job.js';
 import type {AgentFleet} from './agent_fleet.js';
 import type {AgentSession} from './agent_session.js';
 import type {JobRegistry} from './job_registry.js';
@@ -52,7 +51,6 @@
     const {timing} = job;
     // An earlier attempt of its caller may have run, so it must not be refused.
     if (job.expected.elapsedMs > 0) return undefined;
-    const targets = fleet.describeTargets(sessions);
     const verdict = judgeAdmission({
       requestedCores: sumCores(
         job.tasks
@@ -61,11 +59,11 @@
       ),
       backlogMs:
         this.estimateWorkAhead(timing.startByMs, nowMs) + fleet.sumQueued(),
-      cores: sumCores(targets.map(target => target.capacity.cpuMilli)),
-      freeCores: sumCores(targets.map(target => target.free.cpuMilli)),
+      cores: sumCores(sessions.map(({report}) => report.capacity.cpuMilli)),
+      freeCores: sumCores(sessions.map(({free}) => free.cpuMilli)),
       slackMs: computeSlack(timing, TYPICAL_SLOWNESS) * this.slackShare.value,
-      hasTargets: targets.length > 0,
-      isPlaceable: this.isPlaceable(job, targets),
+      hasTargets: sessions.length > 0,
+      isPlaceable: this.isPlaceable(job, sessions),
     });
     const {reason, retryAfterMs} = verdict;
     if (reason === JobReason.NONE) return undefined;
@@ -80,36 +78,43 @@
    */
   private isPlaceable(
     job: ActiveJob,
-    usable: readonly PlacementTarget[],
+    usable: readonly AgentSession[],
   ): boolean {
-    const {fleet} = this.options;
-    const known = fleet.describeTargets(
-      fleet
-        .listSessions()
-        .filter(session => session.report.service === job.rule.service),
-    );
-    return job.request.steps.every(step =>
-      [...usable, ...known].some(target => isEligible(step, target)),
+    const isFitFor = (step: StepSpec) => (session: AgentSession) =>
+      session.report.service === job.rule.service &&
+      isEligible(step, session.report);
+    return job.request.steps.every(
+      step =>
+        usable.some(isFitFor(step)) ||
+        this.options.fleet.listSessions().some(isFitFor(step)),
     );
   }
 
+  /** Sums the waiting work that can be in time, in core-milliseconds. */
+  sumBacklog(nowMs: number): number {
+    return this.measureBacklog(nowMs, Infinity).all;
+  }
+
   /**
-   * Sums the waiting work that can be in time, in core-milliseconds. Late work is
-   * not counted, because it yields to work in time.
+   * Sums the waiting work that can be in time, in core-milliseconds: all of it,
+   * and the part that goes ahead of a job. Late work is not counted, because it
+   * yields to work in time.
    *
-   * @param startByMs Latest start of the jobs to be counted.
+   * @param startByMs Latest start of the job.
    */
-  sumBacklog(nowMs: number, startByMs = Infinity): number {
-    let sum = 0;
+  private measureBacklog(
+    nowMs: number,
+    startByMs: number,
+  ): {readonly all: number; readonly ahead: number} {
+    let all = 0;
+    let ahead = 0;
     for (const job of this.options.jobs.waiting) {
-      if (job.timing.startByMs > startByMs || !this.isInTime(job, nowMs)) {
-        continue;
-      }
-      sum += sumWork(
-        job.tasks.filter(task => task.state === TaskState.WAITING),
-      );
+      if (!this.isInTime(job, nowMs)) continue;
+      const work = sumWaitingWork(job);
+      all += work;
+      if (job.timing.startByMs <= startByMs) ahead += work;
     }
-    return sum;
+    return {all, ahead};
   }
 
   /** Returns whether the answer to a job would come too late to be of use. */
@@ -123,7 +128,7 @@
     const {fleet} = this.options;
     const targets = fleet.describeTargets(fleet.listSessions());
     const cores = sumCores(targets.map(target => target.capacity.cpuMilli));
-    const aheadMs = this.sumBacklog(nowMs) + fleet.peerBacklogs.sum(nowMs);
+    const aheadMs = this.sumBacklog(nowMs) + fleet.peerBacklog;
     return Math.max(MIN_RETRY_DELAY_MS, aheadMs / Math.max(1, cores));
   }
 
@@ -139,20 +144,20 @@
    * @param startByMs Latest start of the job.
    */
   private estimateWorkAhead(startByMs: number, nowMs: number): number {
-    const ownBacklog = this.sumBacklog(nowMs);
-    const ahead = this.sumBacklog(nowMs, startByMs);
+    const {all: ownBacklog, ahead} = this.measureBacklog(nowMs, startByMs);
     const share = ownBacklog === 0 ? PEER_BACKLOG_SHARE : ahead / ownBacklog;
-    return ahead + this.options.fleet.peerBacklogs.sum(nowMs) * share;
+    return ahead + this.options.fleet.peerBacklog * share;
   }
 }
 
-/** Sums the estimated work of tasks, in core-milliseconds. */
-function sumWork(tasks: readonly ActiveTask[]): number {
-  return tasks.reduce(
-    (sum, {spec}) =>
-      sum + (spec.need.cpuMilli / MILLI_PER_CORE) * spec.estimateMs,
-    0,
-  );
+/** Sums the estimated work of a job's waiting tasks, in core-milliseconds. */
+function sumWaitingWork(job: ActiveJob): number {
+  let sum = 0;
+  for (const {state, spec} of job.tasks) {
+    if (state !== TaskState.WAITING) continue;
+    sum += (spec.need.cpuMilli / MILLI_PER_CORE) * spec.estimateMs;
+  }
+  return sum;
 }
 
 /** Sums processor shares given in millicores, in cores; negative values count as 0. */
--- a/src/lib/work/entry/agent_fleet.ts
+++ b/src/lib/work/entry/agent_fleet.ts
@@ -1,22 +1,18 @@
 /** The agents of an entry: their sessions, reports and ended runs. */
 import {FleetEvent} from '../../observe/fleet_log.js';
 import type {FleetConfiguration} from '../../core/fleet_configuration.js';
-import {
-  AgentFrameKind,
-  EntryFrameKind,
-  TargetPhase,
-} from '../../core/work_frames.js';
+import {TargetPhase} from '../../core/work_frames.js';
 import type {AgentFrame, EntryFrame} from '../../core/work_frames.js';
 import {computeSpeeds} from '../../decisions/fleet_speeds.js';
 import type {FleetSpeeds} from '../../decisions/fleet_speeds.js';
 import type {PlacementTarget} from '../../decisions/place_task.js';
 import type {FrameStream} from '../link/frame_stream.js';
 import type {AgentFleetOptions} from './agent_fleet_options.js';
-import {AgentSession} from './agent_session.js';
-import {PeerBacklogTable} from './peer_backlog_table.js';
+import {AgentFrameHandler} from './agent_frame_handler.js';
+import type {AgentSession} from './agent_session.js';
 import {RUN_EXPIRY_MS} from './run_expiry.js';
 import {RunStatusChange} from './run_status_change.js';
-import type {AgentHello} from './agent_session.js';
+import {SessionIndex} from './session_index.js';
 import {AgentAction, AgentEvent, AgentState} from './work_charts.js';
 
 /** Time in milliseconds without a ping after which an agent is disconnected. */
@@ -35,12 +31,22 @@
 
 /** Sessions of agents that have sent a hello. Owned by the scheduler. */
 export class AgentFleet {
-  private readonly sessions = new Map<string, AgentSession>();
-  /** Backlogs of the other entries. */
-  readonly peerBacklogs = PeerBacklogTable.create();
+  private readonly sessions = SessionIndex.create();
+  /** Sessions with frames to be sent. */
+  private readonly unflushed = new Set<AgentSession>();
+  private readonly handler: AgentFrameHandler;
   private latestSpeeds = computeSpeeds([]);
-
-  private constructor(private readonly options: AgentFleetOptions) {}
+  private latestPeerBacklog = 0;
+
+  private constructor(private readonly options: AgentFleetOptions) {
+    this.handler = AgentFrameHandler.create({
+      ...options,
+      sessions: this.sessions,
+      requestFlush: session => this.unflushed.add(session),
+      applyEvent: (session, event) => this.applyEvent(session, event),
+      remove: session => this.remove(session),
+    });
+  }
 
   /** Creates a fleet without agents. */
   static create(options: AgentFleetOptions): AgentFleet {
@@ -49,12 +55,20 @@
 
   /** Lists all sessions, including disconnected ones. */
   listSessions(): AgentSession[] {
-    return [...this.sessions.values()];
+    return [...this.sessions.list()];
+  }
+
+  /** Whether any agent is connected. */
+  get isConnected(): boolean {
+    for (const {state} of this.sessions.list()) {
+      if (state === AgentState.CONNECTED) return true;
+    }
+    return false;
   }
 
   /** Finds a session by the incarnation of its agent. */
   find(id: string): AgentSession | undefined {
-    return this.sessions.get(id);
+    return this.sessions.find(id);
   }
 
   /** Lists the sessions of agents that may get tasks of a service now. */
@@ -63,14 +77,26 @@
     dataCentresOut: readonly string[],
     nowMs: number,
   ): AgentSession[] {
-    return this.listSessions().filter(
-      session =>
+    const usable: AgentSession[] = [];
+    for (const session of this.sessions.list()) {
+      const {report} = session;
+      const isUsable =
         session.state === AgentState.CONNECTED &&
-        session.report.phase === TargetPhase.READY &&
-        session.report.service === service &&
+        report.phase === TargetPhase.READY &&
+        report.service === service &&
         nowMs - session.lastPingAtMs <= PLACEMENT_PING_TIMEOUT_MS &&
-        !dataCentresOut.includes(session.hello.dataCentre),
-    );
+        !dataCentresOut.includes(session.hello.dataCentre);
+      if (isUsable) usable.push(session);
+    }
+    return usable;
+  }
+
+  /**
+   * Backlog of the other entries for the targets of this one, in
+   * core-milliseconds, as of the last check.
+   */
+  get peerBacklog(): number {
+    return this.latestPeerBacklog;
   }
 
   /** Speeds of the targets, as of the last check. */
@@ -87,10 +113,10 @@
 
   /** Sums the work in the agents' queues, in core-milliseconds. */
   sumQueued(): number {
-    const millicores = this.listSessions().reduce(
-      (sum, session) => sum + Math.max(0, -session.free.cpuMilli),
-      0,
-    );
+    let millicores = 0;
+    for (const session of this.sessions.list()) {
+      millicores += Math.max(0, -session.free.cpuMilli);
+    }
     return (millicores / MILLI_PER_CORE) * TYPICAL_RUN_MS;
   }
 
@@ -100,29 +126,36 @@
     frames: readonly AgentFrame[],
     nowMs: number,
   ): void {
-    for (const frame of frames) this.handleFrame(stream, frame, nowMs);
+    for (const frame of frames) this.handler.handle(stream, frame, nowMs);
   }
 
   /** Disconnects the agent whose stream has ended. */
   handleStreamEnd(stream: FrameStream<EntryFrame>, detail: string): void {
-    const session = this.findByStream(stream);
+    const session = this.sessions.findByStream(stream);
     if (session !== undefined) this.disconnect(session, detail);
   }
 
-  private measureSpeeds(): void {
-    const ready = this.listSessions().filter(
-      session =>
-        session.state === AgentState.CONNECTED &&
-        session.report.phase === TargetPhase.READY,
-    );
-    this.latestSpeeds = computeSpeeds(
-      ready.map(session => session.report.slowness),
-    );
+  private measureFleet(nowMs: number): void {
+    const slownesses: number[] = [];
+    let peerBacklog = 0;
+    let pinging = 0;
+    for (const session of this.sessions.list()) {
+      if (session.state !== AgentState.CONNECTED) continue;
+      const {report} = session;
+      if (report.phase === TargetPhase.READY) slownesses.push(report.slowness);
+      if (nowMs - session.lastPingAtMs > PLACEMENT_PING_TIMEOUT_MS) continue;
+      peerBacklog += session.peerBacklog;
+      pinging += 1;
+    }
+    this.latestSpeeds = computeSpeeds(slownesses);
+    // Each agent knows the entries that compete for its own target.
+    this.latestPeerBacklog = peerBacklog / Math.max(1, pinging);
   }
 
   /** Disconnects agents that send no pings, and later expires and removes them. */
   check(nowMs: number): void {
-    this.measureSpeeds();
+    this.measureFleet(nowMs);
+    this.handler.requestConfiguration(nowMs);
     for (const session of this.listSessions()) {
       const idleMs = nowMs - session.lastPingAtMs;
       if (session.state === AgentState.CONNECTED && idleMs > PING_TIMEOUT_MS) {
@@ -135,133 +168,33 @@
       if (session.state === AgentState.EXPIRED && idleMs > REMOVE_AFTER_MS) {
         this.applyEvent(session, AgentEvent.REMOVE);
       }
-      if (session.state === AgentState.ENDED) this.sessions.delete(session.id);
+      if (session.state === AgentState.ENDED) this.remove(session);
     }
   }
 
-  /** Sends the configuration to all agents. */
+  /** Sends the summary of a configuration to all agents that lack it. */
   publishConfiguration(configuration: FleetConfiguration): void {
-    for (const session of this.sessions.values()) {
-      session.send({kind: EntryFrameKind.CONFIGURATION, configuration});
+    for (const session of this.sessions.list()) {
+      this.handler.sendSummary(session, configuration);
     }
   }
 
-  /** Sends the frames that are queued for the agents. */
-  flush(): void {
-    for (const session of this.sessions.values()) session.flush();
-  }
-
-  private handleFrame(
-    stream: FrameStream<EntryFrame>,
-    frame: AgentFrame,
-    nowMs: number,
-  ): void {
-    if (frame.kind === AgentFrameKind.HELLO) {
-      this.handleHello(stream, frame, nowMs);
-      return;
-    }
-    const session = this.findByStream(stream);
-    if (session === undefined) return;
-    switch (frame.kind) {
-      case AgentFrameKind.PING:
-        session.lastPingAtMs = nowMs;
-        this.peerBacklogs.update(frame.backlogs, nowMs);
-        session.send({
-          kind: EntryFrameKind.PONG,
-          sentAtMs: frame.sentAtMs,
-          ...this.options.describeBacklog(),
-        });
-        break;
-      case AgentFrameKind.REPORT:
-        this.handleReport(session, frame);
-        break;
-      case AgentFrameKind.END: {
-        const {task, run} = frame.report;
-        this.options.handleRunEnd(session, frame.report);
-        session.send({kind: EntryFrameKind.ACKNOWLEDGE, task, run});
-        break;
-      }
-      case AgentFrameKind.CONFIGURATION:
-        this.options.handleConfiguration(frame.configuration);
-        break;
+  /** Sends each agent the addresses of the entries that it may link to. */
+  publishEntries(): void {
+    for (const session of this.sessions.list()) {
+      this.handler.sendEntries(session);
     }
   }
 
-  private handleReport(
-    session: AgentSession,
-    frame: Extract<AgentFrame, {kind: AgentFrameKind.REPORT}>,
-  ): void {
-    session.applyReport(frame.report);
-    // A later incarnation that controls the target proves that the runs of
-    // earlier ones are over.
-    if (frame.report.phase !== TargetPhase.ABSENT) this.replaceOlder(session);
-  }
-
-  private replaceOlder(current: AgentSession): void {
-    for (const session of this.listSessions()) {
-      if (session === current || session.hello.agent !== current.hello.agent) {
-        continue;
-      }
-      if (session.lastPingAtMs > current.lastPingAtMs) continue;
-      this.applyEvent(session, AgentEvent.REPLACED);
-      this.sessions.delete(session.id);
-    }
-  }
-
-  private handleHello(
-    stream: FrameStream<EntryFrame>,
-    hello: AgentHello,
-    nowMs: number,
-  ): void {
-    const existing = this.sessions.get(hello.life);
-    const session = existing ?? AgentSession.create(hello, stream, nowMs);
-    this.sessions.set(hello.life, session);
-    if (existing !== undefined) {
-      existing.replaceStream(stream);
-      existing.lastPingAtMs = nowMs;
-    }
-    this.options.log(FleetEvent.AGENT_CONNECTED, 'An agent has connected.', {
-      agent: hello.agent,
-      agentLife: hello.life,
-      held: hello.held.length,
-      ends: hello.ends.length,
-    });
-    this.resolveTasks(session, hello);
-    if (existing !== undefined && existing.state !== AgentState.CONNECTED) {
-      this.applyEvent(existing, AgentEvent.RECONNECT);
-    }
-    const configuration = this.options.getConfiguration();
-    if (configuration !== undefined) {
-      session.send({kind: EntryFrameKind.CONFIGURATION, configuration});
-    }
-  }
-
-  /** Resolves each task by the agent's hello: held, ended, or never received. */
-  private resolveTasks(session: AgentSession, hello: AgentHello): void {
-    for (const report of hello.ends) {
-      this.options.handleRunEnd(session, report);
-      const {task, run} = report;
-      session.send({kind: EntryFrameKind.ACKNOWLEDGE, task, run});
-    }
-    const held = new Map(hello.held.map(heldRun => [heldRun.task, heldRun]));
-    for (const task of [...session.tasks.values()]) {
-      const heldRun = held.get(task.name);
-      const isHeld = heldRun !== undefined && heldRun.run === task.run;
-      this.options.handleRunStatus(
-        task,
-        isHeld ? RunStatusChange.STILL_HELD : RunStatusChange.NOT_HELD,
-      );
-    }
-    for (const {task, run} of hello.held) {
-      if (session.tasks.get(task)?.run === run) continue;
-      session.send({kind: EntryFrameKind.STOP, task, run});
-    }
+  /** Sends the frames that are queued for the agents. */
+  flush(): void {
+    for (const session of this.unflushed) session.flush();
+    this.unflushed.clear();
   }
 
-  private findByStream(
-    stream: FrameStream<EntryFrame>,
-  ): AgentSession | undefined {
-    return this.listSessions().find(session => session.isUsing(stream));
+  private remove(session: AgentSession): void {
+    this.sessions.remove(session, session.currentStream);
+    this.unflushed.delete(session);
   }
 
   private disconnect(session: AgentSession, detail: string): void {
--- a/src/lib/work/entry/agent_fleet_options.ts
+++ b/src/lib/work/entry/agent_fleet_options.ts
@@ -1,10 +1,6 @@
 /** Options of the agent fleet of an entry. */
 import type {FleetConfiguration} from '../../core/fleet_configuration.js';
-import type {
-  EntryFrame,
-  EntryFrameKind,
-  RunEndReport,
-} from '../../core/work_frames.js';
+import type {RunEndReport} from '../../core/work_frames.js';
 import type {FleetLog} from '../../observe/fleet_log.js';
 import type {ActiveTask} from './active_job.js';
 import type {AgentSession} from './agent_session.js';
@@ -21,9 +17,8 @@
   readonly handleRunStatus: (task: ActiveTask, change: RunStatusChange) => void;
   readonly handleConfiguration: (configuration: FleetConfiguration) => void;
   readonly getConfiguration: () => FleetConfiguration | undefined;
-  /** Describes the backlog of this entry, for the reply to a ping. */
-  readonly describeBacklog: () => Omit<
-    Extract<EntryFrame, {kind: EntryFrameKind.PONG}>,
-    'kind' | 'sentAtMs'
-  >;
+  /** Returns the backlog of this entry in core-milliseconds. */
+  readonly getBacklog: () => number;
+  /** Lists the addresses of the entries that an agent may link to. */
+  readonly listEntriesFor: (agent: string) => readonly string[];
 }
--- /dev/null
+++ b/src/lib/work/entry/agent_frame_handler.ts
@@ -0,0 +1,220 @@
+/** Handles the messages of the agents linked to an entry. */
+import {ConfigurationRequests} from '../../decisions/configuration_requests.js';
+import {FleetEvent} from '../../observe/fleet_log.js';
+import type {FleetConfiguration} from '../../core/fleet_configuration.js';
+import {
+  AgentFrameKind,
+  EntryFrameKind,
+  TargetPhase,
+} from '../../core/work_frames.js';
+import type {
+  AgentFrame,
+  EntryFrame,
+  TargetDescription,
+} from '../../core/work_frames.js';
+import type {FrameStream} from '../link/frame_stream.js';
+import type {AgentFleetOptions} from './agent_fleet_options.js';
+import {AgentSession} from './agent_session.js';
+import type {AgentHello} from './agent_session.js';
+import {RunStatusChange} from './run_status_change.js';
+import type {SessionIndex} from './session_index.js';
+import {AgentEvent, AgentState} from './work_charts.js';
+
+type AgentPing = Extract<AgentFrame, {kind: AgentFrameKind.PING}>;
+
+/**
+ * Time in milliseconds in which the body of a newer configuration is expected
+ * from the store before an agent is asked for it.
+ */
+const BODY_PATIENCE_MS = 150;
+
+/** Dependencies of a frame handler. */
+export interface AgentFrameHandlerOptions extends AgentFleetOptions {
+  readonly sessions: SessionIndex;
+  /** Called with a session that has frames to be sent. */
+  readonly requestFlush: (session: AgentSession) => void;
+  readonly applyEvent: (session: AgentSession, event: AgentEvent) => void;
+  readonly remove: (session: AgentSession) => void;
+}
+
+/** Applies the agents' frames to their sessions. Owned by the agent fleet. */
+export class AgentFrameHandler {
+  private readonly sessions: SessionIndex;
+  private readonly requests = ConfigurationRequests.create(BODY_PATIENCE_MS);
+
+  private constructor(private readonly options: AgentFrameHandlerOptions) {
+    this.sessions = options.sessions;
+  }
+
+  /** Creates a handler that has requested no configuration. */
+  static create(options: AgentFrameHandlerOptions): AgentFrameHandler {
+    return new AgentFrameHandler(options);
+  }
+
+  /** Handles one frame. */
+  handle(
+    stream: FrameStream<EntryFrame>,
+    frame: AgentFrame,
+    nowMs: number,
+  ): void {
+    if (frame.kind === AgentFrameKind.HELLO) {
+      this.handleHello(stream, frame, nowMs);
+      return;
+    }
+    const session = this.sessions.findByStream(stream);
+    if (session === undefined) return;
+    switch (frame.kind) {
+      case AgentFrameKind.PING:
+        this.handlePing(session, frame, nowMs);
+        break;
+      case AgentFrameKind.TARGET:
+        this.handleTarget(session, frame.target);
+        break;
+      case AgentFrameKind.REPORT:
+        session.applyReport(frame.report);
+        break;
+      case AgentFrameKind.END: {
+        const {task, run} = frame.report;
+        this.options.handleRunEnd(session, frame.report);
+        // The agent only has to forget the end, which is not urgent.
+        session.sendLater({kind: EntryFrameKind.ACKNOWLEDGE, task, run});
+        break;
+      }
+      case AgentFrameKind.CONFIGURATION_REQUEST: {
+        const configuration = this.options.getConfiguration();
+        if (configuration === undefined) break;
+        if (configuration.revision < frame.revision) break;
+        session.send({kind: EntryFrameKind.CONFIGURATION, configuration});
+        break;
+      }
+      case AgentFrameKind.CONFIGURATION:
+        this.options.handleConfiguration(frame.configuration);
+        break;
+    }
+  }
+
+  private handlePing(
+    session: AgentSession,
+    {sentAtMs, peerBacklog, revision}: AgentPing,
+    nowMs: number,
+  ): void {
+    session.lastPingAtMs = nowMs;
+    session.peerBacklog = peerBacklog;
+    session.revision = revision;
+    const configuration = this.options.getConfiguration();
+    const ownRevision = configuration?.revision ?? 0;
+    if (revision > ownRevision) this.requests.add(revision, nowMs);
+    if (configuration !== undefined) this.sendSummary(session, configuration);
+    session.send({
+      kind: EntryFrameKind.PONG,
+      sentAtMs,
+      backlog: this.options.getBacklog(),
+      revision: ownRevision,
+    });
+  }
+
+  private handleTarget(session: AgentSession, target: TargetDescription): void {
+    session.applyTarget(target);
+    // A later incarnation that controls the target proves that the runs of
+    // earlier ones are over.
+    if (target.phase !== TargetPhase.ABSENT) this.replaceOlder(session);
+  }
+
+  private replaceOlder(current: AgentSession): void {
+    for (const session of this.sessions.listOf(current.hello.agent)) {
+      if (session === current) continue;
+      if (session.lastPingAtMs > current.lastPingAtMs) continue;
+      this.options.applyEvent(session, AgentEvent.REPLACED);
+      this.options.remove(session);
+    }
+  }
+
+  /** Sends the summary of a configuration unless the agent knows it. */
+  sendSummary(
+    session: AgentSession,
+    {revision, dataCentresOut}: FleetConfiguration,
+  ): void {
+    if (session.revision >= revision) return;
+    session.send({kind: EntryFrameKind.SUMMARY, revision, dataCentresOut});
+  }
+
+  /** Sends the addresses of the entries that the agent may link to. */
+  sendEntries(session: AgentSession): void {
+    const entries = this.options.listEntriesFor(session.hello.agent);
+    session.send({kind: EntryFrameKind.ENTRIES, entries});
+  }
+
+  /** Requests a newer configuration from an agent if the store does not send it. */
+  requestConfiguration(nowMs: number): void {
+    const revision = this.options.getConfiguration()?.revision ?? 0;
+    if (this.requests.revision <= revision) return;
+    const holder = this.requests.choose(revision, this.listConnected(), nowMs);
+    const session = holder && this.sessions.find(holder.id);
+    if (session === undefined) return;
+    const kind = EntryFrameKind.CONFIGURATION_REQUEST;
+    session.send({kind, revision: this.requests.revision});
+    this.options.log(
+      FleetEvent.CONFIGURATION_REQUESTED,
+      'A newer configuration is requested through an agent.',
+      {agent: session.hello.agent, revision: this.requests.revision},
+    );
+  }
+
+  private listConnected(): AgentSession[] {
+    return [...this.sessions.list()].filter(
+      ({state}) => state === AgentState.CONNECTED,
+    );
+  }
+
+  private handleHello(
+    stream: FrameStream<EntryFrame>,
+    hello: AgentHello,
+    nowMs: number,
+  ): void {
+    const existing = this.sessions.find(hello.life);
+    const session =
+      existing ??
+      AgentSession.create(hello, stream, nowMs, this.options.requestFlush);
+    if (existing === undefined) {
+      this.sessions.add(session, stream);
+    } else {
+      this.sessions.replaceStream(existing, existing.currentStream, stream);
+      existing.replaceStream(stream);
+      existing.lastPingAtMs = nowMs;
+    }
+    this.options.log(FleetEvent.AGENT_CONNECTED, 'An agent has connected.', {
+      agent: hello.agent,
+      agentLife: hello.life,
+      held: hello.held.length,
+      ends: hello.ends.length,
+    });
+    this.resolveTasks(session, hello);
+    if (existing !== undefined && existing.state !== AgentState.CONNECTED) {
+      this.options.applyEvent(existing, AgentEvent.RECONNECT);
+    }
+    // The summary follows with the answer to the agent's first ping.
+    this.sendEntries(session);
+  }
+
+  /** Resolves each task by the agent's hello: held, ended, or never received. */
+  private resolveTasks(session: AgentSession, hello: AgentHello): void {
+    for (const report of hello.ends) {
+      this.options.handleRunEnd(session, report);
+      const {task, run} = report;
+      session.send({kind: EntryFrameKind.ACKNOWLEDGE, task, run});
+    }
+    const held = new Map(hello.held.map(heldRun => [heldRun.task, heldRun]));
+    for (const task of [...session.tasks.values()]) {
+      const heldRun = held.get(task.name);
+      const isHeld = heldRun !== undefined && heldRun.run === task.run;
+      this.options.handleRunStatus(
+        task,
+        isHeld ? RunStatusChange.STILL_HELD : RunStatusChange.NOT_HELD,
+      );
+    }
+    for (const {task, run} of hello.held) {
+      if (session.tasks.get(task)?.run === run) continue;
+      session.send({kind: EntryFrameKind.STOP, task, run});
+    }
+  }
+}
--- a/src/lib/work/entry/agent_session.ts
+++ b/src/lib/work/entry/agent_session.ts
@@ -9,6 +9,8 @@
   AgentFrame,
   EntryFrame,
   RunOrder,
+  TargetDescription,
+  TargetLoad,
   TargetReport,
 } from '../../core/work_frames.js';
 import type {FrameStream} from '../link/frame_stream.js';
@@ -53,6 +55,10 @@
    * later proof that this entry is alive.
    */
   lastPingAtMs: number;
+  /** Backlog of the agent's other entries, from its latest ping. */
+  peerBacklog = 0;
+  /** Revision of the newest configuration that the agent knows of. */
+  revision = 0;
   /** Free capacity of its target, less the orders in flight. */
   free: Resources = NO_RESOURCES;
 
@@ -66,17 +72,23 @@
     readonly hello: AgentHello,
     private stream: FrameStream<EntryFrame>,
     nowMs: number,
+    private readonly requestFlush: (session: AgentSession) => void,
   ) {
     this.lastPingAtMs = nowMs;
   }
 
-  /** Creates the session of an agent that has just sent its hello. */
+  /**
+   * Creates the session of an agent that has just sent its hello.
+   *
+   * @param requestFlush Called with the session when a frame is queued.
+   */
   static create(
     hello: AgentHello,
     stream: FrameStream<EntryFrame>,
     nowMs: number,
+    requestFlush: (session: AgentSession) => void,
   ): AgentSession {
-    return new AgentSession(hello, stream, nowMs);
+    return new AgentSession(hello, stream, nowMs, requestFlush);
   }
 
   /** Incarnation of the agent, which identifies the session. */
@@ -94,9 +106,9 @@
     return this.latestReport;
   }
 
-  /** Returns whether the stream is the one in use. */
-  isUsing(stream: FrameStream<EntryFrame>): boolean {
-    return this.stream === stream;
+  /** The stream in use. */
+  get currentStream(): FrameStream<EntryFrame> {
+    return this.stream;
   }
 
   /** Switches to a new stream; frames queued for the old one are dropped. */
@@ -121,9 +133,14 @@
     return step.actions as readonly AgentAction[];
   }
 
+  /** Stores a description of the target; its load follows in a report. */
+  applyTarget(target: TargetDescription): void {
+    this.latestReport = {...this.latestReport, ...target};
+  }
+
   /** Stores a report and recomputes the free capacity. */
-  applyReport(report: TargetReport): void {
-    this.latestReport = report;
+  applyReport(report: TargetLoad): void {
+    this.latestReport = {...this.latestReport, ...report};
     this.inFlightOrders = this.inFlightOrders.filter(
       order => order.sequence > report.through,
     );
@@ -145,9 +162,15 @@
     this.send({kind: EntryFrameKind.ORDER, order: {...order, sequence}});
   }
 
-  /** Queues a frame; `flush` sends it. */
+  /** Queues a frame and requests a flush. */
   send(frame: EntryFrame): void {
     this.outbox.push(frame);
+    this.requestFlush(this);
+  }
+
+  /** Queues a frame that is sent with the next one, at the latest with a pong. */
+  sendLater(frame: EntryFrame): void {
+    this.outbox.push(frame);
   }
 
   /** Sends the queued frames as one message, or drops them if disconnected. */
--- a/src/lib/work/entry/entry_status.ts
+++ b/src/lib/work/entry/entry_status.ts
@@ -20,7 +20,7 @@
     waitingJobs: jobs.waiting.size,
     backlogMs: Math.round(admission.sumBacklog(nowMs)),
     waitShare: Math.round(admission.slackShare.value * 100) / 100,
-    peerBacklogMs: Math.round(fleet.peerBacklogs.sum(nowMs)),
+    peerBacklogMs: Math.round(fleet.peerBacklog),
     cores: sumCores(targets.map(target => target.capacity.cpuMilli)),
     freeCores: sumCores(targets.map(target => target.free.cpuMilli)),
     // Slowness relative to a typical target, and free cores, of each target.
--- /dev/null
+++ b/src/lib/work/entry/placement_loop.ts
@@ -0,0 +1,96 @@
+/** Runs the rounds of placement of an entry. */
+import type {
+  ReadMonotonicMs,
+  ReadSystemMs,
+  StartTimer,
+} from '../../core/clock.js';
+import {ResumeHold} from '../../decisions/resume_hold.js';
+import {computeRoundSpacing} from '../../decisions/round_spacing.js';
+import {FleetEvent} from '../../observe/fleet_log.js';
+import type {FleetLog} from '../../observe/fleet_log.js';
+
+/** Dependencies of a placement loop. */
+export interface PlacementLoopOptions {
+  readonly readMonotonicMs: ReadMonotonicMs;
+  readonly readSystemMs: ReadSystemMs;
+  readonly startTimer: StartTimer;
+  readonly log: FleetLog;
+  readonly countWaitingJobs: () => number;
+  readonly isConnected: () => boolean;
+  readonly place: (nowMs: number) => void;
+  /** Sends the frames queued in this turn of the event loop. */
+  readonly flush: () => void;
+}
+
+/** Decides in which turns of the event loop a round of placement runs. */
+export class PlacementLoop {
+  private readonly hold = ResumeHold.create();
+  private isTurnDue = false;
+  private isTimerDue = false;
+  private isJobNew = false;
+  private lastRoundMs = 0;
+
+  private constructor(private readonly options: PlacementLoopOptions) {}
+
+  /** Creates a loop that runs when it is called. */
+  static create(options: PlacementLoopOptions): PlacementLoop {
+    return new PlacementLoop(options);
+  }
+
+  /** Checks whether the entry has just resumed from a freeze or a cut. */
+  observe(nowMs: number): void {
+    const systemMs = this.options.readSystemMs();
+    const isConnected = this.options.isConnected();
+    if (!this.hold.observe({nowMs, systemMs, isConnected})) return;
+    this.options.log(
+      FleetEvent.RESUMED,
+      'The entry was frozen or cut off; placements wait for callers that left.',
+    );
+  }
+
+  /**
+   * Schedules the end of this turn of the event loop.
+   *
+   * @param isJobNew Whether a job was admitted, which is placed at once.
+   */
+  schedule(isJobNew: boolean): void {
+    this.isJobNew ||= isJobNew;
+    if (this.isTurnDue) return;
+    this.isTurnDue = true;
+    setImmediate(() => this.endTurn());
+  }
+
+  private endTurn(): void {
+    this.isTurnDue = false;
+    const {readMonotonicMs, countWaitingJobs, place, flush} = this.options;
+    const nowMs = readMonotonicMs();
+    const waiting = countWaitingJobs();
+    if (waiting > 0) {
+      const dueMs = this.computeDueMs(waiting);
+      if (nowMs >= dueMs) {
+        this.isJobNew = false;
+        this.lastRoundMs = nowMs;
+        place(nowMs);
+      } else {
+        this.startTimer(dueMs - nowMs);
+      }
+    }
+    flush();
+  }
+
+  private computeDueMs(waiting: number): number {
+    const nextMs = this.isJobNew
+      ? -Infinity
+      : this.lastRoundMs + computeRoundSpacing(waiting);
+    return Math.max(nextMs, this.hold.holdUntilMs);
+  }
+
+  private startTimer(delayMs: number): void {
+    if (this.isTimerDue) return;
+    this.isTimerDue = true;
+    this.options.startTimer(Math.max(1, delayMs), () => {
+      this.isTimerDue = false;
+      this.schedule(false);
+    });
+  }
+}
--- a/src/lib/work/entry/scheduler.ts
+++ b/src/lib/work/entry/scheduler.ts
@@ -2,6 +2,7 @@
 import {repeatTimer} from '../../core/clock.js';
 import {Task} from '../../core/task.js';
 import type {Post} from '../../core/task.js';
+import {listCandidates} from '../../decisions/choose_links.js';
 import {ForecastTable} from '../../decisions/forecast_table.js';
 import {computeCriticalPath} from '../../decisions/job_timing.js';
 import type {ExpectedWork} from '../../decisions/work_forecast.js';
@@ -18,6 +19,7 @@
 import {AgentFleet} from './agent_fleet.js';
 import type {AgentSession} from './agent_session.js';
 import {JobRegistry} from './job_registry.js';
+import {PlacementLoop} from './placement_loop.js';
 import {SchedulerMessageKind} from './scheduler_messages.js';
 import type {SchedulerMessage} from './scheduler_messages.js';
 import type {SchedulerOptions} from './scheduler_options.js';
@@ -51,14 +53,16 @@
   private readonly admission: AdmissionController;
   private readonly placer: TaskPlacer;
   private readonly mover: TaskMover;
+  private readonly loop: PlacementLoop;
   private readonly requests: RequestLog;
   private readonly forecasts = ForecastTable.create();
   private readonly createdAtMs: number;
   private configuration: FleetConfiguration | undefined;
   private entries: readonly string[];
   private isDraining = false;
-  private isPlacementDue = false;
   private nowMs = 0;
+  /** Work that waits here as of the last check, in core-milliseconds. */
+  private backlog = 0;
   private reportedAtMs = 0;
 
   private constructor(private readonly options: SchedulerOptions) {
@@ -83,10 +87,8 @@
       handleConfiguration: configuration =>
         this.handleConfiguration(configuration),
       getConfiguration: () => this.configuration,
-      describeBacklog: () => ({
-        entries: this.entries,
-        backlog: Math.round(this.admission.sumBacklog(this.nowMs)),
-      }),
+      getBacklog: () => this.backlog,
+      listEntriesFor: agent => listCandidates(agent, this.entries),
     });
     const {fleet} = this;
     this.jobs = JobRegistry.create({
@@ -111,6 +113,13 @@
       jobs,
       listSessions: service => this.listUsable(service),
     });
+    this.loop = PlacementLoop.create({
+      ...options,
+      countWaitingJobs: () => jobs.waiting.size,
+      isConnected: () => fleet.isConnected,
+      place: nowMs => this.placer.place(nowMs),
+      flush: () => fleet.flush(),
+    });
   }
 
   /** Creates a scheduler without jobs and agents, and starts its checks. */
@@ -145,6 +154,7 @@
   private handle(message: SchedulerMessage): void {
     this.nowMs = this.options.readMonotonicMs();
     const {nowMs, jobs} = this;
+    this.loop.observe(nowMs);
     switch (message.kind) {
       case SchedulerMessageKind.SUBMIT:
         this.submit(message);
@@ -174,6 +184,7 @@
         this.entries = [
           ...new Set([this.options.address, ...message.addresses]),
         ];
+        this.fleet.publishEntries();
         break;
       case SchedulerMessageKind.FORECASTS:
         this.forecasts.merge(message.forecasts);
@@ -188,7 +199,7 @@
         jobs.endAllUnfinished(nowMs);
         break;
     }
-    this.schedulePlacement();
+    this.loop.schedule(message.kind === SchedulerMessageKind.SUBMIT);
   }
 
   private submit(
@@ -256,6 +267,7 @@
 
   private runChecks(): void {
     this.fleet.check(this.nowMs);
+    this.backlog = Math.round(this.admission.sumBacklog(this.nowMs));
     this.mover.move(this.nowMs);
     this.jobs.expire(this.nowMs);
     this.jobs.endInfeasible(
@@ -278,17 +290,6 @@
     this.options.log(FleetEvent.STATUS, 'Status of the entry.', fields);
   }
 
-  private schedulePlacement(): void {
-    if (this.isPlacementDue) return;
-    this.isPlacementDue = true;
-    setImmediate(() => {
-      this.isPlacementDue = false;
-      this.nowMs = this.options.readMonotonicMs();
-      this.placer.place(this.nowMs);
-      this.fleet.flush();
-    });
-  }
-
   private listUsable(service: string): AgentSession[] {
     const dataCentresOut = this.configuration?.dataCentresOut ?? [];
     return this.fleet.listUsable(service, dataCentresOut, this.nowMs);
--- a/src/lib/work/entry/scheduler_options.ts
+++ b/src/lib/work/entry/scheduler_options.ts
@@ -1,5 +1,9 @@
 /** Options of the scheduler of an entry. */
-import type {ReadMonotonicMs, StartTimer} from '../../core/clock.js';
+import type {
+  ReadMonotonicMs,
+  ReadSystemMs,
+  StartTimer,
+} from '../../core/clock.js';
 import type {FleetConfiguration} from '../../core/fleet_configuration.js';
 import type {QueueForecasts} from '../../decisions/forecast_table.js';
 import type {ChooseTarget} from '../../decisions/place_task.js';
@@ -16,6 +20,7 @@
   readonly farFactor: number;
   readonly chooseTarget: ChooseTarget;
   readonly readMonotonicMs: ReadMonotonicMs;
+  readonly readSystemMs: ReadSystemMs;
   readonly startTimer: StartTimer;
   readonly log: FleetLog;
   readonly metrics: FleetMetrics;
--- a/src/lib/work/entry/work_entry.ts
+++ b/src/lib/work/entry/work_entry.ts
@@ -2,6 +2,7 @@
 import type {
   DrawRandom,
   ReadMonotonicMs,
+  ReadSystemMs,
   StartTimer,
 } from '../../core/clock.js';
 import type {ProcessIdentity} from '../../core/identity.js';
@@ -60,6 +61,7 @@
     accept: AcceptFrameStream<EntryFrame, AgentFrame>,
   ) => Promise<FrameServer>;
   readonly readMonotonicMs: ReadMonotonicMs;
+  readonly readSystemMs: ReadSystemMs;
   readonly startTimer: StartTimer;
   readonly drawRandom: DrawRandom;
   readonly log: FleetLog;
--- a/test/fleet/fleet_fixture.ts
+++ b/test/fleet/fleet_fixture.ts
@@ -133,6 +133,7 @@
       ],
       openLinkServer: openLineServer,
       readMonotonicMs,
+      readSystemMs,
       startTimer,
       drawRandom: Math.random,
       log,
@@ -183,6 +184,7 @@
       readMonotonicMs,
       readSystemMs,
       startTimer,
+      drawRandom: Math.random,
       log,
       metrics: NO_OP_FLEET_METRICS,
     });
--- a/test/work/work_runner_test.ts
+++ b/test/work/work_runner_test.ts
@@ -148,7 +148,7 @@
 
   sendPong(sentAtMs: number, entry = ENTRY): void {
     const kind = EntryFrameKind.PONG;
-    this.send({kind, sentAtMs, entries: [], backlog: 0}, entry);
+    this.send({kind, sentAtMs, backlog: 0, revision: 0}, entry);
   }
 
   /** Runs the timers that are due, then waits until all messages are handled. */
