Skip the checks of an agent after answers that change nothing; split the fleet's slopes

Pongs and accepted starts no longer describe the target nor look for a run to start. The fixture of the runner's tests and the agents of the slope have files of their own. The name of the target's protocol for the last end leaves src/lib/work.

--- a/src/lib/work/agent/runner_messages.ts
+++ b/src/lib/work/agent/runner_messages.ts
@@ -1,5 +1,7 @@
 /** Messages between the agent's tasks: the work runner and the link manager. */
+import {EntryFrameKind} from '../../core/work_frames.js';
 import type {AgentFrame, EntryFrame} from '../../core/work_frames.js';
+import {OrderOutcome} from './target_api.js';
 import type {HoldAnswer, OrderAnswer, TargetHeartbeat} from './target_api.js';
 
 /** Kinds of message to the work runner. */
@@ -104,3 +106,14 @@
       readonly detail: string;
     }
   | {readonly kind: LinkMessageKind.TICK};
+
+/** Returns whether a message changes neither the load nor what may start next. */
+export function isWithoutEffect(message: RunnerMessage): boolean {
+  if (message.kind === RunnerMessageKind.FRAME) {
+    return message.frame.kind === EntryFrameKind.PONG;
+  }
+  return (
+    message.kind === RunnerMessageKind.START_ANSWER &&
+    message.answer.outcome === OrderOutcome.ACCEPTED
+  );
+}
--- a/src/lib/work/agent/target_api.ts
+++ b/src/lib/work/agent/target_api.ts
@@ -81,7 +81,8 @@
   readonly fencingToken: number;
   /** Lease deadline on the target's clock; 0 renews nothing. */
   readonly deadlineMs: number;
-  readonly ackedThrough: number;
+  /** Number of the last run end that was processed; the target forgets it. */
+  readonly lastEndNumber: number;
   /** Time in milliseconds for which the target may wait for a run to end. */
   readonly waitMs: number;
 }
--- a/src/lib/work/agent/target_client.ts
+++ b/src/lib/work/agent/target_client.ts
@@ -153,15 +153,15 @@
   }
 
   /** Requests the run lists at once; renews the lease if `isExtended`. */
-  renew(ackedThrough: number, isExtended: boolean): void {
-    this.sendHold(ackedThrough, 0, isExtended, false);
+  renew(lastEndNumber: number, isExtended: boolean): void {
+    this.sendHold(lastEndNumber, 0, isExtended, false);
   }
 
   /** Long-polls for the run lists until a run ends; one poll at a time. */
-  list(ackedThrough: number): void {
+  list(lastEndNumber: number): void {
     if (this.hasPendingPoll) return;
     this.hasPendingPoll = true;
-    this.sendHold(ackedThrough, LONG_POLL_WAIT_MS, true, true);
+    this.sendHold(lastEndNumber, LONG_POLL_WAIT_MS, true, true);
   }
 
   /** Records that the long poll has ended; `list` may start another. */
@@ -179,7 +179,7 @@
   }
 
   private sendHold(
-    ackedThrough: number,
+    lastEndNumber: number,
     waitMs: number,
     isExtended: boolean,
     isLongPoll: boolean,
@@ -191,7 +191,7 @@
     const sentAtMs = this.options.readMonotonicMs();
     const {fencingToken} = this;
     void connection
-      .hold({fencingToken, deadlineMs, ackedThrough, waitMs})
+      .hold({fencingToken, deadlineMs, lastEndNumber, waitMs})
       .then(answer =>
         this.options.post({
           kind: RunnerMessageKind.HOLD_ANSWER,
--- a/src/lib/work/agent/target_controller.ts
+++ b/src/lib/work/agent/target_controller.ts
@@ -17,11 +17,7 @@
 import {isAnswer, OrderOutcome} from './target_api.js';
 import type {HoldAnswer, OrderAnswer, TargetHeartbeat} from './target_api.js';
 
-/**
- * Time in milliseconds without a run list, while tasks run, after which one is
- * requested that renews the lease. Each long poll does so too: this replaces lost
- * answers.
- */
+/** Time in milliseconds without a run list after which a long poll's counts as lost. */
 const RENEW_PERIOD_MS = 150;
 
 /** Period in milliseconds of the hold calls while nothing runs. */
--- a/src/lib/work/agent/work_runner.ts
+++ b/src/lib/work/agent/work_runner.ts
@@ -20,7 +20,7 @@
 import type {KnownEntry} from './entry_registry.js';
 import {EntryReporter} from './entry_reporter.js';
 import {OwnerContacts} from './owner_contacts.js';
-import {RunnerMessageKind} from './runner_messages.js';
+import {isWithoutEffect, RunnerMessageKind} from './runner_messages.js';
 import type {RunnerMessage} from './runner_messages.js';
 import {TargetController} from './target_controller.js';
 import type {WorkRunnerOptions} from './work_runner_options.js';
@@ -160,6 +160,7 @@
         target.runs.returnQueued(RunEndCause.STOPPING, nowMs);
         break;
     }
+    if (isWithoutEffect(message)) return;
     target.runs.startNext(nowMs, run =>
       this.contacts.isFresh(run.owner, nowMs),
     );
--- a/src/lib/work/entry/placement_loop.ts
+++ b/src/lib/work/entry/placement_loop.ts
@@ -6,8 +6,11 @@
 } from '../../core/clock.js';
 import {ResumeHold} from '../../decisions/resume_hold.js';
 import {computeRoundSpacing} from '../../decisions/round_spacing.js';
+import {AgentFrameKind} from '../../core/work_frames.js';
 import {FleetEvent} from '../../observe/fleet_log.js';
 import type {FleetLog} from '../../observe/fleet_log.js';
+import {SchedulerMessageKind} from './scheduler_messages.js';
+import type {SchedulerMessage} from './scheduler_messages.js';
 
 /** What a message changes for the jobs that wait for placement. */
 export enum RoundTrigger {
@@ -101,3 +104,12 @@
     });
   }
 }
+
+/** Returns what a message to the scheduler changes for the waiting jobs. */
+export function findTrigger(message: SchedulerMessage): RoundTrigger {
+  if (message.kind === SchedulerMessageKind.SUBMIT) return RoundTrigger.JOB;
+  const isPing =
+    message.kind === SchedulerMessageKind.AGENT_FRAMES &&
+    message.frames.every(({kind}) => kind === AgentFrameKind.PING);
+  return isPing ? RoundTrigger.NONE : RoundTrigger.CHANGE;
+}
--- a/src/lib/work/entry/scheduler.ts
+++ b/src/lib/work/entry/scheduler.ts
@@ -10,7 +10,7 @@
 import {RequestLog} from '../../observe/request_log.js';
 import type {FleetConfiguration} from '../../core/fleet_configuration.js';
 import type {JobRequest} from '../../core/work_job.js';
-import {AgentFrameKind, EntryFrameKind} from '../../core/work_frames.js';
+import {EntryFrameKind} from '../../core/work_frames.js';
 import type {EntryFrame} from '../../core/work_frames.js';
 import type {FrameStream} from '../link/frame_stream.js';
 import {createActiveJob} from './active_job.js';
@@ -19,7 +19,7 @@
 import {AgentFleet} from './agent_fleet.js';
 import type {AgentSession} from './agent_session.js';
 import {JobRegistry} from './job_registry.js';
-import {PlacementLoop, RoundTrigger} from './placement_loop.js';
+import {findTrigger, PlacementLoop} from './placement_loop.js';
 import {SchedulerMessageKind} from './scheduler_messages.js';
 import type {SchedulerMessage} from './scheduler_messages.js';
 import type {SchedulerOptions} from './scheduler_options.js';
@@ -295,12 +295,3 @@
     return this.fleet.listUsable(service, dataCentresOut, this.nowMs);
   }
 }
-
-/** Returns whether jobs may be placed after a message that could not be before. */
-function findTrigger(message: SchedulerMessage): RoundTrigger {
-  if (message.kind === SchedulerMessageKind.SUBMIT) return RoundTrigger.JOB;
-  const isPing =
-    message.kind === SchedulerMessageKind.AGENT_FRAMES &&
-    message.frames.every(({kind}) => kind === AgentFrameKind.PING);
-  return isPing ? RoundTrigger.NONE : RoundTrigger.CHANGE;
-}
--- /dev/null
+++ b/test/work/runner_fixture.ts
@@ -0,0 +1,184 @@
+import {
+  AgentFrameKind,
+  EntryFrameKind,
+  TargetPhase,
+} from '../../src/lib/core/work_frames.js';
+import type {
+  AgentFrame,
+  EntryFrame,
+  RunEndReport,
+} from '../../src/lib/core/work_frames.js';
+import {NO_OP_FLEET_METRICS} from '../../src/lib/observe/fleet_metrics.js';
+import {
+  LinkMessageKind,
+  RunnerMessageKind,
+} from '../../src/lib/work/agent/runner_messages.js';
+import {OrderOutcome} from '../../src/lib/work/agent/target_api.js';
+import type {
+  HoldAnswer,
+  StartCall,
+  TargetConnection,
+} from '../../src/lib/work/agent/target_api.js';
+import {WorkRunner} from '../../src/lib/work/agent/work_runner.js';
+
+/** Entries that the runner is linked to. */
+export const ENTRY = 'entry-life';
+export const PEER = 'peer-life';
+
+/** Capacity of the target. */
+export const CAPACITY = {cpuMilli: 2000, memoryMb: 1000, accelerators: 0};
+
+/** An agent's runner with clocks, target and links that the test controls. */
+export class RunnerFixture {
+  readonly starts: StartCall[] = [];
+  readonly stopped: string[] = [];
+  readonly ends: RunEndReport[] = [];
+  nowMs = 10_000;
+  /** System clock less the monotonic clock. */
+  systemOffsetMs = 5_000_000;
+  readonly runner: WorkRunner;
+  private sequence = 0;
+  private handled = 0;
+  private readonly timers: Array<() => void> = [];
+
+  private constructor() {
+    const answer = (): HoldAnswer => ({
+      outcome: OrderOutcome.ACCEPTED,
+      reason: '',
+      clockMs: this.nowMs,
+      running: this.starts.map(({task, run}) => ({task, run, percent: 1})),
+      ended: [],
+    });
+    const connection: TargetConnection = {
+      start: call => {
+        this.starts.push(call);
+        return Promise.resolve(answer());
+      },
+      stop: ({task}) => {
+        this.stopped.push(task);
+        return Promise.resolve(answer());
+      },
+      hold: ({waitMs}) =>
+        waitMs > 0 ? new Promise(() => undefined) : Promise.resolve(answer()),
+      close: () => undefined,
+    };
+    this.runner = WorkRunner.create({
+      agent: 'agent-1',
+      incarnation: 'agent-life',
+      dataCentre: 'zone-a',
+      connectTarget: () => connection,
+      postToLinks: message => {
+        if (message.kind === LinkMessageKind.SEND) this.record(message.frame);
+        this.handled += 1;
+        return undefined as never;
+      },
+      readMonotonicMs: () => this.nowMs,
+      readSystemMs: () => this.nowMs + this.systemOffsetMs,
+      startTimer: (_delayMs, fire) => {
+        this.timers.push(fire);
+        return () => undefined;
+      },
+      log: () => undefined,
+      metrics: NO_OP_FLEET_METRICS,
+      reportIdle: () => undefined,
+      reportFailure: failure => {
+        throw failure;
+      },
+    });
+  }
+
+  /** Creates a runner with a ready target and contact with two entries. */
+  static async create(): Promise<RunnerFixture> {
+    const fixture = new RunnerFixture();
+    fixture.runner.post({
+      kind: RunnerMessageKind.HEARTBEAT,
+      heartbeat: {
+        incarnation: 't1-life',
+        startMs: 1,
+        id: 't1',
+        service: 'runner',
+        dataCentre: 'zone-a',
+        phase: TargetPhase.READY,
+        capacity: CAPACITY,
+        labels: [],
+        sequence: 1,
+      },
+    });
+    for (const [linkId, entry] of [ENTRY, PEER].entries()) {
+      fixture.openLink(entry, linkId + 1, fixture.nowMs);
+    }
+    await fixture.settle();
+    return fixture;
+  }
+
+  openLink(entry: string, linkId: number, openedAtMs: number): void {
+    const kind = RunnerMessageKind.LINK_OPENED;
+    this.runner.post({kind, linkId, entry, address: entry, openedAtMs});
+  }
+
+  send(frame: EntryFrame, entry = ENTRY): void {
+    this.runner.post({kind: RunnerMessageKind.FRAME, linkId: 1, entry, frame});
+  }
+
+  sendOrder(
+    task: string,
+    entry = ENTRY,
+    cpuMilli = 1000,
+    patienceMs = 5000,
+  ): void {
+    this.sequence += 1;
+    this.send(
+      {
+        kind: EntryFrameKind.ORDER,
+        order: {
+          task,
+          run: 1,
+          job: task,
+          request: task,
+          service: 'runner',
+          payload: '',
+          need: {cpuMilli, memoryMb: 1, accelerators: 0},
+          estimateMs: 100,
+          slackMs: 0,
+          patienceMs,
+          sequence: this.sequence,
+        },
+      },
+      entry,
+    );
+  }
+
+  sendPong(sentAtMs: number, entry = ENTRY): void {
+    const kind = EntryFrameKind.PONG;
+    this.send({kind, sentAtMs, backlog: 0, revision: 0}, entry);
+  }
+
+  /** Runs the timers that are due, then waits until all messages are handled. */
+  async runTimers(): Promise<void> {
+    for (const fire of this.timers.splice(0)) fire();
+    await this.settle();
+  }
+
+  /** Waits until no message is handled in three turns of the event loop. */
+  async settle(): Promise<void> {
+    let idleTurns = 0;
+    let before = -1;
+    while (idleTurns < 3) {
+      idleTurns = before === this.handled ? idleTurns + 1 : 0;
+      before = this.handled;
+      await new Promise(resolve => setImmediate(resolve));
+    }
+  }
+
+  listStarted(): string[] {
+    return this.starts.map(({task}) => task);
+  }
+
+  findEnd(task: string): RunEndReport | undefined {
+    return this.ends.find(end => end.task === task);
+  }
+
+  private record(frame: AgentFrame): void {
+    if (frame.kind === AgentFrameKind.END) this.ends.push(frame.report);
+  }
+}
--- a/tools/slopes/measure_fleet.ts
+++ b/tools/slopes/measure_fleet.ts
@@ -7,34 +7,26 @@
  * does the entry's work only.
  */
 import {performance} from 'node:perf_hooks';
-import {
-  isMainThread,
-  parentPort,
-  Worker,
-  workerData,
-} from 'node:worker_threads';
+import {isMainThread, Worker, workerData} from 'node:worker_threads';
 import {
   readMonotonicMs,
   readSystemMs,
   startTimer,
 } from '../../src/lib/core/clock.js';
 import type {FleetConfiguration} from '../../src/lib/core/fleet_configuration.js';
-import {AgentFrameKind, TargetPhase} from '../../src/lib/core/work_frames.js';
 import type {AgentFrame, EntryFrame} from '../../src/lib/core/work_frames.js';
 import {
   LINKS_PER_AGENT,
   listWanted,
   rankAddresses,
 } from '../../src/lib/decisions/choose_links.js';
-import {chooseSlowestInTime} from '../../src/lib/decisions/place_task.js';
+import {createRandomChoice} from '../../src/lib/decisions/place_at_random.js';
 import {NO_OP_FLEET_METRICS} from '../../src/lib/observe/fleet_metrics.js';
 import {Scheduler} from '../../src/lib/work/entry/scheduler.js';
 import {SchedulerMessageKind} from '../../src/lib/work/entry/scheduler_messages.js';
-import type {FrameStream} from '../../src/lib/work/link/frame_stream.js';
-import {
-  openLineServer,
-  openLineStream,
-} from '../../src/lib/work/link/line_stream.js';
+import {openLineServer} from '../../src/lib/work/link/line_stream.js';
+import {createRandom} from '../load/random.js';
+import {ADDRESS, Command, FRAMES, runAgents} from './fleet_agents.js';
 
 const SIZES = [
   {agents: 11, entries: 4},
@@ -42,16 +34,8 @@
   {agents: 160, entries: 35},
   {agents: 1000, entries: 200},
 ];
-const ADDRESS = '127.0.0.1:17729';
-const FRAMES = 20_000;
 const SUBMISSIONS = 2000;
-const BURST = 50;
-
-/** What the main thread asks the agents to send. */
-enum Command {
-  PING = 'ping',
-  REPORT = 'report',
-}
+const SEED = 1;
 
 interface FleetSize {
   readonly agents: number;
@@ -78,8 +62,6 @@
   dataCentresOut: [],
 };
 
-const CAPACITY = {cpuMilli: 64_000, memoryMb: 131_072, accelerators: 0};
-
 /** Counts the agents that link to one entry of the fleet. */
 function countLinkedAgents({agents, entries}: FleetSize): number {
   const addresses = Array.from(
@@ -94,95 +76,6 @@
   return linked;
 }
 
-/** Sends frames from agents, each after the answer to the one before. */
-async function runAgents(linked: number): Promise<void> {
-  let pongs = 0;
-  let bytes = 0;
-  const streams: Array<FrameStream<AgentFrame>> = [];
-  const countReceived = (frames: readonly EntryFrame[]) => {
-    for (const frame of frames) {
-      if (frame.kind !== 'pong') continue;
-      pongs += 1;
-      bytes += JSON.stringify([frame]).length + 1;
-    }
-  };
-  for (let index = 0; index < linked; index += 1) {
-    const stream = openLineStream<AgentFrame, EntryFrame>(ADDRESS, {
-      receive: countReceived,
-      // The measured entry closes its streams at the end of each size.
-      fail: () => undefined,
-    });
-    streams.push(stream);
-    const life = `life-${index}`;
-    const target = {
-      phase: TargetPhase.READY,
-      service: 'runner',
-      life: `target-${index}`,
-      labels: ['a', 'rack-1'],
-      capacity: CAPACITY,
-    };
-    stream.send([
-      {
-        kind: AgentFrameKind.HELLO,
-        agent: `agent-${index}`,
-        life,
-        dataCentre: 'vn-south-a',
-        held: [],
-        ends: [],
-        through: 0,
-      },
-      {kind: AgentFrameKind.TARGET, target},
-      createReport(0),
-      createPing(),
-    ]);
-  }
-  parentPort?.on('message', (command: Command) => {
-    pongs = 0;
-    bytes = 0;
-    let sent = 0;
-    const sendBurst = () => {
-      for (let index = 0; index < BURST; index += 1) {
-        const frame =
-          command === Command.PING ? createPing() : createReport(sent);
-        bytes += JSON.stringify([frame]).length + 1;
-        streams[sent % linked].send([frame]);
-        sent += 1;
-      }
-      // The last burst of reports ends with a ping, whose answer ends the run.
-      if (sent < FRAMES) setImmediate(sendBurst);
-      else if (command === Command.REPORT) streams[0].send([createPing()]);
-    };
-    sendBurst();
-    const wanted = command === Command.PING ? FRAMES : 1;
-    const timer = setInterval(() => {
-      if (pongs < wanted) return;
-      clearInterval(timer);
-      parentPort?.postMessage(Math.round(bytes / FRAMES));
-    }, 5);
-  });
-  parentPort?.postMessage(0);
-}
-
-function createPing(): AgentFrame {
-  return {
-    kind: AgentFrameKind.PING,
-    sentAtMs: Math.round(readMonotonicMs()),
-    peerBacklog: 12_345,
-    revision: 7,
-  };
-}
-
-function createReport(number: number): AgentFrame {
-  const report = {
-    through: 0,
-    free: {...CAPACITY, cpuMilli: CAPACITY.cpuMilli - (number % 50)},
-    waiting: 0,
-    slowness: 1.012,
-    isSuspect: false,
-  };
-  return {kind: AgentFrameKind.REPORT, report};
-}
-
 /** Measures the active time of this thread's event loop, in microseconds each. */
 async function measureEach(
   count: number,
@@ -201,7 +94,7 @@
     address: ADDRESS,
     dataCentre: 'vn-south-a',
     farFactor: 1.5,
-    chooseTarget: chooseSlowestInTime,
+    chooseTarget: createRandomChoice(createRandom(SEED)),
     readMonotonicMs,
     readSystemMs,
     startTimer,
@@ -314,5 +207,5 @@
   console.log('| --- | --- | --- | --- | --- | --- | --- | --- |');
   for (const size of SIZES) console.log(await measureSize(size));
 } else {
-  await runAgents(workerData as number);
+  runAgents(workerData as number);
 }
