Send load reports with pings and run ends only

Cause: with six links a batch of reports every 100 ms fell between the pings of the same period: two messages to each entry where one does, and a timer of its own.

--- a/src/lib/work/agent/entry_registry.ts
+++ b/src/lib/work/agent/entry_registry.ts
@@ -35,8 +35,6 @@
   backlog: number;
   /** Revision of the configuration in force there, as last reported. */
   revision: number;
-  /** Local time of the last target report to it. */
-  lastReportMs: number;
   /** What was last reported on the open link. */
   reported: ReportedTarget;
   /** Local time since which the link is to be closed; 0 while it is wanted. */
@@ -91,7 +89,6 @@
       unacknowledgedEnds: new Map(),
       backlog: 0,
       revision: 0,
-      lastReportMs: 0,
       reported: NOTHING_REPORTED,
       releasedAtMs: 0,
       isReportUrgent: false,
--- a/src/lib/work/agent/entry_reporter.ts
+++ b/src/lib/work/agent/entry_reporter.ts
@@ -1,5 +1,5 @@
 /** Sends hello, run ends, target reports and configuration to the entries. */
-import type {ReadMonotonicMs, StartTimer} from '../../core/clock.js';
+import type {ReadMonotonicMs} from '../../core/clock.js';
 import type {Post} from '../../core/task.js';
 import type {HeldRun} from '../../decisions/held_run.js';
 import {AgentFrameKind} from '../../core/work_frames.js';
@@ -28,7 +28,6 @@
   readonly dataCentre: string;
   readonly postToLinks: Post<LinkMessage>;
   readonly readMonotonicMs: ReadMonotonicMs;
-  readonly startTimer: StartTimer;
   /** Describes the target; `through` is added for each receiver. */
   readonly describeTarget: () => Omit<TargetReport, 'through'>;
 }
@@ -59,10 +58,10 @@
     return this.entries.find(incarnation);
   }
 
-  /** Creates a ping to an entry, and reports what has changed along with it. */
+  /** Creates a ping to an entry; the load travels with it if it has changed. */
   createPing(incarnation: string, sentAtMs: number): AgentFrame {
     const receiver = this.entries.find(incarnation);
-    if (receiver !== undefined) this.reporter.reportAlong(receiver);
+    if (receiver !== undefined) this.reporter.reportWithPing(receiver);
     let peerBacklog = 0;
     for (const entry of this.entries.listEntries()) {
       const isOther = entry.incarnation !== incarnation;
@@ -159,7 +158,7 @@
     this.entries.removeStale(nowMs);
   }
 
-  /** Schedules a target report to all entries; skipped if nothing changed. */
+  /** Schedules the target reports of this turn of the event loop. */
   scheduleReport(): void {
     this.reporter.schedule();
   }
--- a/src/lib/work/agent/target_reporter.ts
+++ b/src/lib/work/agent/target_reporter.ts
@@ -1,6 +1,4 @@
 /** Reports the state of an agent's target to the entries. */
-import type {ReadMonotonicMs, StartTimer} from '../../core/clock.js';
-import {computeReportPeriod} from '../../decisions/report_period.js';
 import {AgentFrameKind, TargetPhase} from '../../core/work_frames.js';
 import type {
   AgentFrame,
@@ -11,8 +9,6 @@
 
 /** Dependencies of a target reporter. */
 export interface TargetReporterOptions {
-  readonly readMonotonicMs: ReadMonotonicMs;
-  readonly startTimer: StartTimer;
   readonly listEntries: () => readonly KnownEntry[];
   /** Describes the target; `through` is added for each receiver. */
   readonly describeTarget: () => Omit<TargetReport, 'through'>;
@@ -20,15 +16,15 @@
 }
 
 /**
- * Sends each entry what has changed since its last report, at a limited rate.
+ * Sends each entry what has changed since its last report: a change of the
+ * description at once, the load with the end of a run of that entry and with each
+ * ping. An entry accounts for its own orders itself, so nothing waits for more.
  *
  * The target is described once per turn of the event loop, whatever the number
  * of entries; numbers tell which of them have the latest description and load.
  */
 export class TargetReporter {
   private isTurnDue = false;
-  private isTimerDue = false;
-  private lastBatchMs = 0;
   private target: Omit<TargetReport, 'through'>;
   private description = '';
   private load = '';
@@ -44,7 +40,7 @@
     return new TargetReporter(options);
   }
 
-  /** Schedules a report to all entries; skipped for those without a change. */
+  /** Schedules the reports of this turn of the event loop. */
   schedule(): void {
     if (this.isTurnDue) return;
     this.isTurnDue = true;
@@ -57,40 +53,21 @@
     this.sendChanges(entry);
   }
 
-  /** Reports a change in the message that is being sent to an entry anyway. */
-  reportAlong(entry: KnownEntry): void {
+  /** Reports a change in the message with a ping to an entry. */
+  reportWithPing(entry: KnownEntry): void {
     if (this.hasChanged(entry)) this.sendChanges(entry);
   }
 
   private readonly reportDue = (): void => {
     this.isTurnDue = false;
     this.describe();
-    const nowMs = this.options.readMonotonicMs();
-    const linked = this.options
-      .listEntries()
-      .filter(({linkId}) => linkId !== undefined);
-    const periodMs = computeReportPeriod(linked.length);
-    // One timer and one turn for all entries, not one for each.
-    const isBatchDue = nowMs - this.lastBatchMs >= periodMs;
-    if (isBatchDue) this.lastBatchMs = nowMs;
-    let isAnyLeft = false;
-    for (const entry of linked) {
-      if (!this.hasChanged(entry)) continue;
-      if (isBatchDue || entry.isReportUrgent) this.sendChanges(entry);
-      else isAnyLeft = true;
+    for (const entry of this.options.listEntries()) {
+      if (entry.linkId === undefined || !this.hasChanged(entry)) continue;
+      const isDue = entry.isReportUrgent || this.hasNewDescription(entry);
+      if (isDue) this.sendChanges(entry);
     }
-    if (isAnyLeft) this.startTimer(this.lastBatchMs + periodMs - nowMs);
   };
 
-  private startTimer(delayMs: number): void {
-    if (this.isTimerDue) return;
-    this.isTimerDue = true;
-    this.options.startTimer(Math.max(1, delayMs), () => {
-      this.isTimerDue = false;
-      this.reportDue();
-    });
-  }
-
   /** Describes the target anew and numbers what has changed. */
   private describe(): void {
     this.target = this.options.describeTarget();
@@ -135,7 +112,6 @@
     const through = entry.lastOrderSequence;
     const report = {through, free, waiting, slowness, isSuspect};
     this.options.send(entry, {kind: AgentFrameKind.REPORT, report});
-    entry.lastReportMs = this.options.readMonotonicMs();
     entry.isReportUrgent = false;
     const {descriptionNumber, loadNumber} = this;
     const isReleased = entry.releasedAtMs > 0;
