Ping every 200 ms over four links, and run V8 on one thread

Change: reports every 100 ms if the load has changed, a ping with every second one; any message shows an entry that the agent is alive, which it gives up after 600 ms (500 before), and places nothing after 350 ms (300); a link is reopened after 450 ms without a frame (400), two unanswered pings.

Tests: ping_schedule_test.

--- a/deploy/bundle.mjs
+++ b/deploy/bundle.mjs
@@ -34,8 +34,16 @@
  * valid for these flags only.
  */
 const PROGRAMS = {
-  entry: ['--max-old-space-size=128', '--max-semi-space-size=2'],
-  agent: ['--max-old-space-size=96', '--max-semi-space-size=2'],
+  entry: [
+    '--max-old-space-size=128',
+    '--max-semi-space-size=2',
+    '--single-threaded',
+  ],
+  agent: [
+    '--max-old-space-size=96',
+    '--max-semi-space-size=2',
+    '--single-threaded',
+  ],
 };
 
 /** Wraps the bundle in a function, which the launcher calls. */
--- a/src/lib/decisions/choose_links.ts
+++ b/src/lib/decisions/choose_links.ts
@@ -6,11 +6,11 @@
  */
 
 /** Number of entries that an agent links to, if there are as many. */
-export const LINKS_PER_AGENT = 6;
+export const LINKS_PER_AGENT = 4;
 
 /**
  * Number of addresses that an entry tells each agent: those it links to, and
- * twice as many replacements.
+ * replacements, should most entries go.
  */
 const CANDIDATES_PER_AGENT = 18;
 
--- a/src/lib/work/agent/entry_link_manager.ts
+++ b/src/lib/work/agent/entry_link_manager.ts
@@ -9,6 +9,8 @@
 import type {Post} from '../../core/task.js';
 import {EntryFrameKind} from '../../core/work_frames.js';
 import type {AgentFrame, EntryFrame} from '../../core/work_frames.js';
+import {PingSchedule} from '../../decisions/ping_schedule.js';
+import type {DueMessages} from '../../decisions/ping_schedule.js';
 import {computeReconnectPause} from '../../decisions/reconnect_pause.js';
 import type {OpenFrameStream} from '../link/frame_stream.js';
 import {computeConnectDeadline, createLink} from './entry_link.js';
@@ -28,6 +30,8 @@
   /** Looks up the entries' addresses; called while no link is open. */
   readonly findEntries: () => Promise<readonly string[]>;
   readonly createPing: (entry: string, sentAtMs: number) => AgentFrame;
+  /** Sends the load to an entry if it has changed since its last report. */
+  readonly reportLoad: (entry: string) => void;
   readonly post: Post<RunnerMessage>;
   readonly readMonotonicMs: ReadMonotonicMs;
   readonly startTimer: StartTimer;
@@ -40,14 +44,11 @@
   readonly reportFailure: (failure: unknown) => void;
 }
 
-/** Period of the pings on each link in milliseconds. */
-const PING_PERIOD_MS = 100;
-
 /** Minimum delay in milliseconds between two checks. */
 const MIN_CHECK_DELAY_MS = 10;
 
 /** Time in milliseconds without a frame after which a link is reopened. */
-const LINK_TIMEOUT_MS = 400;
+const LINK_TIMEOUT_MS = 450;
 
 const MAILBOX_CAPACITY = 100_000;
 
@@ -63,7 +64,7 @@
   private readonly selection: LinkSelection;
   private lastLinkId = 0;
   private readonly lookUp: EntryLookUp;
-  private lastPingMs = 0;
+  private readonly schedule = PingSchedule.create();
   private stopTimer: StopTimer = () => undefined;
   private isFlushDue = false;
 
@@ -152,11 +153,9 @@
 
   private checkAll(): void {
     const nowMs = this.options.readMonotonicMs();
-    // A timer has millisecond resolution and may fire up to 1 ms early.
-    const isPingDue = nowMs - this.lastPingMs >= PING_PERIOD_MS - 1;
-    if (isPingDue) this.lastPingMs = nowMs;
+    const due = this.schedule.take(nowMs);
     this.selectLinks(nowMs);
-    for (const link of this.links.values()) this.check(link, isPingDue, nowMs);
+    for (const link of this.links.values()) this.check(link, due, nowMs);
     this.lookUp.advance(this.hasOpenLink(), nowMs);
     const delayMs = Math.max(MIN_CHECK_DELAY_MS, this.computeDueMs() - nowMs);
     this.stopTimer = this.options.startTimer(delayMs, () =>
@@ -166,7 +165,7 @@
 
   /** Returns the time of the next ping, connection attempt or its timeout. */
   private computeDueMs(): number {
-    let dueMs = this.lastPingMs + PING_PERIOD_MS;
+    let dueMs = this.schedule.dueMs;
     for (const link of this.links.values()) {
       if (link.incarnation !== '') continue;
       const isOpening = link.stream !== undefined;
@@ -181,7 +180,7 @@
     return links.some(({incarnation}) => incarnation !== '');
   }
 
-  private check(link: EntryLink, isPingDue: boolean, nowMs: number): void {
+  private check(link: EntryLink, due: DueMessages, nowMs: number): void {
     if (link.stream === undefined) {
       if (!link.isWanted) this.links.delete(link.address);
       else if (nowMs >= link.retryAtMs) this.open(link, nowMs);
@@ -195,9 +194,10 @@
       this.close(link, 'no frames');
       return;
     }
-    if (!isPingDue) return;
-    const ping = this.options.createPing(link.incarnation, nowMs);
-    this.enqueue(link.linkId, ping);
+    const {linkId, incarnation} = link;
+    if (due.isReportDue) this.options.reportLoad(incarnation);
+    if (!due.isPingDue) return;
+    this.enqueue(linkId, this.options.createPing(incarnation, nowMs));
   }
 
   private open(link: EntryLink, nowMs: number): void {
--- a/src/lib/work/agent/entry_reporter.ts
+++ b/src/lib/work/agent/entry_reporter.ts
@@ -58,10 +58,14 @@
     return this.entries.find(incarnation);
   }
 
-  /** Creates a ping to an entry; the load travels with it if it has changed. */
+  /** Reports the load to an entry if it has changed since its last report. */
+  reportLoad(incarnation: string): void {
+    const entry = this.entries.find(incarnation);
+    if (entry !== undefined) this.reporter.reportChange(entry);
+  }
+
+  /** Creates a ping to an entry. */
   createPing(incarnation: string, sentAtMs: number): AgentFrame {
-    const receiver = this.entries.find(incarnation);
-    if (receiver !== undefined) this.reporter.reportWithPing(receiver);
     let peerBacklog = 0;
     for (const entry of this.entries.listEntries()) {
       const isOther = entry.incarnation !== incarnation;
--- a/src/lib/work/agent/target_reporter.ts
+++ b/src/lib/work/agent/target_reporter.ts
@@ -17,8 +17,8 @@
 
 /**
  * Sends each entry what has changed since its last report: a change of the
- * description at once, the load with the end of a run of that entry and with each
- * ping. An entry accounts for its own orders itself, so nothing waits for more.
+ * description at once, the load with the end of a run of that entry and once
+ * a period. An entry accounts for its own orders itself, so nothing waits for more.
  *
  * The target is described once per turn of the event loop, whatever the number
  * of entries; numbers tell which of them have the latest description and load.
@@ -53,8 +53,8 @@
     this.sendChanges(entry);
   }
 
-  /** Reports a change in the message with a ping to an entry. */
-  reportWithPing(entry: KnownEntry): void {
+  /** Reports to one entry if anything has changed since its last report. */
+  reportChange(entry: KnownEntry): void {
     if (this.hasChanged(entry)) this.sendChanges(entry);
   }
 
--- a/src/lib/work/agent/work_agent.ts
+++ b/src/lib/work/agent/work_agent.ts
@@ -97,6 +97,7 @@
       agent: identity.id,
       open: options.openStream,
       createPing: this.runner.createPing,
+      reportLoad: this.runner.reportLoad,
       post: this.runner.post,
       reportLink: (entry, isOpen, detail) => {
         const event = isOpen
--- a/src/lib/work/agent/work_runner.ts
+++ b/src/lib/work/agent/work_runner.ts
@@ -101,6 +101,9 @@
   readonly createPing = (entry: string, sentAtMs: number): AgentFrame =>
     this.entries.createPing(entry, sentAtMs);
 
+  /** Reports the load to an entry if it has changed, for the link manager. */
+  readonly reportLoad = (entry: string): void => this.entries.reportLoad(entry);
+
   /** Stops the timers and closes the connections to the target. */
   stop(): Promise<void> {
     return this.task.stop();
--- a/src/lib/work/entry/agent_fleet.ts
+++ b/src/lib/work/entry/agent_fleet.ts
@@ -15,18 +15,18 @@
 import {SessionIndex} from './session_index.js';
 import {AgentAction, AgentEvent, AgentState} from './work_charts.js';
 
-/** Time in milliseconds without a ping after which an agent is disconnected. */
-const PING_TIMEOUT_MS = 500;
+/** Time in milliseconds without a message after which an agent is disconnected. */
+const RECEIVE_TIMEOUT_MS = 600;
 
-/** Time in milliseconds without a ping after which an agent gets no new task. */
-const PLACEMENT_PING_TIMEOUT_MS = 300;
+/** Time in milliseconds without a message after which an agent gets no new task. */
+const PLACEMENT_TIMEOUT_MS = 350;
 
 const MILLI_PER_CORE = 1000;
 
 /** Assumed run time in milliseconds of a queued task, of which only the need is known. */
 const TYPICAL_RUN_MS = 250;
 
-/** Time in milliseconds without a ping after which an expired session is removed. */
+/** Time in milliseconds without a message after which an expired session is removed. */
 const REMOVE_AFTER_MS = 30_000;
 
 /** Sessions of agents that have sent a hello. Owned by the scheduler. */
@@ -84,7 +84,7 @@
         session.state === AgentState.CONNECTED &&
         report.phase === TargetPhase.READY &&
         report.service === service &&
-        nowMs - session.lastPingAtMs <= PLACEMENT_PING_TIMEOUT_MS &&
+        nowMs - session.lastReceivedAtMs <= PLACEMENT_TIMEOUT_MS &&
         !dataCentresOut.includes(session.hello.dataCentre);
       if (isUsable) usable.push(session);
     }
@@ -143,7 +143,7 @@
       if (session.state !== AgentState.CONNECTED) continue;
       const {report} = session;
       if (report.phase === TargetPhase.READY) slownesses.push(report.slowness);
-      if (nowMs - session.lastPingAtMs > PLACEMENT_PING_TIMEOUT_MS) continue;
+      if (nowMs - session.lastReceivedAtMs > PLACEMENT_TIMEOUT_MS) continue;
       peerBacklog += session.peerBacklog;
       pinging += 1;
     }
@@ -157,10 +157,13 @@
     this.measureFleet(nowMs);
     this.handler.requestConfiguration(nowMs);
     for (const session of this.listSessions()) {
-      const idleMs = nowMs - session.lastPingAtMs;
-      if (session.state === AgentState.CONNECTED && idleMs > PING_TIMEOUT_MS) {
+      const idleMs = nowMs - session.lastReceivedAtMs;
+      if (
+        session.state === AgentState.CONNECTED &&
+        idleMs > RECEIVE_TIMEOUT_MS
+      ) {
         session.closeStream();
-        this.disconnect(session, 'no pings');
+        this.disconnect(session, 'no messages');
       }
       if (session.state === AgentState.DISCONNECTED && idleMs > RUN_EXPIRY_MS) {
         this.applyEvent(session, AgentEvent.RUNS_EXPIRED);
--- a/src/lib/work/entry/agent_frame_handler.ts
+++ b/src/lib/work/entry/agent_frame_handler.ts
@@ -63,6 +63,7 @@
     }
     const session = this.sessions.findByStream(stream);
     if (session === undefined) return;
+    session.lastReceivedAtMs = nowMs;
     switch (frame.kind) {
       case AgentFrameKind.PING:
         this.handlePing(session, frame, nowMs);
@@ -98,7 +99,6 @@
     {sentAtMs, peerBacklog, revision}: AgentPing,
     nowMs: number,
   ): void {
-    session.lastPingAtMs = nowMs;
     session.peerBacklog = peerBacklog;
     session.revision = revision;
     const configuration = this.options.getConfiguration();
@@ -123,7 +123,7 @@
   private replaceOlder(current: AgentSession): void {
     for (const session of this.sessions.listOf(current.hello.agent)) {
       if (session === current) continue;
-      if (session.lastPingAtMs > current.lastPingAtMs) continue;
+      if (session.lastReceivedAtMs > current.lastReceivedAtMs) continue;
       this.options.applyEvent(session, AgentEvent.REPLACED);
       this.options.remove(session);
     }
@@ -180,7 +180,7 @@
     } else {
       this.sessions.replaceStream(existing, existing.currentStream, stream);
       existing.replaceStream(stream);
-      existing.lastPingAtMs = nowMs;
+      existing.lastReceivedAtMs = nowMs;
     }
     this.options.log(FleetEvent.AGENT_CONNECTED, 'An agent has connected.', {
       agent: hello.agent,
--- a/src/lib/work/entry/agent_session.ts
+++ b/src/lib/work/entry/agent_session.ts
@@ -51,10 +51,10 @@
   /** Tasks ordered from the agent and not ended, by name. */
   readonly tasks = new Map<string, ActiveTask>();
   /**
-   * Local time of its last ping or hello, in milliseconds. The agent has no
-   * later proof that this entry is alive.
+   * Local time of its last message, in milliseconds. The agent has no later proof
+   * that this entry is alive than an answer to a ping sent before.
    */
-  lastPingAtMs: number;
+  lastReceivedAtMs: number;
   /** Backlog of the agent's other entries, from its latest ping. */
   peerBacklog = 0;
   /** Revision of the newest configuration that the agent knows of. */
@@ -74,7 +74,7 @@
     nowMs: number,
     private readonly requestFlush: (session: AgentSession) => void,
   ) {
-    this.lastPingAtMs = nowMs;
+    this.lastReceivedAtMs = nowMs;
   }
 
   /**
--- a/test/work/target_reporter_test.ts
+++ b/test/work/target_reporter_test.ts
@@ -51,10 +51,10 @@
     await new Promise(resolve => setImmediate(resolve));
   }
 
-  /** Pings all entries, as the link manager does every 100 ms. */
-  ping(): void {
+  /** Reports to all entries, as the link manager does every 100 ms. */
+  reportAll(): void {
     for (const entry of this.entries.listEntries()) {
-      this.reporter.reportWithPing(entry);
+      this.reporter.reportChange(entry);
     }
   }
 
@@ -83,11 +83,11 @@
 // report about each to each linked entry was most of what agents sent and entries
 // read on a site of 82 hosts.
 describe('The reports of a busy target', () => {
-  it('are as many as the pings, besides those with the ends of runs', async () => {
+  it('are one a period, besides those with the ends of runs', async () => {
     const agent = ReportingAgent.create(6);
     for (let step = 0; step < 100; step += 1) {
       await agent.change();
-      if (step % 10 === 9) agent.ping();
+      if (step % 10 === 9) agent.reportAll();
     }
     expect(agent.countReports()).to.equal(60);
   });
@@ -98,18 +98,18 @@
     expect(agent.sent.map(({entry}) => entry)).to.deep.equal(['entry-3']);
   });
 
-  it('travel with a ping if the load has changed, and are not repeated', async () => {
+  it('are sent if the load has changed, and are not repeated', async () => {
     const agent = ReportingAgent.create(2);
     await agent.change();
-    agent.ping();
-    agent.ping();
+    agent.reportAll();
+    agent.reportAll();
     expect(agent.countReports()).to.equal(2);
   });
 
   it('describe the target once per turn, whatever the number of links', async () => {
     const agent = ReportingAgent.create(12);
     await agent.change();
-    agent.ping();
+    agent.reportAll();
     expect(agent.described).to.equal(1);
   });
 
