--- a/tools/slopes/measure_fleet.ts
+++ b/tools/slopes/measure_fleet.ts
@@ -37,6 +37,9 @@
 const SUBMISSIONS = 2000;
 const SEED = 1;
 
+/** Pings on a link, see `decisions/ping_schedule.ts`. */
+const PINGS_PER_SECOND = 5;
+
 interface FleetSize {
   readonly agents: number;
   readonly entries: number;
@@ -151,7 +154,7 @@
   await scheduler.stop();
   server.close();
   const {agents, entries} = size;
-  const perLink = agents === 0 ? 0 : (pingBytes * 10) / 1024;
+  const perLink = agents === 0 ? 0 : (pingBytes * PINGS_PER_SECOND) / 1024;
   const links = Math.min(entries, LINKS_PER_AGENT);
   return (
     `| ${agents} x ${entries} | ${linked} | ${pingUs} | ${pingBytes} | ` +
