--- a/deploy/launcher.cjs
+++ b/deploy/launcher.cjs
@@ -10,6 +10,8 @@
 const {readFileSync, writeFileSync} = process.getBuiltinModule('node:fs');
 const {Script} = process.getBuiltinModule('node:vm');
 
+const {setFlagsFromString} = process.getBuiltinModule('node:v8');
+
 const WRITE_CACHE = '--write-cache';
 
 const filename = __filename.replace('_main.cjs', '_bundle.cjs');
@@ -25,12 +27,17 @@
   }
 }
 
+// Compiles all functions for the cache, not only those that run until the exit.
+// The flag is reset, since a cache is valid for the flags at its creation only.
+if (isWritingCache) setFlagsFromString('--no-lazy');
+
 // The bundle is ASCII: the bundler escapes all other characters.
 const script = new Script(readFileSync(filename, 'latin1'), {
   filename,
   cachedData: isWritingCache ? undefined : readCache(),
 });
 if (isWritingCache) {
+  setFlagsFromString('--lazy');
   process.on('exit', () => {
     writeFileSync(cacheFile, script.createCachedData());
     process.exitCode = 0;
