Repeat stops that broke off once a check, and suspect a target that breaks its calls

A stop that got no answer was repeated at once, which is paced by its time limit but not by a reset; new orders kept coming, since a start that broke off says nothing of the run.

OrderAnswerHandler leaves the target controller.

Tests: work_runner_test (without the pacing it never ends), target_trust_test.

--- a/src/lib/core/http_connection.ts
+++ b/src/lib/core/http_connection.ts
@@ -1,6 +1,7 @@
 /** One keep-alive HTTP/1.1 connection of a client. */
 import {connect} from 'node:net';
 import type {Socket} from 'node:net';
+import {RequestError} from './errors.js';
 import {HttpResponseParser} from './http_response_parser.js';
 import type {HttpResponse} from './http_response_parser.js';
 import {SendOutcome} from './send_once.js';
@@ -94,8 +95,7 @@
 
   /** Closes the connection; a request in progress ends without a reply. */
   close(): void {
-    this.finish(undefined);
-    this.socket.destroy();
+    this.fail(undefined);
   }
 
   private write({
@@ -127,8 +127,7 @@
     try {
       response = this.parser.add(part);
     } catch (failure) {
-      this.finish(failure);
-      this.socket.destroy();
+      this.fail(failure);
       return;
     }
     if (response !== undefined) this.deliver(response);
@@ -138,7 +137,12 @@
     const response =
       this.phase === ConnectionPhase.BUSY ? this.parser.end() : undefined;
     if (response !== undefined) this.deliver(response);
-    else this.close();
+    else this.fail(new RequestError('The peer closed the connection.'));
+  }
+
+  private fail(cause: unknown): void {
+    this.finish(cause);
+    this.socket.destroy();
   }
 
   private deliver({status, headers, body, isReusable}: HttpResponse): void {
--- a/src/lib/core/send_once.ts
+++ b/src/lib/core/send_once.ts
@@ -32,7 +32,11 @@
       readonly body: Buffer;
     }
   | {readonly outcome: SendOutcome.NOT_SENT; readonly cause: unknown}
-  | {readonly outcome: SendOutcome.UNANSWERED; readonly cause: unknown};
+  | {
+      readonly outcome: SendOutcome.UNANSWERED;
+      /** The error of the connection; undefined if the time limit passed. */
+      readonly cause: unknown;
+    };
 
 /**
  * Sends a request over `dispatcher` and waits for its reply. Never rejects.
--- a/src/lib/decisions/target_trust.ts
+++ b/src/lib/decisions/target_trust.ts
@@ -1,4 +1,4 @@
-/** Withholds work from a target whose runs fail or hang. */
+/** Withholds work from a target whose runs fail or hang, or whose connections break. */
 import {Chart} from '../core/chart.js';
 import {readChart} from '../core/chart_file.js';
 
@@ -14,6 +14,7 @@
   SUCCEED = 'succeed',
   FAIL = 'fail',
   HANG = 'hang',
+  BREAK = 'break',
   PAUSE_OVER = 'pauseOver',
   REPLACE = 'replace',
 }
@@ -34,6 +35,12 @@
 /** Number of different jobs that have to fail in a row to suspect the target. */
 const MIN_FAILED_JOBS = 2;
 
+/**
+ * Number of calls in a row whose connection broke that make the target suspect. A
+ * single one may be a connection that the target closed while it was idle.
+ */
+const MIN_BROKEN_CALLS = 3;
+
 /**
  * Circuit breaker of one target, based on how its runs end. A faulty job fails
  * on every target, so the failures of a single job, however many of its tasks
@@ -42,6 +49,7 @@
 export class TargetTrust {
   private current: TrustState = CHART.initial;
   private failedJobs = new Set<string>();
+  private brokenCalls = 0;
   private resumeAtMs = 0;
 
   private constructor() {}
@@ -73,9 +81,20 @@
     return this.change(TrustEvent.HANG, nowMs);
   }
 
+  /**
+   * Records whether the connection of a call broke before its answer; returns
+   * whether the state changed.
+   */
+  recordCall(isBroken: boolean, nowMs: number): boolean {
+    this.brokenCalls = isBroken ? this.brokenCalls + 1 : 0;
+    if (this.brokenCalls < MIN_BROKEN_CALLS) return false;
+    return this.change(TrustEvent.BREAK, nowMs);
+  }
+
   /** Resets the state for a new incarnation of the target. */
   reset(): void {
     this.failedJobs.clear();
+    this.brokenCalls = 0;
     this.change(TrustEvent.REPLACE, 0);
   }
 
--- a/src/lib/work/agent/target_api.ts
+++ b/src/lib/work/agent/target_api.ts
@@ -32,8 +32,15 @@
   NOT_LISTENING = 'nobody',
   /** The order was not sent. */
   NOT_SENT = 'not-sent',
-  /** No answer arrived; the target may carry out the order now or later. */
+  /** No answer arrived in time; the target may carry out the order now or later. */
   UNANSWERED = 'unanswered',
+  /** The connection broke before an answer, which proves as little. */
+  BROKEN = 'broken',
+}
+
+/** Returns whether the target may carry out the order though it has not answered. */
+export function isUncertain(outcome: OrderOutcome): boolean {
+  return outcome === OrderOutcome.UNANSWERED || outcome === OrderOutcome.BROKEN;
 }
 
 /** Returns whether the target itself accepted or refused the order. */
--- a/src/lib/work/agent/target_controller.ts
+++ b/src/lib/work/agent/target_controller.ts
@@ -12,9 +12,16 @@
 import {recordRun, recordRunEnd, recordRunStart} from './run_log.js';
 import type {RunId, TargetControllerOptions} from './controller_options.js';
 import {describeStatus} from './target_status.js';
+import {
+  logTargetDraining,
+  logTargetFound,
+  logTargetLost,
+  logTargetReady,
+} from './target_log.js';
 import {TargetClient} from './target_client.js';
 import {TargetHealthEstimate} from './target_health_estimate.js';
-import {isAnswer, OrderOutcome} from './target_api.js';
+import {OrderAnswerHandler} from './order_answer_handler.js';
+import {OrderOutcome} from './target_api.js';
 import type {HoldAnswer, OrderAnswer, TargetHeartbeat} from './target_api.js';
 
 /** Time in milliseconds without a run list after which a long poll's counts as lost. */
@@ -32,6 +39,7 @@
   readonly api: TargetClient;
   readonly health: TargetHealthEstimate;
 
+  private readonly orders: OrderAnswerHandler;
   private isSynced = false;
   private refusals = 0;
   private lastRenewalMs = 0;
@@ -50,6 +58,12 @@
       runs: this.runs,
       getTarget: () => this.heartbeat?.id ?? '',
     });
+    this.orders = OrderAnswerHandler.create({
+      runs: this.runs,
+      requests: options.requests,
+      handleRefusal: (outcome, nowMs) => this.handleRefusal(outcome, nowMs),
+      renew: nowMs => this.renew(nowMs),
+    });
   }
 
   /** Creates a controller that waits for the first heartbeat. */
@@ -89,59 +103,21 @@
       this.heartbeat?.phase === TargetPhase.DRAINING &&
       previousPhase !== TargetPhase.DRAINING;
     if (hasBegunDrain) {
-      const fields = {target: heartbeat.id, sequence: heartbeat.sequence};
-      this.options.log(FleetEvent.TARGET_DRAINING, 'Target drains.', fields);
+      logTargetDraining(this.options.log, heartbeat);
     }
     return hasBegunDrain;
   }
 
   /** Handles the answer to a start order. */
-  handleStartAnswer(
-    {task, run: runNumber}: RunId,
-    answer: OrderAnswer,
-    nowMs: number,
-  ): void {
-    this.api.recordAnswer(answer);
-    const run = this.runs.findRun(task, runNumber);
-    if (run === undefined) return;
-    const {outcome, reason} = answer;
-    if (outcome === OrderOutcome.ACCEPTED) {
-      this.runs.applyEvent(run, RunEvent.ACCEPTED, nowMs);
-      return;
-    }
-    recordRun(
-      this.options.requests,
-      run,
-      FleetEvent.ORDER_FAILED,
-      `Start: ${outcome} ${reason}.`,
-    );
-    if (outcome === OrderOutcome.UNANSWERED) {
-      this.runs.applyEvent(run, RunEvent.UNANSWERED, nowMs);
-      return;
-    }
-    const cause = RunEndCause.TARGET_REFUSED;
-    this.runs.applyEvent(run, RunEvent.REJECTED, nowMs, cause);
-    this.handleRefusal(outcome, nowMs);
+  handleStartAnswer(id: RunId, answer: OrderAnswer, nowMs: number): void {
+    this.recordAnswer(answer, nowMs);
+    this.orders.handleStartAnswer(id, answer, nowMs);
   }
 
   /** Handles the answer to a stop order. */
-  handleStopAnswer(
-    {task, run: runNumber}: RunId,
-    answer: OrderAnswer,
-    nowMs: number,
-  ): void {
-    this.api.recordAnswer(answer);
-    const run = this.runs.findRun(task, runNumber);
-    if (run === undefined) return;
-    const {outcome} = answer;
-    if (isAnswer(outcome)) {
-      this.runs.applyEvent(run, RunEvent.STOP_ANSWERED, nowMs);
-      // Lists requested after the stop was accepted show what still runs.
-      this.renew(nowMs);
-    } else {
-      this.handleRefusal(outcome, nowMs);
-      this.runs.applyEvent(run, RunEvent.STOP_UNANSWERED, nowMs);
-    }
+  handleStopAnswer(id: RunId, answer: OrderAnswer, nowMs: number): void {
+    this.recordAnswer(answer, nowMs);
+    this.orders.handleStopAnswer(id, answer, nowMs);
   }
 
   /** Handles the answer to a hold call: the lists of running and ended runs. */
@@ -152,7 +128,7 @@
     nowMs: number,
   ): void {
     if (isLongPoll) this.api.endLongPoll();
-    this.api.recordAnswer(answer);
+    this.recordAnswer(answer, nowMs);
     if (answer.outcome !== OrderOutcome.ACCEPTED) {
       this.lostHolds += 1;
       if (answer.reason === 'fence') this.api.raiseToken(answer.clockMs);
@@ -172,10 +148,7 @@
   end(detail: string, nowMs: number): void {
     const runs = this.runs.listRuns().length;
     if (!this.isSynced && runs === 0) return;
-    this.options.log(FleetEvent.TARGET_LOST, `The target is lost: ${detail}.`, {
-      target: this.heartbeat?.id,
-      runs,
-    });
+    logTargetLost(this.options.log, this.heartbeat?.id, runs, detail);
     this.isSynced = false;
     this.api.endLongPoll();
     this.runs.loseAll(nowMs);
@@ -197,6 +170,7 @@
     this.health.advance(nowMs);
     this.runs.expire(nowMs);
     this.stopStalled(nowMs);
+    this.orders.repeatBrokenStops(nowMs);
     this.renewWhenDue(nowMs);
   }
 
@@ -214,15 +188,16 @@
     this.health.reset();
     this.isSynced = false;
     this.refusals = 0;
-    const {id, incarnation, service} = heartbeat;
-    this.options.log(FleetEvent.TARGET_FOUND, 'A target started.', {
-      target: id,
-      targetLife: incarnation,
-      service,
-    });
+    this.orders.reset();
+    logTargetFound(this.options.log, heartbeat);
     this.renew(nowMs);
   }
 
+  private recordAnswer(answer: OrderAnswer, nowMs: number): void {
+    this.api.recordAnswer(answer);
+    this.health.recordCall(answer.outcome === OrderOutcome.BROKEN, nowMs);
+  }
+
   private handleRefusal(outcome: OrderOutcome, nowMs: number): void {
     if (outcome === OrderOutcome.OTHER_INCARNATION) this.end(outcome, nowMs);
     if (outcome !== OrderOutcome.NOT_LISTENING) return;
@@ -242,9 +217,7 @@
     for (const {task, run} of unknownRuns) this.api.sendStop(task, run);
     if (this.isSynced || unknownRuns.length > 0) return;
     this.isSynced = true;
-    this.options.log(FleetEvent.TARGET_READY, 'Target accepts orders.', {
-      target: this.heartbeat?.id,
-    });
+    logTargetReady(this.options.log, this.heartbeat?.id ?? '');
   }
 
   private stopStalled(nowMs: number): void {
--- a/src/lib/work/agent/target_health_estimate.ts
+++ b/src/lib/work/agent/target_health_estimate.ts
@@ -71,6 +71,11 @@
     }
   }
 
+  /** Updates the trust from a call, whose connection broke before its answer or not. */
+  recordCall(isBroken: boolean, nowMs: number): void {
+    this.logChange(this.trust.recordCall(isBroken, nowMs));
+  }
+
   /** Updates the slowness from the progress in the target's latest run list. */
   private recordProgress(listedAtMs: number): void {
     const ratios = new Map<string, number>();
--- a/test/decisions/target_trust_test.ts
+++ b/test/decisions/target_trust_test.ts
@@ -53,4 +53,23 @@
     trust.advance(PROBE_PAUSE_MS * 2 - 1);
     expect(trust.state).to.equal(TrustState.SUSPECT);
   });
+
+  // A target that goes down and up by turns resets each connection; runs that are
+  // ordered from it wait until their lease has ended.
+  it('suspects a target that breaks three calls in a row', () => {
+    const trust = TargetTrust.create();
+    trust.recordCall(true, 0);
+    trust.recordCall(true, 1);
+    expect(trust.state).to.equal(TrustState.TRUSTED);
+    trust.recordCall(true, 2);
+    expect(trust.state).to.equal(TrustState.SUSPECT);
+  });
+
+  it('does not suspect a target that answers in between', () => {
+    const trust = TargetTrust.create();
+    for (let atMs = 0; atMs < 20; atMs += 1) {
+      trust.recordCall(atMs % 3 > 0, atMs);
+      expect(trust.state).to.equal(TrustState.TRUSTED);
+    }
+  });
 });
--- a/test/work/runner_fixture.ts
+++ b/test/work/runner_fixture.ts
@@ -36,6 +36,8 @@
   nowMs = 10_000;
   /** System clock less the monotonic clock. */
   systemOffsetMs = 5_000_000;
+  /** What becomes of each call to the target. */
+  outcome = OrderOutcome.ACCEPTED;
   readonly runner: WorkRunner;
   private sequence = 0;
   private handled = 0;
@@ -43,7 +45,7 @@
 
   private constructor() {
     const answer = (): HoldAnswer => ({
-      outcome: OrderOutcome.ACCEPTED,
+      outcome: this.outcome,
       reason: '',
       clockMs: this.nowMs,
       running: this.starts.map(({task, run}) => ({task, run, percent: 1})),
--- a/test/work/work_runner_test.ts
+++ b/test/work/work_runner_test.ts
@@ -2,6 +2,7 @@
 import {RunEndCause, RunEnd} from '../../src/lib/core/work_frames.js';
 import {RESUME_GRACE_MS} from '../../src/lib/decisions/owner_contact.js';
 import {RunnerMessageKind} from '../../src/lib/work/agent/runner_messages.js';
+import {OrderOutcome} from '../../src/lib/work/agent/target_api.js';
 import {waitUntil} from '../wait_until.js';
 import {CAPACITY, ENTRY, PEER, RunnerFixture} from './runner_fixture.js';
 
@@ -153,3 +154,43 @@
     expect(fixture.findEnd('second')).to.equal(undefined);
   });
 });
+
+// A target that resets each connection was called 300 times a second: each stop
+// that broke off was repeated at once.
+describe('A work runner whose target resets its connections', () => {
+  let fixture: RunnerFixture;
+
+  beforeEach(async () => {
+    fixture = await RunnerFixture.create();
+    fixture.outcome = OrderOutcome.BROKEN;
+    fixture.sendOrder('a');
+    await fixture.settle();
+  });
+
+  afterEach(() => fixture.runner.stop());
+
+  it('repeats a stop once in each check until the target answers', async () => {
+    expect(fixture.stopped).to.deep.equal(['a']);
+    await fixture.runTimers();
+    await fixture.runTimers();
+    expect(fixture.stopped).to.deep.equal(['a', 'a', 'a']);
+    fixture.outcome = OrderOutcome.ACCEPTED;
+    await fixture.runTimers();
+    await fixture.runTimers();
+    expect(fixture.stopped).to.have.lengthOf(4);
+  });
+
+  it('never says that an order which broke off has not started', () => {
+    expect(fixture.findEnd('a')).to.equal(undefined);
+  });
+
+  it('starts nothing there for a while', async () => {
+    await fixture.runTimers();
+    fixture.sendOrder('b');
+    await fixture.settle();
+    expect(fixture.findEnd('b')).to.include({
+      end: RunEnd.NOT_STARTED,
+      cause: RunEndCause.TARGET_REFUSED,
+    });
+  });
+});
