Raise the links of agents where entries have too few targets

After add_nodes 8 entries share 44 links of 11 agents; one entry kept a single usable target or two and refused what the balancer gave it: refused with servers free, and wrong for the callers. (The fixed four links are right where a site has several agents an entry.)

Ruled out: a count by the number of entries alone, which would double the links of a site with 8 entries and 1,000 agents.

Change: decisions/subset_size (deterministic subsetting with a floor of 16 targets): agents tell the number of their links in each ping, an entry estimates how many are needed and tells them with the addresses; an agent takes the lower median. Messages of earlier versions lack both fields. Log event subset-changed.

--- a/src/lib/core/work_frames.ts
+++ b/src/lib/core/work_frames.ts
@@ -154,6 +154,8 @@
       readonly kind: EntryFrameKind.ENTRIES;
       /** Addresses of entries that the agent may link to; sent when they change. */
       readonly entries: readonly string[];
+      /** Number of links that the agent needs; not sent by earlier versions. */
+      readonly links?: number;
     }
   | ({readonly kind: EntryFrameKind.SUMMARY} & ConfigurationSummary)
   | {
@@ -201,6 +203,8 @@
       readonly peerBacklog: number;
       /** Highest revision of a configuration that the agent knows of; 0 for none. */
       readonly revision: number;
+      /** Number of entries that the agent is linked to; not sent by earlier versions. */
+      readonly links?: number;
     }
   | {readonly kind: AgentFrameKind.TARGET; readonly target: TargetDescription}
   | {readonly kind: AgentFrameKind.REPORT; readonly report: TargetLoad}
--- a/src/lib/decisions/choose_links.ts
+++ b/src/lib/decisions/choose_links.ts
@@ -5,7 +5,10 @@
  * replaced at each of its agents by another one.
  */
 
-/** Number of entries that an agent links to, if there are as many. */
+/**
+ * Number of entries that an agent links to, if there are as many. Sites with few
+ * agents for their entries need more, see `subset_size.ts`.
+ */
 export const LINKS_PER_AGENT = 4;
 
 /**
@@ -38,18 +41,18 @@
 }
 
 /**
- * Lists the addresses to be linked, most preferred first: enough for
- * `LINKS_PER_AGENT` open links. Unreachable entries stay in the list and are
- * tried again, but do not count.
+ * Lists the addresses to be linked, most preferred first: enough for `links` open
+ * links. Unreachable entries stay in the list and are tried again, but do not count.
  */
 export function listWanted(
   ranked: readonly string[],
   isReachable: (address: string) => boolean,
+  links = LINKS_PER_AGENT,
 ): readonly string[] {
   let reachable = 0;
   const wanted: string[] = [];
   for (const address of ranked) {
-    if (reachable >= LINKS_PER_AGENT) break;
+    if (reachable >= links) break;
     wanted.push(address);
     if (isReachable(address)) reachable += 1;
   }
--- a/src/lib/observe/fleet_log.ts
+++ b/src/lib/observe/fleet_log.ts
@@ -9,6 +9,8 @@
   FAILURE = 'failure',
   SETTINGS_RELOADED = 'settings-reloaded',
   RESUMED = 'resumed',
+  /** The number of links that the agents of an entry need has changed. */
+  SUBSET_CHANGED = 'subset-changed',
   CONFIGURATION_APPLIED = 'configuration-taken',
   CONFIGURATION_REJECTED = 'configuration-rejected',
   CONFIGURATION_REQUESTED = 'configuration-requested',
--- a/src/lib/work/agent/entry_link_manager.ts
+++ b/src/lib/work/agent/entry_link_manager.ts
@@ -225,7 +225,7 @@
     for (const frame of frames) {
       if (frame.kind === EntryFrameKind.HELLO) this.markOpen(link, frame.life);
       else if (frame.kind === EntryFrameKind.ENTRIES) {
-        this.selection.setList(linkId, frame.entries, nowMs);
+        this.selection.setAdvice(linkId, frame, nowMs);
       }
       if (link.incarnation === '') continue;
       const entry = link.incarnation;
@@ -258,7 +258,7 @@
     this.linkById.delete(linkId);
     if (link === undefined || link.linkId !== linkId) return;
     const {incarnation, address} = link;
-    this.selection.removeList(linkId);
+    this.selection.removeAdvice(linkId);
     link.stream = undefined;
     link.incarnation = '';
     link.hasFailed = link.isWanted;
--- a/src/lib/work/agent/entry_reporter.ts
+++ b/src/lib/work/agent/entry_reporter.ts
@@ -67,12 +67,14 @@
   /** Creates a ping to an entry. */
   createPing(incarnation: string, sentAtMs: number): AgentFrame {
     let peerBacklog = 0;
+    let links = 0;
     for (const entry of this.entries.listEntries()) {
-      const isOther = entry.incarnation !== incarnation;
-      if (isOther && entry.linkId !== undefined) peerBacklog += entry.backlog;
+      if (entry.linkId === undefined) continue;
+      links += 1;
+      if (entry.incarnation !== incarnation) peerBacklog += entry.backlog;
     }
     const {revision} = this.configurations.summary;
-    return {kind: AgentFrameKind.PING, sentAtMs, peerBacklog, revision};
+    return {kind: AgentFrameKind.PING, sentAtMs, peerBacklog, revision, links};
   }
 
   /** Returns whether every linked entry has acknowledged all run ends. */
--- a/src/lib/work/agent/link_selection.ts
+++ b/src/lib/work/agent/link_selection.ts
@@ -1,5 +1,10 @@
 /** The entries that an agent knows of, and which of them it links to. */
-import {listWanted, rankAddresses} from '../../decisions/choose_links.js';
+import {
+  LINKS_PER_AGENT,
+  listWanted,
+  rankAddresses,
+} from '../../decisions/choose_links.js';
+import {chooseLinkCount} from '../../decisions/subset_size.js';
 
 /**
  * Time in milliseconds since an address was last listed or connected after which
@@ -7,12 +12,21 @@
  */
 const ADDRESS_RETENTION_MS = 20_000;
 
+/** What a linked entry tells an agent about its links. */
+export interface LinkAdvice {
+  /** Addresses of entries that the agent may link to. */
+  readonly entries: readonly string[];
+  /** Number of links; entries of earlier versions do not send it. */
+  readonly links?: number;
+}
+
 /** Addresses from the settings, the store and the linked entries. */
 export class LinkSelection {
   private readonly lastSeenMs = new Map<string, number>();
-  /** The latest list of each linked entry, by the number of the link. */
-  private readonly lists = new Map<number, readonly string[]>();
+  /** The latest advice of each linked entry, by the number of the link. */
+  private readonly advice = new Map<number, LinkAdvice>();
   private ranked: readonly string[] | undefined;
+  private links = LINKS_PER_AGENT;
 
   private constructor(
     private readonly agent: string,
@@ -32,20 +46,20 @@
     }
   }
 
-  /** Stores the list of a linked entry. */
-  setList(linkId: number, addresses: readonly string[], nowMs: number): void {
-    this.lists.set(linkId, addresses);
-    this.add(addresses, nowMs);
+  /** Stores the advice of a linked entry. */
+  setAdvice(linkId: number, advice: LinkAdvice, nowMs: number): void {
+    this.advice.set(linkId, advice);
+    this.add(advice.entries, nowMs);
   }
 
-  /** Removes the list of an entry whose link has closed. */
-  removeList(linkId: number): void {
-    this.lists.delete(linkId);
+  /** Removes the advice of an entry whose link has closed. */
+  removeAdvice(linkId: number): void {
+    this.advice.delete(linkId);
   }
 
   /** Drops the addresses that no linked entry lists any more. */
   removeStale(nowMs: number): void {
-    for (const addresses of this.lists.values()) this.add(addresses, nowMs);
+    for (const {entries} of this.advice.values()) this.add(entries, nowMs);
     for (const [address, seenMs] of this.lastSeenMs) {
       if (nowMs - seenMs <= ADDRESS_RETENTION_MS) continue;
       this.lastSeenMs.delete(address);
@@ -59,6 +73,14 @@
       this.agent,
       new Set([...this.seeds, ...this.lastSeenMs.keys()]),
     );
-    return listWanted(this.ranked, isReachable);
+    return listWanted(this.ranked, isReachable, this.updateLinks());
+  }
+
+  private updateLinks(): number {
+    const told = [...this.advice.values()].map(
+      ({links}) => links ?? LINKS_PER_AGENT,
+    );
+    this.links = chooseLinkCount(told, this.links);
+    return this.links;
   }
 }
--- a/src/lib/work/entry/agent_fleet.ts
+++ b/src/lib/work/entry/agent_fleet.ts
@@ -6,6 +6,7 @@
 import {computeSpeeds} from '../../decisions/fleet_speeds.js';
 import type {FleetSpeeds} from '../../decisions/fleet_speeds.js';
 import type {PlacementTarget} from '../../decisions/place_task.js';
+import {SubsetSize} from '../../decisions/subset_size.js';
 import type {FrameStream} from '../link/frame_stream.js';
 import type {AgentFleetOptions} from './agent_fleet_options.js';
 import {AgentFrameHandler} from './agent_frame_handler.js';
@@ -35,6 +36,7 @@
   /** Sessions with frames to be sent. */
   private readonly unflushed = new Set<AgentSession>();
   private readonly handler: AgentFrameHandler;
+  private readonly subsetSize = SubsetSize.create();
   private latestSpeeds = computeSpeeds([]);
   private latestPeerBacklog = 0;
 
@@ -45,6 +47,7 @@
       requestFlush: session => this.unflushed.add(session),
       applyEvent: (session, event) => this.applyEvent(session, event),
       remove: session => this.remove(session),
+      getLinksPerAgent: () => this.subsetSize.value,
     });
   }
 
@@ -189,6 +192,24 @@
     }
   }
 
+  /** Tells the agents to hold more or fewer links if this entry has too few. */
+  checkSubset(): void {
+    let agents = 0;
+    let openLinks = 0;
+    for (const {state, links} of this.sessions.list()) {
+      if (state !== AgentState.CONNECTED) continue;
+      agents += 1;
+      openLinks += links;
+    }
+    if (!this.subsetSize.update(agents, openLinks)) return;
+    this.options.log(
+      FleetEvent.SUBSET_CHANGED,
+      'The agents need another number of links.',
+      {links: this.subsetSize.value, agents, openLinks},
+    );
+    this.publishEntries();
+  }
+
   /** Sends the frames that are queued for the agents. */
   flush(): void {
     for (const session of this.unflushed) session.flush();
--- a/src/lib/work/entry/agent_frame_handler.ts
+++ b/src/lib/work/entry/agent_frame_handler.ts
@@ -1,4 +1,5 @@
 /** Handles the messages of the agents linked to an entry. */
+import {LINKS_PER_AGENT} from '../../decisions/choose_links.js';
 import {ConfigurationRequests} from '../../decisions/configuration_requests.js';
 import {FleetEvent} from '../../observe/fleet_log.js';
 import type {FleetConfiguration} from '../../core/fleet_configuration.js';
@@ -35,6 +36,8 @@
   readonly requestFlush: (session: AgentSession) => void;
   readonly applyEvent: (session: AgentSession, event: AgentEvent) => void;
   readonly remove: (session: AgentSession) => void;
+  /** Returns the number of links that each agent needs. */
+  readonly getLinksPerAgent: () => number;
 }
 
 /** Applies the agents' frames to their sessions. Owned by the agent fleet. */
@@ -96,11 +99,12 @@
 
   private handlePing(
     session: AgentSession,
-    {sentAtMs, peerBacklog, revision}: AgentPing,
+    {sentAtMs, peerBacklog, revision, links = LINKS_PER_AGENT}: AgentPing,
     nowMs: number,
   ): void {
     session.peerBacklog = peerBacklog;
     session.revision = revision;
+    session.links = links;
     const configuration = this.options.getConfiguration();
     const ownRevision = configuration?.revision ?? 0;
     if (revision > ownRevision) this.requests.add(revision, nowMs);
@@ -138,10 +142,12 @@
     session.send({kind: EntryFrameKind.SUMMARY, revision, dataCentresOut});
   }
 
-  /** Sends the addresses of the entries that the agent may link to. */
+  /** Sends an agent the entries that it may link to, and how many it needs. */
   sendEntries(session: AgentSession): void {
-    const entries = this.options.listEntriesFor(session.hello.agent);
-    session.send({kind: EntryFrameKind.ENTRIES, entries});
+    const {listEntriesFor, getLinksPerAgent} = this.options;
+    const entries = listEntriesFor(session.hello.agent);
+    const links = getLinksPerAgent();
+    session.send({kind: EntryFrameKind.ENTRIES, entries, links});
   }
 
   /** Requests a newer configuration from an agent if the store does not send it. */
--- a/src/lib/work/entry/agent_session.ts
+++ b/src/lib/work/entry/agent_session.ts
@@ -1,4 +1,5 @@
 /** The session of one incarnation of an agent at an entry. */
+import {LINKS_PER_AGENT} from '../../decisions/choose_links.js';
 import type {PlacementTarget} from '../../decisions/place_task.js';
 import {
   AgentFrameKind,
@@ -57,6 +58,8 @@
   lastReceivedAtMs: number;
   /** Backlog of the agent's other entries, from its latest ping. */
   peerBacklog = 0;
+  /** Number of entries that the agent is linked to. */
+  links = LINKS_PER_AGENT;
   /** Revision of the newest configuration that the agent knows of. */
   revision = 0;
   /** Free capacity of its target, less the orders in flight. */
--- a/src/lib/work/entry/scheduler.ts
+++ b/src/lib/work/entry/scheduler.ts
@@ -285,6 +285,9 @@
     const {nowMs, fleet, jobs, admission} = this;
     if (nowMs - this.reportedAtMs < STATUS_PERIOD_MS) return;
     this.reportedAtMs = nowMs;
+    // Earlier, most agents have not connected yet.
+    const isSettled = nowMs - this.createdAtMs >= WARM_UP_MS;
+    if (isSettled) fleet.checkSubset();
     this.options.reportForecasts(this.forecasts.list());
     const fields = describeEntryStatus(fleet, jobs, admission, nowMs);
     this.options.log(FleetEvent.STATUS, 'Status of the entry.', fields);
