Accept agents' streams by one function, and count an agent's links only after new advice

Found in reading the change: measure_fleet wrote the binding of a stream to the scheduler again (now createAgentAcceptor, which WorkEntry calls too); LinkSelection sorted the entries' advice at each check, ten times a second, though it changes only with a message or a link.

Behaviour is unchanged: the count is taken before the next selection, as before.

--- a/src/lib/work/agent/link_selection.ts
+++ b/src/lib/work/agent/link_selection.ts
@@ -26,6 +26,7 @@
   /** The latest advice of each linked entry, by the number of the link. */
   private readonly advice = new Map<number, LinkAdvice>();
   private ranked: readonly string[] | undefined;
+  private isAdviceNew = false;
   private links = LINKS_PER_AGENT;
 
   private constructor(
@@ -49,12 +50,14 @@
   /** Stores the advice of a linked entry. */
   setAdvice(linkId: number, advice: LinkAdvice, nowMs: number): void {
     this.advice.set(linkId, advice);
+    this.isAdviceNew = true;
     this.add(advice.entries, nowMs);
   }
 
   /** Removes the advice of an entry whose link has closed. */
   removeAdvice(linkId: number): void {
     this.advice.delete(linkId);
+    this.isAdviceNew = true;
   }
 
   /** Drops the addresses that no linked entry lists any more. */
@@ -73,14 +76,15 @@
       this.agent,
       new Set([...this.seeds, ...this.lastSeenMs.keys()]),
     );
-    return listWanted(this.ranked, isReachable, this.updateLinks());
+    if (this.isAdviceNew) this.updateLinks();
+    return listWanted(this.ranked, isReachable, this.links);
   }
 
-  private updateLinks(): number {
+  private updateLinks(): void {
+    this.isAdviceNew = false;
     const told = [...this.advice.values()].map(
       ({links}) => links ?? LINKS_PER_AGENT,
     );
     this.links = chooseLinkCount(told, this.links);
-    return this.links;
   }
 }
--- a/src/lib/work/entry/work_entry.ts
+++ b/src/lib/work/entry/work_entry.ts
@@ -24,6 +24,7 @@
 import type {AcceptFrameStream, FrameServer} from '../link/frame_stream.js';
 import {FleetProcess} from '../fleet_process.js';
 import type {FleetProcessAction} from '../fleet_process.js';
+import {createAgentAcceptor} from './accept_agents.js';
 import {FleetConfigurationTask} from './fleet_configuration_task.js';
 import type {DecodeConfiguration} from './fleet_configuration_task.js';
 import {Scheduler} from './scheduler.js';
@@ -158,23 +159,10 @@
     store.add(() => configurationTask.stop());
     this.updateForecasts = forecasts =>
       configurationTask.updateForecasts(forecasts);
-    const server = await options.openLinkServer(options.linkAddress, stream => {
-      scheduler.sendHello(stream);
-      return {
-        receive: frames =>
-          scheduler.post({
-            kind: SchedulerMessageKind.AGENT_FRAMES,
-            stream,
-            frames,
-          }),
-        fail: detail =>
-          scheduler.post({
-            kind: SchedulerMessageKind.AGENT_STREAM_ENDED,
-            stream,
-            detail,
-          }),
-      };
-    });
+    const server = await options.openLinkServer(
+      options.linkAddress,
+      createAgentAcceptor(scheduler),
+    );
     store.add(() => server.close());
     const listeners = await options.openListeners({
       post: scheduler.post,
--- a/tools/slopes/measure_fleet.ts
+++ b/tools/slopes/measure_fleet.ts
@@ -22,6 +22,7 @@
 } from '../../src/lib/decisions/choose_links.js';
 import {createRandomChoice} from '../../src/lib/decisions/place_at_random.js';
 import {NO_OP_FLEET_METRICS} from '../../src/lib/observe/fleet_metrics.js';
+import {createAgentAcceptor} from '../../src/lib/work/entry/accept_agents.js';
 import {Scheduler} from '../../src/lib/work/entry/scheduler.js';
 import {SchedulerMessageKind} from '../../src/lib/work/entry/scheduler_messages.js';
 import {openLineServer} from '../../src/lib/work/link/line_stream.js';
@@ -117,23 +118,7 @@
   });
   const server = await openLineServer<EntryFrame, AgentFrame>(
     ADDRESS,
-    stream => {
-      scheduler.sendHello(stream);
-      return {
-        receive: frames =>
-          scheduler.post({
-            kind: SchedulerMessageKind.AGENT_FRAMES,
-            stream,
-            frames,
-          }),
-        fail: detail =>
-          scheduler.post({
-            kind: SchedulerMessageKind.AGENT_STREAM_ENDED,
-            stream,
-            detail,
-          }),
-      };
-    },
+    createAgentAcceptor(scheduler),
   );
   const worker = new Worker(new URL(import.meta.url), {workerData: linked});
   const awaitReply = () =>
