Ignore the deregistration of an earlier incarnation of a target

Callers saw: nothing that we could trace to it; two runs of one task follow from it.

Cause: WorkRunner compared only the id of a target that leaves. A later incarnation may have the same id, so a late deregistration of an earlier one ended all runs of the present one at the agent, whose entries placed the tasks elsewhere while they went on. Class: proof about one incarnation taken for proof about the next; found while looking for it elsewhere.

Change: the start of the incarnation, which targets give in all that they say of themselves, is compared too. A target that does not name it is believed.

Evidence: test/work/uncertain_order_test.ts, 'ignores the deregistration of an earlier incarnation'. Not run against the code before, whose message has no start to compare.

--- a/src/lib/work/agent/runner_messages.ts
+++ b/src/lib/work/agent/runner_messages.ts
@@ -25,7 +25,12 @@
       readonly kind: RunnerMessageKind.HEARTBEAT;
       readonly heartbeat: TargetHeartbeat;
     }
-  | {readonly kind: RunnerMessageKind.TARGET_DEREGISTERED; readonly id: string}
+  | {
+      readonly kind: RunnerMessageKind.TARGET_DEREGISTERED;
+      readonly id: string;
+      /** Start of the incarnation that left; undefined if not known. */
+      readonly startMs: number | undefined;
+    }
   | {
       readonly kind:
         RunnerMessageKind.START_ANSWER | RunnerMessageKind.STOP_ANSWER;
--- a/src/lib/work/agent/target_controller.ts
+++ b/src/lib/work/agent/target_controller.ts
@@ -121,6 +121,18 @@
     return hasBegunDrain;
   }
 
+  /** Ends the runs of a target that leaves; ignores an earlier incarnation. */
+  handleDeregistration(
+    id: string,
+    startMs: number | undefined,
+    nowMs: number,
+  ): void {
+    const {heartbeat} = this;
+    if (heartbeat?.id !== id) return;
+    if (startMs !== undefined && startMs !== heartbeat.startMs) return;
+    this.end('it deregistered', nowMs);
+  }
+
   /** Handles the answer to a start order. */
   handleStartAnswer(id: RunId, answer: OrderAnswer, nowMs: number): void {
     this.recordAnswer(answer, nowMs);
--- a/src/lib/work/agent/work_agent.ts
+++ b/src/lib/work/agent/work_agent.ts
@@ -27,7 +27,10 @@
 /** Callbacks of the heartbeat listener. */
 export interface HeartbeatHandlers {
   readonly handleHeartbeat: (heartbeat: TargetHeartbeat) => void;
-  readonly handleDeregistration: (id: string) => void;
+  readonly handleDeregistration: (
+    id: string,
+    startMs: number | undefined,
+  ) => void;
   readonly reportRejected: (id: string) => void;
 }
 
@@ -128,8 +131,8 @@
     const listener = await options.openHeartbeatListener({
       handleHeartbeat: heartbeat =>
         runner.post({kind: RunnerMessageKind.HEARTBEAT, heartbeat}),
-      handleDeregistration: id =>
-        runner.post({kind: RunnerMessageKind.TARGET_DEREGISTERED, id}),
+      handleDeregistration: (id, startMs) =>
+        runner.post({kind: RunnerMessageKind.TARGET_DEREGISTERED, id, startMs}),
       reportRejected: id =>
         options.log(
           FleetEvent.HEARTBEAT_REJECTED,
--- a/src/lib/work/agent/work_runner.ts
+++ b/src/lib/work/agent/work_runner.ts
@@ -121,9 +121,7 @@
         }
         break;
       case RunnerMessageKind.TARGET_DEREGISTERED:
-        if (target.heartbeat?.id === message.id) {
-          target.end('it deregistered', nowMs);
-        }
+        target.handleDeregistration(message.id, message.startMs, nowMs);
         break;
       case RunnerMessageKind.START_ANSWER:
         if (target.heartbeat?.incarnation === message.incarnation) {
--- a/test/work/runner_fixture.ts
+++ b/test/work/runner_fixture.ts
@@ -146,6 +146,12 @@
     });
   }
 
+  /** Reports that an incarnation of the target has deregistered. */
+  reportDeregistration(id: string, startMs: number | undefined): void {
+    const kind = RunnerMessageKind.TARGET_DEREGISTERED;
+    this.runner.post({kind, id, startMs});
+  }
+
   /** Sets what becomes of each call, whatever its kind. */
   setOutcome(outcome: OrderOutcome): void {
     for (const kind of Object.values(CallKind)) this.outcomes[kind] = outcome;
--- a/test/work/uncertain_order_test.ts
+++ b/test/work/uncertain_order_test.ts
@@ -125,3 +125,33 @@
     expect(fixture.findEnd('a')).to.equal(undefined);
   });
 });
+
+// Guards against two runs of one task: the deregistration of an earlier incarnation
+// under the same id arrives late, and the runs of the present one count as lost.
+describe('A work runner whose target has left', () => {
+  let fixture: RunnerFixture;
+
+  beforeEach(async () => {
+    fixture = await RunnerFixture.create();
+    fixture.startTarget('t1', 5000);
+    await fixture.settle();
+    fixture.sendOrder('a');
+    await fixture.settle();
+  });
+
+  afterEach(() => fixture.runner.stop());
+
+  it('ignores the deregistration of an earlier incarnation', async () => {
+    fixture.reportDeregistration('t1', 1);
+    await fixture.settle();
+    expect(fixture.findEnd('a')).to.equal(undefined);
+  });
+
+  for (const startMs of [5000, undefined]) {
+    it(`takes the runs for lost if ${startMs} is the start it names`, async () => {
+      fixture.reportDeregistration('t1', startMs);
+      await fixture.settle();
+      expect(fixture.findEnd('a')).to.include({end: RunEnd.LOST});
+    });
+  }
+});
--- a/test/work/work_runner_test.ts
+++ b/test/work/work_runner_test.ts
@@ -1,7 +1,6 @@
 import {expect} from 'chai';
 import {RunEndCause, RunEnd} from '../../src/lib/core/work_frames.js';
 import {RESUME_GRACE_MS} from '../../src/lib/decisions/owner_contact.js';
-import {RunnerMessageKind} from '../../src/lib/work/agent/runner_messages.js';
 import {OrderOutcome} from '../../src/lib/work/agent/target_api.js';
 import {waitUntil} from '../wait_until.js';
 import {CAPACITY, ENTRY, PEER, RunnerFixture} from './runner_fixture.js';
@@ -67,7 +66,7 @@
     expect(fixture.listStarted()).to.deep.equal(['large']);
     fixture.nowMs += FREEZE_MS;
     fixture.sendPong(fixture.nowMs, PEER);
-    fixture.runner.post({kind: RunnerMessageKind.TARGET_DEREGISTERED, id: 'x'});
+    fixture.reportDeregistration('x', undefined);
     await fixture.settle();
     expectRefused('a');
   });
