Let the lease end when a run without an owner cannot be stopped

Callers saw: nothing that we could trace to it.

Cause: an entry takes the runs of an agent out of reach for over after RUN_EXPIRY_MS, since the agent stops them and the lease bounds what it cannot stop. The lease is one for all runs, and the agent renewed it for the runs of other entries for as long as a stop had no effect. Class: time taken for proof, while another part goes on prolonging that time.

Change: nothing extends the lease, and nothing starts, while a run without an owner has outlived its stop by 180 ms. LeaseRenewer takes over the renewals from TargetController.

Evidence: test/work/uncertain_order_test.ts, 'A work runner that cannot stop a run whose entry is out of reach': the first two cases fail without the check.

--- a/src/lib/decisions/held_run.ts
+++ b/src/lib/decisions/held_run.ts
@@ -98,6 +98,32 @@
   };
 }
 
+/** Records when an event of a run happened, and why. */
+export function recordEvent(
+  run: HeldRun,
+  event: RunEvent,
+  cause: RunEndCause,
+  nowMs: number,
+): void {
+  run.cause = cause;
+  if (event === RunEvent.ACCEPTED) run.acceptedAtMs = nowMs;
+  if (event === RunEvent.STOP_ANSWERED) run.stopAnsweredAtMs = nowMs;
+  if (cause === RunEndCause.OWNER_UNREACHABLE) run.orphanedAtMs ||= nowMs;
+}
+
+/**
+ * Time in milliseconds in which the stop of a run without an owner has to take
+ * effect. The owner counts on the end of the lease once it has run out, see
+ * `RUN_EXPIRY_MS`, which leaves room for a late check.
+ */
+const ORPHAN_STOP_TIMEOUT_MS = 180;
+
+/** Returns whether a run has outlived its owner: only the end of the lease ends it. */
+export function isOutlivingOwner(run: HeldRun, nowMs: number): boolean {
+  const {orphanedAtMs} = run;
+  return orphanedAtMs > 0 && nowMs - orphanedAtMs > ORPHAN_STOP_TIMEOUT_MS;
+}
+
 /** Returns the key of a run in the registry. */
 export function formatRunKey(task: string, run: number): string {
   return `${task}#${run}`;
--- a/src/lib/decisions/run_registry.ts
+++ b/src/lib/decisions/run_registry.ts
@@ -12,6 +12,7 @@
   createHeldRun,
   formatRunKey,
   isOccupying,
+  recordEvent,
   RUN_CHART,
   RunAction,
   RunEvent,
@@ -141,9 +142,7 @@
     cause: RunEndCause = run.cause,
   ): void {
     if (run.state === RunState.ENDED) return;
-    run.cause = cause;
-    if (event === RunEvent.ACCEPTED) run.acceptedAtMs = nowMs;
-    if (event === RunEvent.STOP_ANSWERED) run.stopAnsweredAtMs = nowMs;
+    recordEvent(run, event, cause, nowMs);
     this.change(run, event, nowMs);
   }
 
--- a/src/lib/work/agent/target_client.ts
+++ b/src/lib/work/agent/target_client.ts
@@ -172,11 +172,14 @@
     this.sendHold(lastEndNumber, 0, isExtended, false);
   }
 
-  /** Long-polls for the run lists until a run ends; one poll at a time. */
-  list(lastEndNumber: number): void {
+  /**
+   * Long-polls for the run lists until a run ends, one poll at a time; renews the
+   * lease if `isExtended`.
+   */
+  list(lastEndNumber: number, isExtended: boolean): void {
     if (this.hasPendingPoll) return;
     this.hasPendingPoll = true;
-    this.sendHold(lastEndNumber, LONG_POLL_WAIT_MS, true, true);
+    this.sendHold(lastEndNumber, LONG_POLL_WAIT_MS, isExtended, true);
   }
 
   /** Records that the long poll has ended; `list` may start another. */
--- a/src/lib/work/agent/target_controller.ts
+++ b/src/lib/work/agent/target_controller.ts
@@ -17,6 +17,7 @@
   logTargetFound,
   logTargetLost,
 } from './target_log.js';
+import {LeaseRenewer} from './lease_renewer.js';
 import {TargetClient} from './target_client.js';
 import {TargetTakeover} from './target_takeover.js';
 import {TargetHealthEstimate} from './target_health_estimate.js';
@@ -25,12 +26,6 @@
 import type {OrderAnswer, TargetHeartbeat} from './target_api.js';
 import type {HeldAnswer} from './runner_messages.js';
 
-/** Time in milliseconds without a run list after which a long poll's counts as lost. */
-const RENEW_PERIOD_MS = 150;
-
-/** Period in milliseconds of the hold calls while nothing runs. */
-const IDLE_PERIOD_MS = 1000;
-
 /** Consecutive refused connections that prove that an incarnation has ended. */
 const REFUSALS_UNTIL_LOST = 2;
 
@@ -42,9 +37,8 @@
 
   private readonly orders: OrderAnswerHandler;
   private readonly takeover: TargetTakeover;
+  private readonly lease: LeaseRenewer;
   private refusals = 0;
-  private lastRenewalMs = 0;
-  private lastListMs = 0;
   private lostHolds = 0;
 
   private constructor(private readonly options: TargetControllerOptions) {
@@ -59,17 +53,22 @@
       runs: this.runs,
       getTarget: () => this.heartbeat?.id ?? '',
     });
+    this.lease = LeaseRenewer.create({
+      runs: this.runs,
+      api: this.api,
+      isControlled: () => this.takeover.isComplete,
+    });
     this.takeover = TargetTakeover.create({
       ...options,
       runs: this.runs,
       api: this.api,
-      renew: nowMs => this.renew(nowMs),
+      renew: nowMs => this.lease.renew(nowMs),
     });
     this.orders = OrderAnswerHandler.create({
       runs: this.runs,
       requests: options.requests,
       handleRefusal: (outcome, nowMs) => this.handleRefusal(outcome, nowMs),
-      renew: nowMs => this.renew(nowMs),
+      renew: nowMs => this.lease.renew(nowMs),
     });
   }
 
@@ -97,6 +96,11 @@
     return hasRuns || isSettling || this.health.isSuspect;
   }
 
+  /** Returns whether the lease may be extended, as each start does. */
+  allowStart(nowMs: number): boolean {
+    return this.lease.allowExtension(nowMs);
+  }
+
   /** Closes the connections to the target. */
   close(): void {
     this.api.close();
@@ -159,15 +163,15 @@
       if (isFenced && isTooLow) this.api.raiseToken(answer.clockMs);
       this.handleRefusal(answer.outcome, nowMs);
       // A target that refuses for another reason must not be called in a loop.
-      if (!this.takeover.isComplete && isTooLow) this.renew(nowMs);
+      if (!this.takeover.isComplete && isTooLow) this.lease.renew(nowMs);
       return;
     }
     this.refusals = 0;
-    this.lastListMs = nowMs;
+    this.lease.recordList(nowMs);
     this.runs.applyLists(answer.running, answer.ended, sentAtMs, nowMs);
     this.takeover.handleList(answer.running, isFenced, nowMs);
-    if (this.runs.listRuns().length > 0) this.api.list(this.runs.lastEndNumber);
-    else if (answer.ended.length > 0) this.renew(nowMs);
+    if (this.runs.listRuns().length > 0) this.lease.list(nowMs);
+    else if (answer.ended.length > 0) this.lease.renew(nowMs);
   }
 
   /** Ends all runs: the target's incarnation or its lease has ended. */
@@ -200,7 +204,7 @@
     this.runs.expire(nowMs);
     this.stopStalled(nowMs);
     this.orders.repeatFailedStops(nowMs);
-    this.renewWhenDue(nowMs);
+    if (this.lease.advance(nowMs)) this.end('no answer', nowMs);
   }
 
   /** Builds the fields of the status line; resets the count of failed holds. */
@@ -219,7 +223,7 @@
     this.refusals = 0;
     this.orders.reset();
     logTargetFound(this.options.log, heartbeat);
-    this.renew(nowMs);
+    this.lease.renew(nowMs);
   }
 
   private recordAnswer(answer: OrderAnswer, nowMs: number): void {
@@ -232,40 +236,22 @@
     if (outcome !== OrderOutcome.NOT_LISTENING) return;
     this.refusals += 1;
     if (this.refusals >= REFUSALS_UNTIL_LOST) this.end(outcome, nowMs);
-    else this.renew(nowMs);
+    else this.lease.renew(nowMs);
   }
 
   private stopStalled(nowMs: number): void {
-    for (const run of this.health.findStalled(this.lastListMs, nowMs)) {
+    for (const run of this.health.findStalled(this.lease.lastListMs, nowMs)) {
       const detail = `No progress at ${run.percent} %.`;
       this.stopRun(run, RunEndCause.HUNG, detail, nowMs);
     }
   }
 
-  private renewWhenDue(nowMs: number): void {
-    const hasRuns = this.runs
-      .listRuns()
-      .some(run => run.state !== RunState.QUEUED);
-    const periodMs =
-      hasRuns || !this.takeover.isComplete ? RENEW_PERIOD_MS : IDLE_PERIOD_MS;
-    const lastMs = Math.max(this.lastRenewalMs, this.lastListMs);
-    if (nowMs - lastMs >= periodMs) this.renew(nowMs);
-    if (!hasRuns) return;
-    this.api.list(this.runs.lastEndNumber);
-    if (nowMs > this.api.leaseExpiresAtMs) this.end('no answer', nowMs);
-  }
-
-  private renew(nowMs: number): void {
-    this.lastRenewalMs = nowMs;
-    this.api.renew(this.runs.lastEndNumber, this.takeover.isComplete);
-  }
-
   private performCommand(command: RunCommand): void {
     const {run} = command;
     switch (command.kind) {
       case RunCommandKind.SEND_START:
         this.api.sendStart(run);
-        this.api.list(this.runs.lastEndNumber);
+        this.lease.list(this.options.readMonotonicMs());
         break;
       case RunCommandKind.SEND_STOP:
         this.api.sendStop(run.order.task, run.order.run);
--- a/src/lib/work/agent/work_runner.ts
+++ b/src/lib/work/agent/work_runner.ts
@@ -161,8 +161,10 @@
         break;
     }
     if (isWithoutEffect(message)) return;
-    target.runs.startNext(nowMs, run =>
-      this.contacts.isFresh(run.owner, nowMs),
+    const mayStart = target.allowStart(nowMs);
+    target.runs.startNext(
+      nowMs,
+      run => mayStart && this.contacts.isFresh(run.owner, nowMs),
     );
     // Returns at once the orders that do not wait for capacity.
     target.runs.expire(nowMs);
--- a/test/work/uncertain_order_test.ts
+++ b/test/work/uncertain_order_test.ts
@@ -1,7 +1,8 @@
 import {expect} from 'chai';
 import {RunEnd, TargetPhase} from '../../src/lib/core/work_frames.js';
 import {OrderOutcome} from '../../src/lib/work/agent/target_api.js';
-import {RunnerFixture} from './runner_fixture.js';
+import {RUN_EXPIRY_MS} from '../../src/lib/work/entry/run_expiry.js';
+import {PEER, RunnerFixture} from './runner_fixture.js';
 
 // Guards against two runs of one task: a target that refuses a stop has done
 // nothing, and carries out the unanswered start after the task runs elsewhere.
@@ -155,3 +156,55 @@
     });
   }
 });
+
+// Guards against two runs of one task: an entry takes its runs for over by the end
+// of their lease, which the agent goes on renewing for the runs of other entries.
+describe('A work runner that cannot stop a run whose entry is out of reach', () => {
+  let fixture: RunnerFixture;
+
+  beforeEach(async () => {
+    fixture = await RunnerFixture.create();
+    fixture.sendOrder('a');
+    await fixture.settle();
+    fixture.outcomes.stop = OrderOutcome.BROKEN;
+  });
+
+  afterEach(() => fixture.runner.stop());
+
+  async function advanceTime(durationMs: number): Promise<void> {
+    for (let passedMs = 0; passedMs < durationMs; passedMs += 50) {
+      fixture.nowMs += 50;
+      fixture.sendPong(fixture.nowMs, PEER);
+      await fixture.runTimers();
+    }
+  }
+
+  /** Returns the latest end of the lease that was asked for, on the runner's clock. */
+  function findLeaseEndMs(): number {
+    return Math.max(...fixture.holds.map(({deadlineMs}) => deadlineMs));
+  }
+
+  it('lets the lease end before the entry counts on it', async () => {
+    const lastContactMs = fixture.nowMs;
+    await advanceTime(3000);
+    expect(fixture.stopped).to.include('a');
+    expect(findLeaseEndMs()).to.be.below(lastContactMs + RUN_EXPIRY_MS);
+  });
+
+  it('starts nothing that would extend the lease', async () => {
+    await advanceTime(1000);
+    fixture.sendOrder('b', PEER);
+    await fixture.settle();
+    expect(fixture.listStarted()).to.deep.equal(['a']);
+  });
+
+  it('renews the lease again once the run has been stopped', async () => {
+    await advanceTime(1000);
+    fixture.outcomes.stop = OrderOutcome.ACCEPTED;
+    fixture.running = [];
+    await advanceTime(1000);
+    fixture.sendOrder('b', PEER);
+    await fixture.settle();
+    expect(fixture.listStarted()).to.deep.equal(['a', 'b']);
+  });
+});
