Bound the wait for orders to a lost target, and pace the calls that it refuses

Cause: a run whose stop the lost incarnation had accepted still counted as lost at once, though the next one knows nothing of that stop. An uncertain run stayed so for ever, with its capacity, if no later incarnation came, and kept a planned stop from ending. A target whose token is higher than that of its agent, after its time of day went back, and stops that could not be sent, were called in a loop. The clock that tells another incarnation had no margin.

The token rises by twice as much with each refusal, once a period; only an unanswered stop is repeated at once. An agent that may not extend the lease reports its target as absent. An answer counts as another incarnation's if its clock is 1 s behind.

--- a/src/lib/decisions/held_run.ts
+++ b/src/lib/decisions/held_run.ts
@@ -124,6 +124,16 @@
   return orphanedAtMs > 0 && nowMs - orphanedAtMs > ORPHAN_STOP_TIMEOUT_MS;
 }
 
+/** Time in milliseconds after which an order is certainly not carried out any more. */
+const MAX_ORDER_DELAY_MS = 15_000;
+
+/** Returns whether the wait of a run is over: for capacity, or for its order's fate. */
+export function isExpired(run: HeldRun, nowMs: number): boolean {
+  if (run.state === RunState.QUEUED) return nowMs >= run.expiresAtMs;
+  const orderAgeMs = nowMs - run.startSentAtMs;
+  return run.state === RunState.UNCERTAIN && orderAgeMs > MAX_ORDER_DELAY_MS;
+}
+
 /** Returns the key of a run in the registry. */
 export function formatRunKey(task: string, run: number): string {
   return `${task}#${run}`;
--- a/src/lib/decisions/run_registry.ts
+++ b/src/lib/decisions/run_registry.ts
@@ -11,6 +11,7 @@
 import {
   createHeldRun,
   formatRunKey,
+  isExpired,
   isOccupying,
   recordEvent,
   RUN_CHART,
@@ -118,11 +119,11 @@
     }
   }
 
-  /** Ends queued runs whose wait limit has passed. */
+  /** Ends the runs whose wait limit has passed. */
   expire(nowMs: number): void {
-    for (const run of this.listQueued()) {
-      if (nowMs < run.expiresAtMs) continue;
-      run.cause = RunEndCause.NO_CAPACITY;
+    for (const run of this.listRuns()) {
+      if (!isExpired(run, nowMs)) continue;
+      if (run.state === RunState.QUEUED) run.cause = RunEndCause.NO_CAPACITY;
       this.change(run, RunEvent.EXPIRED, nowMs);
     }
   }
--- a/src/lib/work/agent/order_answer_handler.ts
+++ b/src/lib/work/agent/order_answer_handler.ts
@@ -74,17 +74,14 @@
       runs.applyEvent(run, RunEvent.STOP_ANSWERED, nowMs);
       // Lists requested after the stop was accepted show what still runs.
       renew(nowMs);
-    } else if (
-      outcome === OrderOutcome.BROKEN ||
-      outcome === OrderOutcome.REFUSED
-    ) {
+    } else if (outcome === OrderOutcome.UNANSWERED) {
+      runs.applyEvent(run, RunEvent.STOP_UNANSWERED, nowMs);
+    } else {
       const text = `Stop: ${outcome} ${reason}.`;
       recordRun(requests, run, FleetEvent.ORDER_FAILED, text);
+      handleRefusal(outcome, nowMs);
       // A target that fails each call at once must not be called in a loop.
       this.failedStops.add(run);
-    } else {
-      handleRefusal(outcome, nowMs);
-      runs.applyEvent(run, RunEvent.STOP_UNANSWERED, nowMs);
     }
   }
 
--- a/src/lib/work/agent/target_client.ts
+++ b/src/lib/work/agent/target_client.ts
@@ -49,6 +49,7 @@
   private fencingToken = 0;
   /** The highest token used so far, for whatever incarnation. */
   private highestToken = 0;
+  private tokenStep = 1;
   private hasPendingPoll = false;
   private lastAnswerMs = 0;
 
@@ -96,6 +97,7 @@
     this.connection = this.options.connect(heartbeat);
     this.latest = heartbeat;
     this.fencingToken = 0;
+    this.tokenStep = 1;
     this.clock.reset();
     this.lastAnswerMs = this.options.readMonotonicMs();
     return true;
@@ -117,11 +119,16 @@
     if (this.fencingToken === 0) this.raiseToken(answer.clockMs);
   }
 
-  /** Raises the fencing token above the one that the target holds. */
+  /**
+   * Raises the fencing token, by twice as much each time: the target holds an
+   * unknown one if its time of day was set back between two of its incarnations.
+   */
   raiseToken(clockMs: number): void {
     const startMs = this.latest?.startMs ?? 0;
-    this.fencingToken = Math.max(this.highestToken + 1, startMs + clockMs);
+    const leastToken = this.highestToken + this.tokenStep;
+    this.fencingToken = Math.max(leastToken, startMs + clockMs);
     this.highestToken = this.fencingToken;
+    this.tokenStep *= 2;
   }
 
   /** Drops the fencing token; the next answer gives a higher one. */
@@ -254,6 +261,9 @@
   }
 }
 
+/** Margin in milliseconds for a clock that drifts more than it should. */
+const CLOCK_MARGIN_MS = 1000;
+
 /**
  * Tells an answer of another incarnation by its clock, which has started anew;
  * only run lists name the incarnation.
@@ -261,7 +271,8 @@
  * @param sentAtClockMs Lower bound of the target's clock when the order was sent.
  */
 function checkClock(answer: OrderAnswer, sentAtClockMs: number): OrderAnswer {
-  const isOlder = answer.clockMs > 0 && answer.clockMs < sentAtClockMs;
+  const isOlder =
+    answer.clockMs > 0 && answer.clockMs < sentAtClockMs - CLOCK_MARGIN_MS;
   if (!isOlder || !isAnswer(answer.outcome)) return answer;
   return {...answer, outcome: OrderOutcome.ANSWERED_BY_OTHER};
 }
--- a/src/lib/work/agent/target_controller.ts
+++ b/src/lib/work/agent/target_controller.ts
@@ -84,7 +84,10 @@
 
   /** The target's phase; `ABSENT` until it is known what runs there. */
   get phase(): TargetPhase {
-    if (!this.takeover.isComplete) return TargetPhase.ABSENT;
+    const isUsable =
+      this.takeover.isComplete &&
+      this.allowStart(this.options.readMonotonicMs());
+    if (!isUsable) return TargetPhase.ABSENT;
     return this.heartbeat?.phase ?? TargetPhase.ABSENT;
   }
 
@@ -96,6 +99,12 @@
     return hasRuns || isSettling || this.health.isSuspect;
   }
 
+  /** Whether no run is left but orders whose fate is uncertain. */
+  get isIdle(): boolean {
+    const runs = this.runs.listRuns();
+    return runs.every(run => run.state === RunState.UNCERTAIN);
+  }
+
   /** Returns whether the lease may be extended, as each start does. */
   allowStart(nowMs: number): boolean {
     return this.lease.allowExtension(nowMs);
@@ -162,8 +171,9 @@
       const isTooLow = answer.reason === REASON_FENCE;
       if (isFenced && isTooLow) this.api.raiseToken(answer.clockMs);
       this.handleRefusal(answer.outcome, nowMs);
-      // A target that refuses for another reason must not be called in a loop.
-      if (!this.takeover.isComplete && isTooLow) this.lease.renew(nowMs);
+      // A target that refuses the current token too must not be called in a loop.
+      const isOutdated = isTooLow && !isFenced;
+      if (!this.takeover.isComplete && isOutdated) this.lease.renew(nowMs);
       return;
     }
     this.refusals = 0;
--- a/src/lib/work/agent/work_runner.ts
+++ b/src/lib/work/agent/work_runner.ts
@@ -268,7 +268,7 @@
     this.entries.closeReleased(this.target.runs.listRuns(), nowMs);
     this.entries.configurations.advance(nowMs);
     this.reportStatus(nowMs);
-    const isIdle = this.target.runs.listRuns().length === 0;
+    const {isIdle} = this.target;
     if (this.isDraining && isIdle && this.entries.hasDeliveredEnds()) {
       this.options.reportIdle();
     }
--- a/test/decisions/run_registry_test.ts
+++ b/test/decisions/run_registry_test.ts
@@ -187,6 +187,23 @@
       expect(registry.free).to.deep.equal(CAPACITY);
     });
 
+    it('waits no longer than an order may be delayed', () => {
+      const {registry, listEnds} = loseTarget();
+      registry.expire(14_000);
+      expect(listEnds()).to.deep.equal([]);
+      registry.expire(16_000);
+      expect(listEnds().map(({end}) => end)).to.deep.equal([RunEnd.LOST]);
+    });
+
+    it('waits too if the lost incarnation had accepted its stop', () => {
+      const {registry, add, listEnds} = createRegistry();
+      const run = add('a');
+      registry.applyEvent(run, RunEvent.UNANSWERED, 5);
+      registry.applyEvent(run, RunEvent.STOP_ANSWERED, 6);
+      registry.loseAll(9);
+      expect(listEnds()).to.deep.equal([]);
+    });
+
     it('stops the run if the next incarnation lists it', () => {
       const {registry, run, listEnds, listKinds} = loseTarget();
       registry.applyLists([{task: 'a', run: 1, percent: 0}], [], 10, 11);
--- a/test/work/uncertain_order_test.ts
+++ b/test/work/uncertain_order_test.ts
@@ -115,6 +115,23 @@
     expect(fixture.findEnd('a')).to.include({end: RunEnd.LOST});
   });
 
+  it('finds a token above that of an incarnation whose time of day was ahead', async () => {
+    const tokens = new Set<number>();
+    fixture.reason = 'fence';
+    fixture.outcomes.hold = OrderOutcome.REFUSED;
+    fixture.startTarget('t1', 5000);
+    await fixture.settle();
+    const firstToken = findLastToken();
+    const calls = fixture.holds.length;
+    for (let check = 0; check < 40; check += 1) {
+      fixture.nowMs += 150;
+      await fixture.runTimers();
+      tokens.add(findLastToken());
+    }
+    expect(fixture.holds.length - calls).to.be.below(100);
+    expect(Math.max(...tokens)).to.be.above(firstToken + 60_000);
+  });
+
   it('tells an answer of the next incarnation by its clock', async () => {
     fixture.targetOffsetMs = 10 - fixture.nowMs;
     fixture.outcomes.hold = OrderOutcome.UNANSWERED;
