Raise the fencing token after each call that got no answer

Cause: a hold that got no answer may be carried out seconds later, and renews the lease of all runs then. The entry of a frozen agent takes its runs for over by the end of their lease. Class: time taken for proof, while another part goes on prolonging that time.

Change: the agent raises its token after each unanswered call. The next answered one makes the target refuse all earlier calls, starts and renewals alike, so only a call in the last round trip before a freeze can still be carried out.

--- a/src/lib/work/agent/target_client.ts
+++ b/src/lib/work/agent/target_client.ts
@@ -131,6 +131,13 @@
     this.tokenStep *= 2;
   }
 
+  /** Makes the target refuse all earlier calls once it has answered a later one. */
+  raiseFence(): void {
+    if (this.fencingToken === 0) return;
+    this.highestToken += 1;
+    this.fencingToken = this.highestToken;
+  }
+
   /** Drops the fencing token; the next answer gives a higher one. */
   dropToken(): void {
     this.fencingToken = 0;
--- a/src/lib/work/agent/target_controller.ts
+++ b/src/lib/work/agent/target_controller.ts
@@ -22,7 +22,12 @@
 import {TargetTakeover} from './target_takeover.js';
 import {TargetHealthEstimate} from './target_health_estimate.js';
 import {OrderAnswerHandler} from './order_answer_handler.js';
-import {isOtherIncarnation, OrderOutcome, REASON_FENCE} from './target_api.js';
+import {
+  isOtherIncarnation,
+  isUncertain,
+  OrderOutcome,
+  REASON_FENCE,
+} from './target_api.js';
 import type {OrderAnswer, TargetHeartbeat} from './target_api.js';
 import type {HeldAnswer} from './runner_messages.js';
 
@@ -238,6 +243,8 @@
 
   private recordAnswer(answer: OrderAnswer, nowMs: number): void {
     this.api.recordAnswer(answer);
+    // Carried out late, a call would renew the lease of runs that count as over.
+    if (isUncertain(answer.outcome)) this.api.raiseFence();
     this.health.recordCall(answer.outcome === OrderOutcome.BROKEN, nowMs);
   }
 
--- a/test/work/uncertain_order_test.ts
+++ b/test/work/uncertain_order_test.ts
@@ -144,6 +144,40 @@
   });
 });
 
+// Guards against two runs of one task: a call that got no answer is carried out
+// seconds later, and renews the lease of runs that count as over.
+describe('A work runner whose call gets no answer', () => {
+  let fixture: RunnerFixture;
+
+  beforeEach(async () => {
+    fixture = await RunnerFixture.create();
+    fixture.sendOrder('a');
+    await fixture.settle();
+  });
+
+  afterEach(() => fixture.runner.stop());
+
+  async function renew(): Promise<number> {
+    fixture.holds.length = 0;
+    fixture.nowMs += 160;
+    fixture.sendPong(fixture.nowMs);
+    await fixture.runTimers();
+    return fixture.holds[0].fencingToken;
+  }
+
+  it('raises its token, which fences off that call', async () => {
+    const token = await renew();
+    fixture.outcomes.hold = OrderOutcome.UNANSWERED;
+    await renew();
+    fixture.outcomes.hold = OrderOutcome.ACCEPTED;
+    expect(await renew()).to.be.above(token);
+  });
+
+  it('keeps its token while its calls are answered', async () => {
+    expect(await renew()).to.equal(await renew());
+  });
+});
+
 // Guards against two runs of one task: the deregistration of an earlier incarnation
 // under the same id arrives late, and the runs of the present one count as lost.
 describe('A work runner whose target has left', () => {
