Give a task up that crashes the targets on which it starts

Callers saw 503 and missed deadlines with all targets down. The agent reported its runs as lost and the entry requeued them, without limit, until the caller's deadline; nothing counted crashes. The tasks that were lost beside it were requeued with it and landed beside it again, so being on a crashed target proves little.

The agent now reports a proven crash (the port is closed, or another incarnation answers or reports) with the runs and their age to the entries it is linked to, and in the hello to those that link later. A lapsed lease, a drain and a host that lost power together with its agent do not count. Each entry shares the blame among the runs by age and earlier crashes; a suspect task runs apart, so that a second crash has one explanation. The record travels with the order, so it does not depend on the entry that counted: an entry may be killed at the second crash, and its caller comes to another one.

test/fleet/deadly_task_test.ts failed before on all three cases: `expected { reason: 'deadline' } to deeply equal { state: 'failed', ... }`, neighbours' states undefined in two of six, `expected 'no-target' to equal 'targets-crashed'`. They pass now, with exactly two crashes.

--- a/src/lib/core/work_frames.ts
+++ b/src/lib/core/work_frames.ts
@@ -55,6 +55,33 @@
   readonly run: number;
 }
 
+/** What is known of a task that may have crashed targets. */
+export interface CrashSuspicion {
+  /** Number of targets that have crashed while it ran there. */
+  readonly crashes: number;
+  /** Probability that it crashes the targets that start it. */
+  readonly blame: number;
+}
+
+/** A run that was in progress on a target that crashed. */
+export interface CrashedRun {
+  readonly task: string;
+  readonly job: string;
+  /** Time from the start order to the proof of the crash, in milliseconds. */
+  readonly ranMs: number;
+  /** What its order told of earlier crashes. */
+  readonly suspicion?: CrashSuspicion;
+}
+
+/** A crash of a target, as proven by its agent. */
+export interface TargetCrash {
+  /** Incarnation of the target that crashed. */
+  readonly life: string;
+  /** Time in milliseconds since the agent recorded it. */
+  readonly ageMs: number;
+  readonly runs: readonly CrashedRun[];
+}
+
 /** An order to run a task. */
 export interface RunOrder extends RunId {
   readonly job: string;
@@ -70,6 +97,8 @@
   readonly patienceMs: number;
   /** Increases with each order from this entry to this agent. */
   readonly sequence: number;
+  /** Present if the task is to run apart from others; not sent by earlier versions. */
+  readonly suspicion?: CrashSuspicion;
 }
 
 /** A run that an agent holds for an entry. */
@@ -178,6 +207,8 @@
   TARGET = 'target',
   REPORT = 'report',
   END = 'end',
+  /** Not sent by earlier versions, whose entries ignore it. */
+  CRASH = 'crash',
   CONFIGURATION_REQUEST = 'configuration-request',
   CONFIGURATION = 'configuration',
 }
@@ -195,6 +226,8 @@
       readonly ends: readonly RunEndReport[];
       /** Highest sequence accepted from the receiving entry's incarnation. */
       readonly through: number;
+      /** Recent crashes of its target; not sent by earlier versions. */
+      readonly crashes?: readonly TargetCrash[];
     }
   | {
       readonly kind: AgentFrameKind.PING;
@@ -209,6 +242,7 @@
   | {readonly kind: AgentFrameKind.TARGET; readonly target: TargetDescription}
   | {readonly kind: AgentFrameKind.REPORT; readonly report: TargetLoad}
   | {readonly kind: AgentFrameKind.END; readonly report: RunEndReport}
+  | {readonly kind: AgentFrameKind.CRASH; readonly crash: TargetCrash}
   | {
       /** Asks for a configuration of at least this revision, for another entry. */
       readonly kind: AgentFrameKind.CONFIGURATION_REQUEST;
--- a/src/lib/core/work_job.ts
+++ b/src/lib/core/work_job.ts
@@ -45,7 +45,7 @@
 export enum JobEnd {
   /** All tasks are done. */
   COMPLETED = 'completed',
-  /** A task used up the attempts that the queue allows, or no target can run it. */
+  /** A task used up its attempts, crashes its targets, or no target can run it. */
   FAILED = 'failed',
   /** No task of the job has run; the caller may retry. */
   REFUSED = 'refused',
@@ -66,6 +66,8 @@
   TOO_LARGE = 'too-large',
   /** A task used up the attempts that the queue allows. */
   ATTEMPTS_EXHAUSTED = 'attempts-used',
+  /** A task of the job crashes the targets on which it starts. */
+  TARGETS_CRASHED = 'targets-crashed',
   /** The job's deadline has passed. */
   DEADLINE_EXCEEDED = 'deadline',
 }
--- a/src/lib/decisions/held_run.ts
+++ b/src/lib/decisions/held_run.ts
@@ -1,7 +1,8 @@
 /** One run of a task at the agent, and the state chart of its life cycle. */
 import {Chart} from '../core/chart.js';
 import {readChart} from '../core/chart_file.js';
-import type {RunEndCause, RunOrder} from '../core/work_frames.js';
+import {RunEndCause} from '../core/work_frames.js';
+import type {RunOrder} from '../core/work_frames.js';
 
 /** States of `charts/target_run.yaml`. */
 export enum RunState {
@@ -50,6 +51,12 @@
   },
 );
 
+/**
+ * Time in milliseconds from the start of a suspect task in which no other run
+ * starts, so that a crash soon after its start has one explanation.
+ */
+const ISOLATION_MS = 250;
+
 /** A run that the agent holds; owned and changed only by the run registry. */
 export interface HeldRun {
   readonly order: RunOrder;
@@ -71,6 +78,31 @@
   advancedAtMs: number;
   /** Monotonic time in milliseconds since which it has no owner; 0 with an owner. */
   orphanedAtMs: number;
+  /** Whether no other run may start on the target while this one occupies it. */
+  isIsolated: boolean;
+}
+
+/** Creates a run that waits for capacity. */
+export function createHeldRun(
+  order: RunOrder,
+  owner: string,
+  nowMs: number,
+): HeldRun {
+  return {
+    order,
+    owner,
+    state: RUN_CHART.initial,
+    startByMs: nowMs + order.slackMs,
+    expiresAtMs: nowMs + order.patienceMs,
+    cause: RunEndCause.NONE,
+    startSentAtMs: 0,
+    acceptedAtMs: 0,
+    stopAnsweredAtMs: 0,
+    percent: 0,
+    advancedAtMs: nowMs,
+    orphanedAtMs: 0,
+    isIsolated: order.suspicion !== undefined,
+  };
 }
 
 /** Returns the key of a run in the registry. */
@@ -82,3 +114,14 @@
 export function isOccupying(run: HeldRun): boolean {
   return run.state !== RunState.QUEUED && run.state !== RunState.ENDED;
 }
+
+/** Returns whether no other run may start on the target. */
+export function isIsolating(run: HeldRun): boolean {
+  return run.isIsolated && isOccupying(run);
+}
+
+/** Ends the isolation of a run once its time is over. */
+export function endIsolation(run: HeldRun, nowMs: number): void {
+  if (!isOccupying(run)) return;
+  if (nowMs - run.startSentAtMs >= ISOLATION_MS) run.isIsolated = false;
+}
--- a/src/lib/decisions/run_registry.ts
+++ b/src/lib/decisions/run_registry.ts
@@ -9,7 +9,10 @@
 import {RunEndCause, RunEnd} from '../core/work_frames.js';
 import type {RunOrder} from '../core/work_frames.js';
 import {
+  createHeldRun,
+  endIsolation,
   formatRunKey,
+  isIsolating,
   isOccupying,
   RUN_CHART,
   RunAction,
@@ -49,8 +52,12 @@
     return this.capacity;
   }
 
-  /** Capacity that no run occupies; runs that are being stopped still count. */
+  /**
+   * Capacity that no run occupies; runs that are being stopped still count. None
+   * while a run is isolated.
+   */
   get free(): Resources {
+    if (this.listRuns().some(isIsolating)) return NO_RESOURCES;
     return subtractResources(this.capacity, this.used);
   }
 
@@ -89,20 +96,7 @@
 
   /** Queues an order; `startNext` starts the run. */
   addOrder(order: RunOrder, owner: string, nowMs: number): HeldRun {
-    const run: HeldRun = {
-      order,
-      owner,
-      state: RUN_CHART.initial,
-      startByMs: nowMs + order.slackMs,
-      expiresAtMs: nowMs + order.patienceMs,
-      cause: RunEndCause.NONE,
-      startSentAtMs: 0,
-      acceptedAtMs: 0,
-      stopAnsweredAtMs: 0,
-      percent: 0,
-      advancedAtMs: nowMs,
-      orphanedAtMs: 0,
-    };
+    const run = createHeldRun(order, owner, nowMs);
     this.runs.set(formatRunKey(order.task, order.run), run);
     return run;
   }
@@ -115,6 +109,7 @@
    *     without, the run ends as not started.
    */
   startNext(nowMs: number, mayStart: (run: HeldRun) => boolean): void {
+    for (const run of this.listRuns()) endIsolation(run, nowMs);
     const queued = this.listQueued().sort((a, b) => a.startByMs - b.startByMs);
     for (const run of queued) {
       if (!mayStart(run)) {
--- a/src/lib/observe/fleet_log.ts
+++ b/src/lib/observe/fleet_log.ts
@@ -25,6 +25,7 @@
   TARGET_READY = 'target-ready',
   TARGET_DRAINING = 'target-draining',
   TARGET_LOST = 'target-lost',
+  TARGET_CRASHED = 'target-crashed',
   TARGET_TRUST_CHANGED = 'target-trust',
   HEARTBEAT_REJECTED = 'beat-rejected',
   REQUEST_REJECTED = 'request-rejected',
@@ -56,4 +57,5 @@
     [FleetEvent.STORE_LOST]: LogLevel.WARN,
     [FleetEvent.AGENT_DISCONNECTED]: LogLevel.WARN,
     [FleetEvent.TARGET_LOST]: LogLevel.WARN,
+    [FleetEvent.TARGET_CRASHED]: LogLevel.WARN,
   };
--- a/src/lib/work/agent/entry_reporter.ts
+++ b/src/lib/work/agent/entry_reporter.ts
@@ -8,6 +8,7 @@
   RunEndReport,
   TargetReport,
 } from '../../core/work_frames.js';
+import {CrashLog} from './crash_log.js';
 import {ConfigurationRelay} from './configuration_relay.js';
 import {EntryRegistry} from './entry_registry.js';
 import type {KnownEntry} from './entry_registry.js';
@@ -35,6 +36,7 @@
 /** Sends frames to the entries on behalf of the work runner, which owns it. */
 export class EntryReporter {
   private readonly entries = EntryRegistry.create();
+  private readonly crashes = CrashLog.create();
   /** Carries configurations between entries. */
   readonly configurations: ConfigurationRelay;
   private readonly reporter: TargetReporter;
@@ -113,6 +115,7 @@
         })),
       ends: [...entry.unacknowledgedEnds.values()],
       through: entry.lastOrderSequence,
+      crashes: this.crashes.list(this.options.readMonotonicMs()),
     });
     const sentAtMs = this.options.readMonotonicMs();
     this.send(entry, this.createPing(incarnation, sentAtMs));
@@ -134,6 +137,15 @@
     }
   }
 
+  /** Tells the linked entries what ran on a target that crashed. */
+  publishCrash(life: string, runs: readonly HeldRun[], nowMs: number): void {
+    const crash = this.crashes.record(life, runs, nowMs);
+    if (crash === undefined) return;
+    for (const entry of this.entries.listEntries()) {
+      this.send(entry, {kind: AgentFrameKind.CRASH, crash});
+    }
+  }
+
   /** Removes a run end that its entry has acknowledged. */
   acknowledge(owner: string, task: string, run: number): void {
     this.entries.removeEnd(owner, task, run);
--- a/src/lib/work/agent/target_controller.ts
+++ b/src/lib/work/agent/target_controller.ts
@@ -33,6 +33,12 @@
 /** Consecutive refused connections that prove that an incarnation has ended. */
 const REFUSALS_UNTIL_LOST = 2;
 
+/** Outcomes that prove the end of an incarnation; a lapsed lease does not. */
+const PROOFS_OF_CRASH: ReadonlySet<string> = new Set([
+  OrderOutcome.OTHER_INCARNATION,
+  OrderOutcome.NOT_LISTENING,
+]);
+
 /** Controls the target on behalf of the work runner, which owns it. */
 export class TargetController {
   readonly runs: RunRegistry;
@@ -45,6 +51,8 @@
   private lastRenewalMs = 0;
   private lastListMs = 0;
   private lostHolds = 0;
+  /** The target's incarnation while its end would be a crash; empty otherwise. */
+  private crashableLife = '';
 
   private constructor(private readonly options: TargetControllerOptions) {
     this.runs = RunRegistry.create(command => this.performCommand(command));
@@ -103,6 +111,8 @@
       this.heartbeat?.phase === TargetPhase.DRAINING &&
       previousPhase !== TargetPhase.DRAINING;
     if (hasBegunDrain) {
+      // From now on its end is planned.
+      this.crashableLife = '';
       logTargetDraining(this.options.log, heartbeat);
     }
     return hasBegunDrain;
@@ -148,6 +158,7 @@
   end(detail: string, nowMs: number): void {
     const runs = this.runs.listRuns().length;
     if (!this.isSynced && runs === 0) return;
+    if (PROOFS_OF_CRASH.has(detail)) this.publishCrash(nowMs);
     logTargetLost(this.options.log, this.heartbeat?.id, runs, detail);
     this.isSynced = false;
     this.api.endLongPoll();
@@ -182,6 +193,8 @@
   }
 
   private reset(heartbeat: TargetHeartbeat, nowMs: number): void {
+    this.publishCrash(nowMs);
+    this.crashableLife = heartbeat.incarnation;
     this.runs.loseAll(nowMs);
     this.runs.resetEnds();
     this.api.endLongPoll();
@@ -193,6 +206,14 @@
     this.renew(nowMs);
   }
 
+  /** Publishes the crash of the incarnation on which the runs were started. */
+  private publishCrash(nowMs: number): void {
+    const life = this.crashableLife;
+    this.crashableLife = '';
+    if (life === '') return;
+    this.options.publishCrash(life, this.runs.listRuns(), nowMs);
+  }
+
   private recordAnswer(answer: OrderAnswer, nowMs: number): void {
     this.api.recordAnswer(answer);
     this.health.recordCall(answer.outcome === OrderOutcome.BROKEN, nowMs);
--- a/src/lib/work/agent/work_runner.ts
+++ b/src/lib/work/agent/work_runner.ts
@@ -63,6 +63,7 @@
         linesPerSecond: MAX_LOG_LINES_PER_SECOND,
       }),
       deliverEnd: (owner, report) => this.entries.deliverEnd(owner, report),
+      publishCrash: (...crash) => this.entries.publishCrash(...crash),
     });
     this.entries = EntryReporter.create({
       ...options,
@@ -182,6 +183,7 @@
     if (entry === undefined) return;
     switch (frame.kind) {
       case EntryFrameKind.HELLO:
+      case EntryFrameKind.ENTRIES:
         break;
       case EntryFrameKind.PONG:
         entry.lastContactMs = Math.max(entry.lastContactMs, frame.sentAtMs);
@@ -201,8 +203,6 @@
       case EntryFrameKind.ACKNOWLEDGE:
         this.entries.acknowledge(incarnation, frame.task, frame.run);
         break;
-      case EntryFrameKind.ENTRIES:
-        break;
       case EntryFrameKind.SUMMARY:
         entry.revision = Math.max(entry.revision, frame.revision);
         this.applySummary(frame, nowMs);
--- a/src/lib/work/entry/agent_fleet_options.ts
+++ b/src/lib/work/entry/agent_fleet_options.ts
@@ -1,6 +1,6 @@
 /** Options of the agent fleet of an entry. */
 import type {FleetConfiguration} from '../../core/fleet_configuration.js';
-import type {RunEndReport} from '../../core/work_frames.js';
+import type {RunEndReport, TargetCrash} from '../../core/work_frames.js';
 import type {FleetLog} from '../../observe/fleet_log.js';
 import type {ActiveTask} from './active_job.js';
 import type {AgentSession} from './agent_session.js';
@@ -14,6 +14,7 @@
   readonly dataCentre: string;
   readonly log: FleetLog;
   readonly handleRunEnd: (session: AgentSession, report: RunEndReport) => void;
+  readonly handleCrash: (crash: TargetCrash) => void;
   readonly handleRunStatus: (task: ActiveTask, change: RunStatusChange) => void;
   readonly handleConfiguration: (configuration: FleetConfiguration) => void;
   readonly getConfiguration: () => FleetConfiguration | undefined;
--- a/src/lib/work/entry/agent_frame_handler.ts
+++ b/src/lib/work/entry/agent_frame_handler.ts
@@ -84,6 +84,9 @@
         session.sendLater({kind: EntryFrameKind.ACKNOWLEDGE, task, run});
         break;
       }
+      case AgentFrameKind.CRASH:
+        this.options.handleCrash(frame.crash);
+        break;
       case AgentFrameKind.CONFIGURATION_REQUEST: {
         const configuration = this.options.getConfiguration();
         if (configuration === undefined) break;
@@ -194,6 +197,7 @@
       held: hello.held.length,
       ends: hello.ends.length,
     });
+    for (const crash of hello.crashes ?? []) this.options.handleCrash(crash);
     this.resolveTasks(session, hello);
     if (existing !== undefined && existing.state !== AgentState.CONNECTED) {
       this.options.applyEvent(existing, AgentEvent.RECONNECT);
--- /dev/null
+++ b/src/lib/work/entry/deadly_tasks.ts
@@ -0,0 +1,83 @@
+/** Gives up the jobs whose tasks crash targets, as the agents' reports show. */
+import {BlameVerdict, CrashBlame} from '../../decisions/crash_blame.js';
+import {FleetEvent} from '../../observe/fleet_log.js';
+import type {FleetLog} from '../../observe/fleet_log.js';
+import type {CrashSuspicion, TargetCrash} from '../../core/work_frames.js';
+import {JobReason} from '../../core/work_job.js';
+import type {ActiveTask} from './active_job.js';
+import type {JobRegistry} from './job_registry.js';
+import {TaskState} from './work_charts.js';
+
+/** Dependencies of the record of deadly tasks. */
+export interface DeadlyTasksOptions {
+  readonly jobs: JobRegistry;
+  readonly log: FleetLog;
+}
+
+/** What the crashes of targets say of tasks. Owned by the scheduler. */
+export class DeadlyTasks {
+  private readonly blame = CrashBlame.create();
+  /** The suspect task whose run is in progress, and the number of that run. */
+  private trial: {readonly task: ActiveTask; readonly run: number} | undefined;
+
+  private constructor(private readonly options: DeadlyTasksOptions) {}
+
+  /** Creates a record without crashes. */
+  static create(options: DeadlyTasksOptions): DeadlyTasks {
+    return new DeadlyTasks(options);
+  }
+
+  /** Records a crash, and gives up the jobs that it proves to be deadly. */
+  handleCrash(crash: TargetCrash, nowMs: number): void {
+    const {jobs, log} = this.options;
+    if (!this.blame.recordCrash(crash, nowMs - crash.ageMs)) return;
+    const suspects = this.listTasks(crash, BlameVerdict.SUSPECT);
+    const deadly = this.listTasks(crash, BlameVerdict.DEADLY);
+    log(FleetEvent.TARGET_CRASHED, 'A target crashed under these tasks.', {
+      targetLife: crash.life,
+      runs: crash.runs.length,
+      suspects,
+      deadly,
+    });
+    for (const {job, task} of crash.runs) {
+      const active = jobs.find(job);
+      if (active === undefined || !deadly.includes(task)) continue;
+      jobs.fail(active, nowMs, JobReason.TARGETS_CRASHED);
+    }
+  }
+
+  /** Clears a task that has ended with success. */
+  recordSuccess(task: string): void {
+    this.blame.recordSuccess(task);
+  }
+
+  /** Returns whether a task of the job is known to crash targets. */
+  isDeadly(job: string): boolean {
+    return this.blame.hasDeadlyTask(job);
+  }
+
+  /** Returns what is known of a suspect task; undefined for others. */
+  describe(task: ActiveTask): CrashSuspicion | undefined {
+    return this.blame.describe(task.name);
+  }
+
+  /** Whether a suspect task runs; the others wait until it has ended. */
+  get isTrying(): boolean {
+    if (this.trial === undefined) return false;
+    const {task, run} = this.trial;
+    const isHeld =
+      task.state === TaskState.PLACED || task.state === TaskState.UNCERTAIN;
+    return isHeld && task.run === run;
+  }
+
+  /** Records that a suspect task was placed. */
+  recordTrial(task: ActiveTask): void {
+    this.trial = {task, run: task.run};
+  }
+
+  private listTasks({runs}: TargetCrash, verdict: BlameVerdict): string[] {
+    return runs
+      .map(({task}) => task)
+      .filter(task => this.blame.judge(task) === verdict);
+  }
+}
--- a/src/lib/work/entry/job_registry.ts
+++ b/src/lib/work/entry/job_registry.ts
@@ -165,7 +165,8 @@
         task.failures += 1;
         task.excluded.add(session.report.life);
         this.applyEvent(task, TaskEvent.FAILED);
-        if (task.state === TaskState.FAILED) this.fail(task.job, nowMs);
+        if (task.state !== TaskState.FAILED) break;
+        this.fail(task.job, nowMs, JobReason.ATTEMPTS_EXHAUSTED);
         break;
       case RunEnd.STOPPED:
       case RunEnd.LOST:
@@ -228,9 +229,9 @@
     this.end(job, JobEvent.COMPLETE, answer, nowMs);
   }
 
-  private fail(job: ActiveJob, nowMs: number): void {
-    const answer = createAnswer(JobEnd.FAILED, JobReason.ATTEMPTS_EXHAUSTED);
-    this.end(job, JobEvent.FAIL, answer, nowMs);
+  /** Ends a job that cannot be completed. */
+  fail(job: ActiveJob, nowMs: number, reason: JobReason): void {
+    this.end(job, JobEvent.FAIL, createAnswer(JobEnd.FAILED, reason), nowMs);
   }
 
   private unblock(job: ActiveJob): void {
--- a/src/lib/work/entry/scheduler.ts
+++ b/src/lib/work/entry/scheduler.ts
@@ -4,13 +4,11 @@
 import type {Post} from '../../core/task.js';
 import {listCandidates} from '../../decisions/choose_links.js';
 import {ForecastTable} from '../../decisions/forecast_table.js';
-import {computeCriticalPath} from '../../decisions/job_timing.js';
-import type {ExpectedWork} from '../../decisions/work_forecast.js';
 import {FleetEvent} from '../../observe/fleet_log.js';
 import {RequestLog} from '../../observe/request_log.js';
 import type {FleetConfiguration} from '../../core/fleet_configuration.js';
-import type {JobRequest} from '../../core/work_job.js';
-import {EntryFrameKind} from '../../core/work_frames.js';
+import {JobReason} from '../../core/work_job.js';
+import {EntryFrameKind, RunEnd} from '../../core/work_frames.js';
 import type {EntryFrame} from '../../core/work_frames.js';
 import type {FrameStream} from '../link/frame_stream.js';
 import {createActiveJob} from './active_job.js';
@@ -18,6 +16,8 @@
 import {AdmissionController} from './admission_controller.js';
 import {AgentFleet} from './agent_fleet.js';
 import type {AgentSession} from './agent_session.js';
+import {DeadlyTasks} from './deadly_tasks.js';
+import {estimateWork, recordWork} from './job_forecast.js';
 import {JobRegistry} from './job_registry.js';
 import {findTrigger, PlacementLoop} from './placement_loop.js';
 import {SchedulerMessageKind} from './scheduler_messages.js';
@@ -50,6 +50,7 @@
   private readonly task: Task<SchedulerMessage>;
   private readonly jobs: JobRegistry;
   private readonly fleet: AgentFleet;
+  private readonly deadly: DeadlyTasks;
   private readonly admission: AdmissionController;
   private readonly placer: TaskPlacer;
   private readonly mover: TaskMover;
@@ -80,8 +81,11 @@
     });
     this.fleet = AgentFleet.create({
       ...options,
-      handleRunEnd: (session, report) =>
-        this.jobs.endRun(session, report, this.nowMs),
+      handleRunEnd: (session, report) => {
+        if (report.end === RunEnd.DONE) this.deadly.recordSuccess(report.task);
+        this.jobs.endRun(session, report, this.nowMs);
+      },
+      handleCrash: crash => this.deadly.handleCrash(crash, this.nowMs),
       handleRunStatus: (task, change) =>
         this.jobs.handleRunStatus(task, change),
       handleConfiguration: configuration =>
@@ -101,6 +105,7 @@
       releaseTask: ({name, agent}) => fleet.find(agent)?.tasks.delete(name),
     });
     const {jobs} = this;
+    this.deadly = DeadlyTasks.create({jobs, log: options.log});
     this.admission = AdmissionController.create({fleet, jobs});
     this.mover = TaskMover.create({
       fleet,
@@ -111,6 +116,7 @@
       ...options,
       fleet,
       jobs,
+      deadly: this.deadly,
       listSessions: service => this.listUsable(service),
     });
     this.loop = PlacementLoop.create({
@@ -215,9 +221,14 @@
     const job = createActiveJob(
       request,
       rule,
-      this.estimateWork(request),
+      estimateWork(this.forecasts, request),
       nowMs,
     );
+    if (this.deadly.isDeadly(request.job)) {
+      jobs.add(job, caller, answer);
+      jobs.fail(job, nowMs, JobReason.TARGETS_CRASHED);
+      return;
+    }
     const isWarmingUp = nowMs - this.createdAtMs < WARM_UP_MS;
     const refusal = isWarmingUp
       ? undefined
@@ -227,29 +238,18 @@
       return;
     }
     const {reason, retryAfterMs} = refusal;
-    jobs.logJob(job, FleetEvent.JOB_REFUSED, `Job refused: ${reason}.`, {
-      retryAfterMs,
-    });
+    const text = `Job refused: ${reason}.`;
+    jobs.logJob(job, FleetEvent.JOB_REFUSED, text, {retryAfterMs});
     this.options.metrics.countRefusal(rule.name, reason);
     this.requests.finish(request.job, request.job, true);
     answer(refusal);
   }
 
-  private estimateWork({steps, deadlineMs, queue}: JobRequest): ExpectedWork {
-    const estimateMs = computeCriticalPath(steps);
-    return this.forecasts.estimate(queue, {estimateMs, deadlineMs});
-  }
-
   private recordServedJob(job: ActiveJob, isInTime: boolean): void {
-    const {request, expected, longestRunMs} = job;
     // A job that was late on arrival says nothing about this entry.
-    if (expected.elapsedMs > 0) return;
+    if (job.expected.elapsedMs > 0) return;
     this.admission.slackShare.record(isInTime);
-    const {steps, queue, deadlineMs} = request;
-    // The critical path of several steps is longer than the longest task.
-    if (steps.length > 1) return;
-    const estimateMs = computeCriticalPath(steps);
-    this.forecasts.record(queue, {estimateMs, deadlineMs}, longestRunMs);
+    recordWork(this.forecasts, job);
   }
 
   private readonly sendStop = ({name, run, agent}: ActiveTask): void => {
--- a/src/lib/work/entry/task_placer.ts
+++ b/src/lib/work/entry/task_placer.ts
@@ -1,5 +1,6 @@
 /** Places waiting tasks on targets with free capacity. */
 import {choosePlacement} from '../../decisions/place_by_feasibility.js';
+import {chooseLeastUsed} from '../../decisions/place_suspect.js';
 import type {
   ChooseTarget,
   PlacementTarget,
@@ -12,6 +13,7 @@
 import {FleetEvent} from '../../observe/fleet_log.js';
 import {isWithinCapacity} from '../../core/work_job.js';
 import type {ActiveJob, ActiveTask} from './active_job.js';
+import type {DeadlyTasks} from './deadly_tasks.js';
 import type {AgentFleet} from './agent_fleet.js';
 import type {AgentSession} from './agent_session.js';
 import type {JobRegistry} from './job_registry.js';
@@ -21,6 +23,7 @@
 export interface TaskPlacerOptions {
   readonly fleet: AgentFleet;
   readonly jobs: JobRegistry;
+  readonly deadly: DeadlyTasks;
   /** Factor by which the run time is longer away from the preferred rack. */
   readonly farFactor: number;
   readonly chooseTarget: ChooseTarget;
@@ -99,13 +102,17 @@
     };
   }
 
-  /** Places the waiting tasks of a job; returns whether all were placed. */
+  /**
+   * Places the waiting tasks of a job; returns whether all were placed but suspect
+   * ones, which wait for a trial and not for capacity.
+   */
   private placeJob(
     rankedJob: RankedJob,
     pool: TargetPool,
     nowMs: number,
   ): boolean {
     const {job, rank} = rankedJob;
+    let hasSuspect = false;
     for (const task of job.tasks) {
       if (task.state !== TaskState.WAITING) continue;
       if (task.excluded.size >= pool.sessions.length) task.excluded.clear();
@@ -113,12 +120,16 @@
       const index = pool.targets.findIndex(
         ({agent}) => agent === target?.agent,
       );
-      if (index < 0) return false;
+      if (index < 0) {
+        if (this.options.deadly.describe(task) === undefined) return false;
+        hasSuspect = true;
+        continue;
+      }
       this.sendOrder(task, pool.sessions[index], rank, nowMs);
       const {typical} = this.options.fleet.speeds;
       pool.targets[index] = pool.sessions[index].describeTarget(typical);
     }
-    this.options.jobs.markAllPlaced(job);
+    if (!hasSuspect) this.options.jobs.markAllPlaced(job);
     return true;
   }
 
@@ -129,16 +140,20 @@
     nowMs: number,
   ): PlacementTarget | undefined {
     const {timing, rule} = job;
-    const {farFactor, chooseTarget} = this.options;
+    const {farFactor, chooseTarget, deadly} = this.options;
+    const need = {
+      spec: task.spec,
+      timeLeftMs: timing.sentAtMs + timing.objectiveMs - nowMs,
+      excludedTargets: task.excluded,
+      countOn: (agent: string) => countTasksOn(task, agent),
+      farFactor,
+    };
+    if (deadly.describe(task) !== undefined) {
+      return deadly.isTrying ? undefined : chooseLeastUsed(need, pool.targets);
+    }
     return choosePlacement(
       {
-        need: {
-          spec: task.spec,
-          timeLeftMs: timing.sentAtMs + timing.objectiveMs - nowMs,
-          excludedTargets: task.excluded,
-          countOn: agent => countTasksOn(task, agent),
-          farFactor,
-        },
+        need,
         feasibility,
         usefulMs: timing.worthlessAtMs - nowMs,
         isJobStarted: job.state !== JobState.WAITING,
@@ -159,6 +174,8 @@
     const {request, rule} = job;
     const isFull = !isWithinCapacity(spec.need, session.free);
     this.options.jobs.recordPlacement(task, nowMs);
+    const suspicion = this.options.deadly.describe(task);
+    if (suspicion !== undefined) this.options.deadly.recordTrial(task);
     session.sendOrder(task, {
       task: task.name,
       run: task.run,
@@ -170,6 +187,7 @@
       estimateMs: spec.estimateMs,
       slackMs: Math.round(rank - nowMs),
       patienceMs: isFull ? MAX_AGENT_WAIT_MS : NO_AGENT_WAIT_MS,
+      ...(suspicion !== undefined && {suspicion}),
     });
     this.options.jobs.logJob(job, FleetEvent.TASK_PLACED, 'Task placed.', {
       task: task.name,
--- a/stand_ins/fleet_target.ts
+++ b/stand_ins/fleet_target.ts
@@ -3,37 +3,10 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {openHttpListener, readBody} from '../src/lib/core/http_listener.js';
 import type {HttpListener} from '../src/lib/core/http_listener.js';
-
-/** Violations by the caller, as the target counts them. */
-export interface TargetViolations {
-  /** Starts that exceeded the target's capacity. */
-  overCapacity: number;
-  /** Starts of a task while another run of it was in progress. */
-  duplicates: number;
-}
-
-/** Options of a target. */
-export interface FleetTargetOptions {
-  readonly id: string;
-  readonly service: string;
-  readonly dataCentre: string;
-  /** Capacity in thousandths of a core. */
-  readonly cpuMilli: number;
-  /** Address that heartbeats are sent to, `host:port`. */
-  readonly agentAddress: string;
-  /**
-   * Returns the duration of a run in milliseconds; a negative one makes the run
-   * fail.
-   */
-  readonly computeRunMs: (payload: string) => number;
-  /**
-   * Returns a task's demand in thousandths of a core, which requests do not
-   * carry.
-   */
-  readonly computeDemandMilli: (payload: string) => number;
-  /** Whether a request gets a reply; if not, it is executed after a delay. */
-  readonly isAnswered?: (path: string) => boolean;
-}
+import type {
+  FleetTargetOptions,
+  TargetViolations,
+} from './fleet_target_options.js';
 
 interface Run {
   readonly task: string;
@@ -54,6 +27,8 @@
 }
 
 const HEARTBEAT_PERIOD_MS = 200;
+const CRASH_DELAY_MS = 5;
+const REBIRTH_DELAY_MS = 500;
 const UNANSWERED_REQUEST_DELAY_MS = 700;
 const STOP_DELAY_MS = 20;
 const LEASE_CHECK_PERIOD_MS = 20;
@@ -76,8 +51,12 @@
   readonly done: string[] = [];
   /** Tasks stopped on request, in order of their end. */
   readonly stopped: string[] = [];
+  /** Deadly tasks under which it crashed, in order. */
+  readonly crashes: string[] = [];
   /** State that heartbeats report. */
   state = 'ready';
+  /** Capacity in thousandths of a core that heartbeats report. */
+  cpuMilli: number;
 
   private readonly runs = new Map<string, Run>();
   /** Highest run number of each task that has ended or was stopped here. */
@@ -88,28 +67,20 @@
   private highestFencingToken = 0;
   private deadlineMs = 0;
   private sequence = 0;
-  private readonly bornMs = Math.round(
-    performance.timeOrigin + performance.now(),
-  );
-  private readonly startedAtMs = performance.now();
-  private readonly timers: NodeJS.Timeout[] = [];
+  private bornMs = Math.round(performance.timeOrigin + performance.now());
+  private startedAtMs = performance.now();
+  private timers: NodeJS.Timeout[] = [];
+  private rebirth: NodeJS.Timeout | undefined;
   private listener: HttpListener | undefined;
 
-  private constructor(private readonly options: FleetTargetOptions) {}
+  private constructor(private readonly options: FleetTargetOptions) {
+    this.cpuMilli = options.cpuMilli;
+  }
 
   /** Opens a target on a free loopback port and starts its heartbeats. */
   static async create(options: FleetTargetOptions): Promise<FleetTarget> {
     const target = new FleetTarget(options);
-    target.listener = await openHttpListener({
-      host: '127.0.0.1',
-      port: 0,
-      requestTimeoutMs: REQUEST_TIMEOUT_MS,
-      handle: (request, response) => void target.serve(request, response),
-    });
-    target.timers.push(
-      setInterval(() => target.sendHeartbeat(), HEARTBEAT_PERIOD_MS),
-      setInterval(() => target.checkLease(), LEASE_CHECK_PERIOD_MS),
-    );
+    await target.open(0);
     return target;
   }
 
@@ -125,6 +96,7 @@
 
   /** Stops without notifying the agent or the caller. */
   async close(): Promise<void> {
+    clearTimeout(this.rebirth);
     for (const timer of this.timers) clearInterval(timer);
     for (const {timer} of this.runs.values()) clearTimeout(timer);
     this.runs.clear();
@@ -132,13 +104,44 @@
     await this.listener?.close();
   }
 
+  /** Ends without notice, and starts again under the same id and address. */
+  async restart(): Promise<void> {
+    const port = this.listener?.port ?? 0;
+    await this.close();
+    this.rebirth = setTimeout(() => void this.open(port), REBIRTH_DELAY_MS);
+  }
+
+  /** Begins an incarnation, which knows nothing of earlier ones. */
+  private async open(port: number): Promise<void> {
+    this.highestClosedRuns.clear();
+    this.pendingHolds.clear();
+    this.ended = [];
+    this.endCount = 0;
+    this.highestFencingToken = 0;
+    this.deadlineMs = 0;
+    this.sequence = 0;
+    this.bornMs = Math.round(performance.timeOrigin + performance.now());
+    this.startedAtMs = performance.now();
+    this.listener = await openHttpListener({
+      host: '127.0.0.1',
+      port,
+      requestTimeoutMs: REQUEST_TIMEOUT_MS,
+      handle: (request, response) => void this.serve(request, response),
+    });
+    this.timers = [
+      setInterval(() => this.sendHeartbeat(), HEARTBEAT_PERIOD_MS),
+      setInterval(() => this.checkLease(), LEASE_CHECK_PERIOD_MS),
+    ];
+  }
+
   private get clockMs(): number {
     return Math.round(performance.now() - this.startedAtMs) + 1000;
   }
 
   private sendHeartbeat(): void {
     this.sequence += 1;
-    const {id, service, dataCentre, cpuMilli, agentAddress} = this.options;
+    const {id, service, dataCentre, agentAddress} = this.options;
+    const {cpuMilli} = this;
     const body = JSON.stringify({
       service,
       address: this.address,
@@ -200,12 +203,19 @@
       (sum, {payload}) => sum + this.options.computeDemandMilli(payload),
       this.options.computeDemandMilli(spec),
     );
-    if (used > this.options.cpuMilli) this.violations.overCapacity += 1;
+    if (used > this.cpuMilli) this.violations.overCapacity += 1;
     const runMs = this.options.computeRunMs(spec);
     const outcome = runMs < 0 ? 'failed' : 'done';
     const timer = setTimeout(() => this.end(task, outcome), Math.abs(runMs));
     const startedAtMs = performance.now();
     this.runs.set(task, {task, run, payload: spec, startedAtMs, timer});
+    if (this.options.isDeadly?.(spec) === true) {
+      setTimeout(() => {
+        if (!this.runs.has(task)) return;
+        this.crashes.push(task);
+        void this.restart();
+      }, CRASH_DELAY_MS);
+    }
     return '';
   }
 
--- a/test/fleet/fleet_fixture.ts
+++ b/test/fleet/fleet_fixture.ts
@@ -29,7 +29,7 @@
 import {listRegisteredEntries} from '../../src/lib/work/registered_entries.js';
 import {FleetStore} from '../../stand_ins/fleet_store.js';
 import {FleetTarget} from '../../stand_ins/fleet_target.js';
-import type {FleetTargetOptions} from '../../stand_ins/fleet_target.js';
+import type {FleetTargetOptions} from '../../stand_ins/fleet_target_options.js';
 
 /** An HTTP reply to a caller. */
 export interface Reply {
--- a/test/work/agent_fleet_test.ts
+++ b/test/work/agent_fleet_test.ts
@@ -52,6 +52,7 @@
       dataCentre: 'zone-a',
       log: () => undefined,
       handleRunEnd: () => undefined,
+      handleCrash: () => undefined,
       handleRunStatus: () => undefined,
       handleConfiguration: configuration =>
         (this.configuration = configuration),
--- a/test/work/runner_fixture.ts
+++ b/test/work/runner_fixture.ts
@@ -7,6 +7,8 @@
   AgentFrame,
   EntryFrame,
   RunEndReport,
+  RunOrder,
+  TargetCrash,
 } from '../../src/lib/core/work_frames.js';
 import {NO_OP_FLEET_METRICS} from '../../src/lib/observe/fleet_metrics.js';
 import {
@@ -18,6 +20,7 @@
   HoldAnswer,
   StartCall,
   TargetConnection,
+  TargetHeartbeat,
 } from '../../src/lib/work/agent/target_api.js';
 import {WorkRunner} from '../../src/lib/work/agent/work_runner.js';
 
@@ -33,7 +36,13 @@
   readonly starts: StartCall[] = [];
   readonly stopped: string[] = [];
   readonly ends: RunEndReport[] = [];
+  /** Crashes as reported in frames of their own and in the latest hello. */
+  readonly crashes: TargetCrash[] = [];
+  greeted: readonly TargetCrash[] = [];
   nowMs = 10_000;
+  /** Capacity of the target as last reported, in thousandths of a core. */
+  capacity = 0;
+  free = 0;
   /** System clock less the monotonic clock. */
   systemOffsetMs = 5_000_000;
   /** What becomes of each call to the target. */
@@ -92,7 +101,16 @@
   /** Creates a runner with a ready target and contact with two entries. */
   static async create(): Promise<RunnerFixture> {
     const fixture = new RunnerFixture();
-    fixture.runner.post({
+    fixture.sendHeartbeat();
+    for (const [linkId, entry] of [ENTRY, PEER].entries()) {
+      fixture.openLink(entry, linkId + 1, fixture.nowMs);
+    }
+    await fixture.settle();
+    return fixture;
+  }
+
+  sendHeartbeat(changes: Partial<TargetHeartbeat> = {}): void {
+    this.runner.post({
       kind: RunnerMessageKind.HEARTBEAT,
       heartbeat: {
         incarnation: 't1-life',
@@ -104,13 +122,9 @@
         capacity: CAPACITY,
         labels: [],
         sequence: 1,
+        ...changes,
       },
     });
-    for (const [linkId, entry] of [ENTRY, PEER].entries()) {
-      fixture.openLink(entry, linkId + 1, fixture.nowMs);
-    }
-    await fixture.settle();
-    return fixture;
   }
 
   openLink(entry: string, linkId: number, openedAtMs: number): void {
@@ -127,6 +141,7 @@
     entry = ENTRY,
     cpuMilli = 1000,
     patienceMs = 5000,
+    changes: Partial<RunOrder> = {},
   ): void {
     this.sequence += 1;
     this.send(
@@ -144,6 +159,7 @@
           slackMs: 0,
           patienceMs,
           sequence: this.sequence,
+          ...changes,
         },
       },
       entry,
@@ -184,5 +200,13 @@
 
   private record(frame: AgentFrame): void {
     if (frame.kind === AgentFrameKind.END) this.ends.push(frame.report);
+    if (frame.kind === AgentFrameKind.CRASH) this.crashes.push(frame.crash);
+    if (frame.kind === AgentFrameKind.HELLO) this.greeted = frame.crashes ?? [];
+    if (frame.kind === AgentFrameKind.TARGET) {
+      this.capacity = frame.target.capacity.cpuMilli;
+    }
+    if (frame.kind === AgentFrameKind.REPORT) {
+      this.free = frame.report.free.cpuMilli;
+    }
   }
 }
