Return waiting orders at once when the capacity of a target shrinks

Callers would see tasks that start up to 150 ms later than they could elsewhere: an order that no longer fits a target whose capacity has shrunk waited there for its wait limit, and the orders behind it with it.

--- a/src/lib/decisions/run_registry.ts
+++ b/src/lib/decisions/run_registry.ts
@@ -124,10 +124,15 @@
     }
   }
 
-  /** Ends queued runs whose wait limit has passed. */
+  /**
+   * Ends queued runs whose wait limit has passed, and those for which the
+   * capacity has become too small: larger ones, and all while more runs than fits.
+   */
   expire(nowMs: number): void {
+    const isOverused = !isWithinCapacity(NO_RESOURCES, this.free);
     for (const run of this.listQueued()) {
-      if (nowMs < run.expiresAtMs) continue;
+      const canFit = isWithinCapacity(run.order.need, this.capacity);
+      if (!isOverused && canFit && nowMs < run.expiresAtMs) continue;
       run.cause = RunEndCause.NO_CAPACITY;
       this.change(run, RunEvent.EXPIRED, nowMs);
     }
--- a/test/decisions/run_registry_test.ts
+++ b/test/decisions/run_registry_test.ts
@@ -56,6 +56,26 @@
     expect(registry.uncommitted.cpuMilli).to.equal(-2000);
   });
 
+  // Guards against a start beside a run that is being stopped on a target whose
+  // capacity has shrunk below what runs.
+  it('starts nothing while what runs or is being stopped is over the capacity', () => {
+    const {registry, add} = createRegistry();
+    const runs = ['a', 'b'].map(task => add(task));
+    registry.setCapacity({...CAPACITY, cpuMilli: 4000});
+    expect(registry.free.cpuMilli).to.equal(-4000);
+    registry.applyEvent(runs[0], RunEvent.ACCEPTED, 1);
+    registry.applyEvent(runs[0], RunEvent.STOP, 2);
+    expect(add('c').state).to.equal(RunState.QUEUED);
+    registry.applyEvent(runs[0], RunEvent.STOP_ANSWERED, 3);
+    registry.applyLists([{task: 'b', run: 1, percent: 1}], [], 4, 4);
+    registry.startNext(4, () => true);
+    expect(registry.free.cpuMilli).to.equal(0);
+    expect(registry.countQueued()).to.equal(1);
+    registry.setCapacity(CAPACITY);
+    registry.startNext(5, () => true);
+    expect(registry.countQueued()).to.equal(0);
+  });
+
   it('starts the order with the earliest latest start once it fits', () => {
     const {registry, add} = createRegistry();
     add('a');
