Confine a queue with a deadly task to a part of the targets

Callers of every queue saw 503 while jobs of one queue crashed targets.

For 10 s after a task was proven deadly, its queue now runs on a quarter of the targets, chosen by rendezvous hashing, so that all entries choose the same without a message. The proof names the queue in the record that travels with the order, so that entries which do not own the job know it too.

--- a/src/lib/core/work_frames.ts
+++ b/src/lib/core/work_frames.ts
@@ -61,6 +61,8 @@
   readonly crashes: number;
   /** Probability that it crashes the targets that start it. */
   readonly blame: number;
+  /** Name of its queue. */
+  readonly queue?: string;
 }
 
 /** A run that was in progress on a target that crashed. */
--- a/src/lib/work/entry/agent_fleet.ts
+++ b/src/lib/work/entry/agent_fleet.ts
@@ -94,6 +94,14 @@
     return usable;
   }
 
+  /** Lists the names of all agents of a service, whether their targets are up or not. */
+  listAgents(service: string): string[] {
+    const names = this.listSessions()
+      .filter(({report}) => report.service === service)
+      .map(({hello}) => hello.agent);
+    return [...new Set(names)];
+  }
+
   /**
    * Backlog of the other entries for the targets of this one, in
    * core-milliseconds, as of the last check.
--- a/src/lib/work/entry/deadly_tasks.ts
+++ b/src/lib/work/entry/deadly_tasks.ts
@@ -1,10 +1,16 @@
 /** Gives up the jobs whose tasks crash targets, as the agents' reports show. */
 import {BlameVerdict, CrashBlame} from '../../decisions/crash_blame.js';
+import {
+  listConfined,
+  QueueContainment,
+} from '../../decisions/queue_containment.js';
 import {FleetEvent} from '../../observe/fleet_log.js';
 import type {FleetLog} from '../../observe/fleet_log.js';
+import type {QueueRule} from '../../core/fleet_configuration.js';
 import type {CrashSuspicion, TargetCrash} from '../../core/work_frames.js';
 import {JobReason} from '../../core/work_job.js';
 import type {ActiveTask} from './active_job.js';
+import type {AgentFleet} from './agent_fleet.js';
 import type {JobRegistry} from './job_registry.js';
 import {TaskState} from './work_charts.js';
 
@@ -12,11 +18,13 @@
 export interface DeadlyTasksOptions {
   readonly jobs: JobRegistry;
   readonly log: FleetLog;
+  readonly fleet: AgentFleet;
 }
 
 /** What the crashes of targets say of tasks. Owned by the scheduler. */
 export class DeadlyTasks {
   private readonly blame = CrashBlame.create();
+  private readonly containment = QueueContainment.create();
   /** The suspect task whose run is in progress, and the number of that run. */
   private trial: {readonly task: ActiveTask; readonly run: number} | undefined;
 
@@ -39,7 +47,10 @@
       suspects,
       deadly,
     });
-    for (const {job, task} of crash.runs) {
+    for (const {job, task, suspicion} of crash.runs) {
+      if (suspicion?.queue !== undefined && deadly.includes(task)) {
+        this.containment.recordDeadly(suspicion.queue, nowMs);
+      }
       const active = jobs.find(job);
       if (active === undefined || !deadly.includes(task)) continue;
       jobs.fail(active, nowMs, JobReason.TARGETS_CRASHED);
@@ -58,7 +69,17 @@
 
   /** Returns what is known of a suspect task; undefined for others. */
   describe(task: ActiveTask): CrashSuspicion | undefined {
-    return this.blame.describe(task.name);
+    const suspicion = this.blame.describe(task.name);
+    return suspicion && {...suspicion, queue: task.job.rule.name};
+  }
+
+  /** Lists the agents that a queue is confined to; undefined if it is not. */
+  listConfined(
+    {name, service}: QueueRule,
+    nowMs: number,
+  ): readonly string[] | undefined {
+    if (!this.containment.isConfined(name, nowMs)) return undefined;
+    return listConfined(name, this.options.fleet.listAgents(service));
   }
 
   /** Whether a suspect task runs; the others wait until it has ended. */
--- a/src/lib/work/entry/task_placer.ts
+++ b/src/lib/work/entry/task_placer.ts
@@ -103,8 +103,8 @@
   }
 
   /**
-   * Places the waiting tasks of a job; returns whether all were placed but suspect
-   * ones, which wait for a trial and not for capacity.
+   * Places the waiting tasks of a job; returns whether no task waits for capacity.
+   * Suspect tasks wait for a trial, those of a confined queue for its targets.
    */
   private placeJob(
     rankedJob: RankedJob,
@@ -112,31 +112,34 @@
     nowMs: number,
   ): boolean {
     const {job, rank} = rankedJob;
-    let hasSuspect = false;
+    const confinedTo = this.options.deadly.listConfined(job.rule, nowMs);
+    let isHeldBack = false;
     for (const task of job.tasks) {
       if (task.state !== TaskState.WAITING) continue;
       if (task.excluded.size >= pool.sessions.length) task.excluded.clear();
-      const target = this.chooseTarget(task, rankedJob, pool, nowMs);
+      const targets = listAllowed(pool, confinedTo);
+      const target = this.chooseTarget(task, rankedJob, targets, nowMs);
       const index = pool.targets.findIndex(
         ({agent}) => agent === target?.agent,
       );
       if (index < 0) {
-        if (this.options.deadly.describe(task) === undefined) return false;
-        hasSuspect = true;
+        const isSuspect = this.options.deadly.describe(task) !== undefined;
+        if (!isSuspect && confinedTo === undefined) return false;
+        isHeldBack = true;
         continue;
       }
       this.sendOrder(task, pool.sessions[index], rank, nowMs);
       const {typical} = this.options.fleet.speeds;
       pool.targets[index] = pool.sessions[index].describeTarget(typical);
     }
-    if (!hasSuspect) this.options.jobs.markAllPlaced(job);
+    if (!isHeldBack) this.options.jobs.markAllPlaced(job);
     return true;
   }
 
   private chooseTarget(
     task: ActiveTask,
     {job, feasibility}: RankedJob,
-    pool: TargetPool,
+    targets: readonly PlacementTarget[],
     nowMs: number,
   ): PlacementTarget | undefined {
     const {timing, rule} = job;
@@ -149,7 +152,7 @@
       farFactor,
     };
     if (deadly.describe(task) !== undefined) {
-      return deadly.isTrying ? undefined : chooseLeastUsed(need, pool.targets);
+      return deadly.isTrying ? undefined : chooseLeastUsed(need, targets);
     }
     return choosePlacement(
       {
@@ -159,7 +162,7 @@
         isJobStarted: job.state !== JobState.WAITING,
         canProbe: task.failures + 1 < rule.attemptsAtMost,
       },
-      pool.targets,
+      targets,
       chooseTarget,
     );
   }
@@ -197,6 +200,17 @@
   }
 }
 
+/** Lists the targets of the pool on which the tasks of a job may be placed. */
+function listAllowed(
+  {sessions, targets}: TargetPool,
+  confinedTo: readonly string[] | undefined,
+): readonly PlacementTarget[] {
+  if (confinedTo === undefined) return targets;
+  return targets.filter((_, index) =>
+    confinedTo.includes(sessions[index].hello.agent),
+  );
+}
+
 function countTasksOn(task: ActiveTask, agent: string): number {
   const isOnAgent = (other: ActiveTask) =>
     other.step === task.step &&
