--- a/src/lib/decisions/held_run.ts
+++ b/src/lib/decisions/held_run.ts
@@ -53,6 +53,12 @@
   },
 );
 
+/**
+ * Time in milliseconds from the start of a suspect task in which no other run
+ * starts, so that a crash soon after its start has one explanation.
+ */
+const ISOLATION_MS = 250;
+
 /** A run that the agent holds; owned and changed only by the run registry. */
 export interface HeldRun {
   readonly order: RunOrder;
@@ -74,9 +80,11 @@
   advancedAtMs: number;
   /** Monotonic time in milliseconds since which it has no owner; 0 with an owner. */
   orphanedAtMs: number;
+  /** Whether no other run may start on the target while this one occupies it. */
+  isIsolated: boolean;
 }
 
-/** Creates a queued run for an order that has just arrived. */
+/** Creates a run that waits for capacity. */
 export function createHeldRun(
   order: RunOrder,
   owner: string,
@@ -95,6 +103,7 @@
     percent: 0,
     advancedAtMs: nowMs,
     orphanedAtMs: 0,
+    isIsolated: order.suspicion !== undefined,
   };
 }
 
@@ -134,6 +143,17 @@
   return run.state === RunState.UNCERTAIN && orderAgeMs > MAX_ORDER_DELAY_MS;
 }
 
+/**
+ * Returns whether a list without the run shows that it is over.
+ *
+ * @param requestedAtMs Time at which the list was requested.
+ */
+export function isOverIfAbsent(run: HeldRun, requestedAtMs: number): boolean {
+  const {state, acceptedAtMs, stopAnsweredAtMs} = run;
+  if (state === RunState.RUNNING) return requestedAtMs > acceptedAtMs;
+  return state === RunState.STOPPING && requestedAtMs > stopAnsweredAtMs;
+}
+
 /** Returns the key of a run in the registry. */
 export function formatRunKey(task: string, run: number): string {
   return `${task}#${run}`;
@@ -143,3 +163,14 @@
 export function isOccupying(run: HeldRun): boolean {
   return run.state !== RunState.QUEUED && run.state !== RunState.ENDED;
 }
+
+/** Returns whether no other run may start on the target. */
+export function isIsolating(run: HeldRun): boolean {
+  return run.isIsolated && isOccupying(run);
+}
+
+/** Ends the isolation of a run once its time is over. */
+export function endIsolation(run: HeldRun, nowMs: number): void {
+  if (!isOccupying(run)) return;
+  if (nowMs - run.startSentAtMs >= ISOLATION_MS) run.isIsolated = false;
+}
--- a/src/lib/decisions/run_command.ts
+++ b/src/lib/decisions/run_command.ts
@@ -25,6 +25,18 @@
       readonly report: RunEndReport;
     };
 
+/** Describes the end of a run to its entry. */
+export function createEndReport(
+  {order, startSentAtMs, cause}: HeldRun,
+  end: RunEnd,
+  nowMs: number,
+): RunEndReport {
+  const {task, run, job} = order;
+  const isSent = startSentAtMs > 0;
+  const durationMs = isSent ? Math.round(nowMs - startSentAtMs) : 0;
+  return {task, run, job, end, cause, durationMs};
+}
+
 /** One row of a target's list of current runs. */
 export interface ListedRun {
   readonly task: string;
--- a/src/lib/decisions/run_registry.ts
+++ b/src/lib/decisions/run_registry.ts
@@ -10,9 +10,12 @@
 import type {RunOrder} from '../core/work_frames.js';
 import {
   createHeldRun,
+  endIsolation,
   formatRunKey,
   isExpired,
+  isIsolating,
   isOccupying,
+  isOverIfAbsent,
   recordEvent,
   RUN_CHART,
   RunAction,
@@ -20,7 +23,7 @@
   RunState,
 } from './held_run.js';
 import type {HeldRun} from './held_run.js';
-import {RunCommandKind} from './run_command.js';
+import {createEndReport, RunCommandKind} from './run_command.js';
 import type {ListedEnd, ListedRun, RunCommand} from './run_command.js';
 
 /** Maximum number of ends that a target lists; such a list may be incomplete. */
@@ -52,8 +55,12 @@
     return this.capacity;
   }
 
-  /** Capacity that no run occupies; runs that are being stopped still count. */
+  /**
+   * Capacity that no run occupies; runs that are being stopped still count. None
+   * while a run is isolated.
+   */
   get free(): Resources {
+    if (this.listRuns().some(isIsolating)) return NO_RESOURCES;
     return subtractResources(this.capacity, this.used);
   }
 
@@ -105,6 +112,7 @@
    *     without, the run ends as not started.
    */
   startNext(nowMs: number, mayStart: (run: HeldRun) => boolean): void {
+    for (const run of this.listRuns()) endIsolation(run, nowMs);
     const queued = this.listQueued().sort((a, b) => a.startByMs - b.startByMs);
     for (const run of queued) {
       if (!mayStart(run)) {
@@ -119,11 +127,15 @@
     }
   }
 
-  /** Ends the runs whose wait limit has passed. */
+  /** Ends the runs whose wait is over, and queued ones that no longer fit. */
   expire(nowMs: number): void {
+    const isOverused = !isWithinCapacity(NO_RESOURCES, this.free);
     for (const run of this.listRuns()) {
-      if (!isExpired(run, nowMs)) continue;
-      if (run.state === RunState.QUEUED) run.cause = RunEndCause.NO_CAPACITY;
+      const isQueued = run.state === RunState.QUEUED;
+      const canFit =
+        !isOverused && isWithinCapacity(run.order.need, this.capacity);
+      if (!isExpired(run, nowMs) && (canFit || !isQueued)) continue;
+      if (isQueued) run.cause = RunEndCause.NO_CAPACITY;
       this.change(run, RunEvent.EXPIRED, nowMs);
     }
   }
@@ -167,7 +179,8 @@
     }
     if (ended.length >= MAX_LISTED_ENDS) return;
     for (const [key, run] of this.runs) {
-      if (!present.has(key)) this.applyAbsence(run, requestedAtMs, nowMs);
+      if (present.has(key) || !isOverIfAbsent(run, requestedAtMs)) continue;
+      this.change(run, RunEvent.ABSENT, nowMs);
     }
   }
 
@@ -220,19 +233,6 @@
     }
   }
 
-  private applyAbsence(
-    run: HeldRun,
-    requestedAtMs: number,
-    nowMs: number,
-  ): void {
-    const isConclusive =
-      run.state === RunState.RUNNING
-        ? requestedAtMs > run.acceptedAtMs
-        : run.state === RunState.STOPPING &&
-          requestedAtMs > run.stopAnsweredAtMs;
-    if (isConclusive) this.change(run, RunEvent.ABSENT, nowMs);
-  }
-
   private change(
     run: HeldRun,
     event: RunEvent,
@@ -290,10 +290,7 @@
   }
 
   private report(run: HeldRun, end: RunEnd, nowMs: number): void {
-    const {task, run: number, job} = run.order;
-    const isSent = run.startSentAtMs > 0;
-    const durationMs = isSent ? Math.round(nowMs - run.startSentAtMs) : 0;
-    const report = {task, run: number, job, end, cause: run.cause, durationMs};
+    const report = createEndReport(run, end, nowMs);
     this.emit({kind: RunCommandKind.REPORT_END, run, report});
   }
 }
--- a/src/lib/work/agent/target_controller.ts
+++ b/src/lib/work/agent/target_controller.ts
@@ -17,6 +17,7 @@
   logTargetFound,
   logTargetLost,
 } from './target_log.js';
+import {CrashReporter} from './crash_reporter.js';
 import {LeaseRenewer} from './lease_renewer.js';
 import {TargetClient} from './target_client.js';
 import {TargetTakeover} from './target_takeover.js';
@@ -45,6 +46,7 @@
   private readonly lease: LeaseRenewer;
   private refusals = 0;
   private lostHolds = 0;
+  private readonly crashes: CrashReporter;
 
   private constructor(private readonly options: TargetControllerOptions) {
     this.runs = RunRegistry.create(command => this.performCommand(command));
@@ -58,6 +60,7 @@
       runs: this.runs,
       getTarget: () => this.heartbeat?.id ?? '',
     });
+    this.crashes = CrashReporter.create(options);
     this.lease = LeaseRenewer.create({
       runs: this.runs,
       api: this.api,
@@ -134,6 +137,7 @@
       this.heartbeat?.phase === TargetPhase.DRAINING &&
       previousPhase !== TargetPhase.DRAINING;
     if (hasBegunDrain) {
+      this.crashes.expectEnd();
       logTargetDraining(this.options.log, heartbeat);
     }
     return hasBegunDrain;
@@ -195,6 +199,7 @@
       .listRuns()
       .filter(run => run.state !== RunState.UNCERTAIN).length;
     if (!this.takeover.isComplete && runs === 0) return;
+    this.crashes.handleEnd(detail, this.runs.listRuns(), nowMs);
     logTargetLost(this.options.log, this.heartbeat?.id, runs, detail);
     this.takeover.reset();
     this.api.endLongPoll();
@@ -230,6 +235,8 @@
   }
 
   private reset(heartbeat: TargetHeartbeat, nowMs: number): void {
+    const {incarnation} = heartbeat;
+    this.crashes.beginIncarnation(incarnation, this.runs.listRuns(), nowMs);
     this.runs.loseAll(nowMs);
     this.runs.resetEnds();
     this.api.endLongPoll();
--- a/test/work/runner_fixture.ts
+++ b/test/work/runner_fixture.ts
@@ -7,6 +7,8 @@
   AgentFrame,
   EntryFrame,
   RunEndReport,
+  RunOrder,
+  TargetCrash,
 } from '../../src/lib/core/work_frames.js';
 import {NO_OP_FLEET_METRICS} from '../../src/lib/observe/fleet_metrics.js';
 import {
@@ -19,6 +21,7 @@
   HoldCall,
   StartCall,
   TargetConnection,
+  TargetHeartbeat,
 } from '../../src/lib/work/agent/target_api.js';
 import {WorkRunner} from '../../src/lib/work/agent/work_runner.js';
 
@@ -44,9 +47,15 @@
   readonly holds: HoldCall[] = [];
   readonly stopped: string[] = [];
   readonly ends: RunEndReport[] = [];
+  /** Crashes as reported in frames of their own and in the latest hello. */
+  readonly crashes: TargetCrash[] = [];
+  greeted: readonly TargetCrash[] = [];
   nowMs = 10_000;
   /** Clock of the target less the monotonic clock. */
   targetOffsetMs = 0;
+  /** Capacity of the target as last reported, in thousandths of a core. */
+  capacity = 0;
+  free = 0;
   /** System clock less the monotonic clock. */
   systemOffsetMs = 5_000_000;
   /** What becomes of each call to the target. */
@@ -120,7 +129,7 @@
   /** Creates a runner with a ready target and contact with two entries. */
   static async create(): Promise<RunnerFixture> {
     const fixture = new RunnerFixture();
-    fixture.startTarget('t1', 1);
+    fixture.sendHeartbeat();
     for (const [linkId, entry] of [ENTRY, PEER].entries()) {
       fixture.openLink(entry, linkId + 1, fixture.nowMs);
     }
@@ -130,18 +139,24 @@
 
   /** Sends the first heartbeat of an incarnation of the target. */
   startTarget(id: string, startMs: number): void {
+    const incarnation = `${id}@${startMs}`;
+    this.sendHeartbeat({id, startMs, incarnation});
+  }
+
+  sendHeartbeat(changes: Partial<TargetHeartbeat> = {}): void {
     this.runner.post({
       kind: RunnerMessageKind.HEARTBEAT,
       heartbeat: {
-        incarnation: `${id}@${startMs}`,
-        startMs,
-        id,
+        incarnation: 't1-life',
+        startMs: 1,
+        id: 't1',
         service: 'runner',
         dataCentre: 'zone-a',
         phase: TargetPhase.READY,
         capacity: CAPACITY,
         labels: [],
         sequence: 1,
+        ...changes,
       },
     });
   }
@@ -171,6 +186,7 @@
     entry = ENTRY,
     cpuMilli = 1000,
     patienceMs = 5000,
+    changes: Partial<RunOrder> = {},
   ): void {
     this.sequence += 1;
     this.send(
@@ -188,6 +204,7 @@
           slackMs: 0,
           patienceMs,
           sequence: this.sequence,
+          ...changes,
         },
       },
       entry,
@@ -228,8 +245,14 @@
 
   private record(frame: AgentFrame): void {
     if (frame.kind === AgentFrameKind.END) this.ends.push(frame.report);
+    if (frame.kind === AgentFrameKind.CRASH) this.crashes.push(frame.crash);
+    if (frame.kind === AgentFrameKind.HELLO) this.greeted = frame.crashes ?? [];
     if (frame.kind === AgentFrameKind.TARGET) {
       this.phases.push(frame.target.phase);
+      this.capacity = frame.target.capacity.cpuMilli;
+    }
+    if (frame.kind === AgentFrameKind.REPORT) {
+      this.free = frame.report.free.cpuMilli;
     }
   }
 }
