Place a task elsewhere at once if the connection of its order broke with the target

Callers saw: jobs that waited for their deadline, when a target died for good with an order in flight; test/fleet/fleet_test.ts, 'runs the tasks of a target that died somewhere else', failed since.

Cause: each order without an answer waited for the next incarnation's fence. One whose connection broke with the process that had it cannot reach another: only a silent one may still be on its way.

--- a/src/lib/work/agent/order_answer_handler.ts
+++ b/src/lib/work/agent/order_answer_handler.ts
@@ -48,7 +48,9 @@
     const text = `Start: ${outcome} ${reason}.`;
     recordRun(requests, run, FleetEvent.ORDER_FAILED, text);
     if (isUncertain(outcome)) {
-      runs.applyEvent(run, RunEvent.UNANSWERED, nowMs);
+      const hasBroken = outcome === OrderOutcome.BROKEN;
+      const event = hasBroken ? RunEvent.BROKEN : RunEvent.UNANSWERED;
+      runs.applyEvent(run, event, nowMs);
       return;
     }
     if (outcome === OrderOutcome.ANSWERED_BY_OTHER) {
--- a/test/decisions/run_registry_test.ts
+++ b/test/decisions/run_registry_test.ts
@@ -207,6 +207,16 @@
       expect(registry.free).to.deep.equal(CAPACITY);
     });
 
+    it('does not wait if the connection of the order has broken', () => {
+      const {registry, add, listEnds} = createRegistry();
+      registry.applyEvent(add('a'), RunEvent.BROKEN, 5);
+      registry.loseAll(9);
+      expect(listEnds().map(({end}) => end)).to.deep.equal([RunEnd.LOST]);
+      const {registry: other, run, listEnds: listOther} = loseTarget();
+      other.applyEvent(run, RunEvent.BROKEN, 10);
+      expect(listOther().map(({end}) => end)).to.deep.equal([RunEnd.LOST]);
+    });
+
     it('waits no longer than an order may be delayed', () => {
       const {registry, listEnds} = loseTarget();
       registry.expire(14_000);
