Raise a refused token by steps that begin anew once the target accepts one

Callers saw: nothing yet.

Cause: since the step doubled with each new token, also after a lease that had ended; some fifty freezes of an agent in one life of its target took the token beyond the integers that are exact. Found on reading the diff.

Evidence: test/work/uncertain_order_test.ts, 'raises its token by little each time that the lease has ended'; not run on the code before.

--- a/src/lib/work/agent/target_client.ts
+++ b/src/lib/work/agent/target_client.ts
@@ -26,6 +26,9 @@
  */
 const LONG_POLL_WAIT_MS = 100;
 
+/** Largest step in milliseconds by which a refused token is raised: one day. */
+const MAX_TOKEN_STEP = 86_400_000;
+
 /** Dependencies of the client. */
 export interface TargetClientOptions {
   readonly connect: ConnectTarget;
@@ -65,17 +68,12 @@
     return this.latest;
   }
 
-  /** Whether orders can be sent: a fencing token is known. */
-  get hasFencingToken(): boolean {
-    return this.fencingToken > 0;
-  }
-
   /** Local time of the last answer from the target. */
   get lastAnswerAtMs(): number {
     return this.lastAnswerMs;
   }
 
-  /** Local time after which no run on the target has a lease of this agent. */
+  /** Local time after which no run on the target has a lease. */
   get leaseExpiresAtMs(): number {
     return this.clock.computeExpiry();
   }
@@ -120,15 +118,24 @@
   }
 
   /**
-   * Raises the fencing token, by twice as much each time: the target holds an
-   * unknown one if its time of day was set back between two of its incarnations.
+   * Raises a token that the target has refused, by twice as much each time: it
+   * holds an unknown one if its time of day was set back between two incarnations.
    */
-  raiseToken(clockMs: number): void {
+  raiseRefusedToken(clockMs: number): void {
+    this.highestToken += this.tokenStep;
+    this.tokenStep = Math.min(this.tokenStep * 2, MAX_TOKEN_STEP);
+    this.raiseToken(clockMs);
+  }
+
+  /** Records that the target has accepted the current token. */
+  confirmToken(): void {
+    this.tokenStep = 1;
+  }
+
+  private raiseToken(clockMs: number): void {
     const startMs = this.latest?.startMs ?? 0;
-    const leastToken = this.highestToken + this.tokenStep;
-    this.fencingToken = Math.max(leastToken, startMs + clockMs);
+    this.fencingToken = Math.max(this.highestToken + 1, startMs + clockMs);
     this.highestToken = this.fencingToken;
-    this.tokenStep *= 2;
   }
 
   /** Makes the target refuse all earlier calls once it has answered a later one. */
@@ -219,7 +226,7 @@
     const {connection, latest} = this;
     if (connection === undefined || latest === undefined) return;
     const deadlineMs =
-      isExtended && this.hasFencingToken ? this.extendLease() : 0;
+      isExtended && this.fencingToken > 0 ? this.extendLease() : 0;
     const sentAtMs = this.options.readMonotonicMs();
     const {fencingToken} = this;
     void connection
--- a/src/lib/work/agent/target_controller.ts
+++ b/src/lib/work/agent/target_controller.ts
@@ -178,7 +178,7 @@
     if (answer.outcome !== OrderOutcome.ACCEPTED) {
       this.lostHolds += 1;
       const isTooLow = answer.reason === REASON_FENCE;
-      if (isFenced && isTooLow) this.api.raiseToken(answer.clockMs);
+      if (isFenced && isTooLow) this.api.raiseRefusedToken(answer.clockMs);
       this.handleRefusal(answer.outcome, nowMs);
       // A target that refuses the current token too must not be called in a loop.
       const isOutdated = isTooLow && !isFenced;
@@ -186,6 +186,7 @@
       return;
     }
     this.refusals = 0;
+    if (isFenced) this.api.confirmToken();
     this.lease.recordList(nowMs);
     this.runs.applyLists(answer.running, answer.ended, sentAtMs, nowMs);
     this.takeover.handleList(answer.running, isFenced, nowMs);
--- a/test/work/uncertain_order_test.ts
+++ b/test/work/uncertain_order_test.ts
@@ -132,6 +132,19 @@
     expect(Math.max(...tokens)).to.be.above(firstToken + 60_000);
   });
 
+  it('raises its token by little each time that the lease has ended', async () => {
+    for (let freeze = 0; freeze < 60; freeze += 1) {
+      fixture.sendPong(fixture.nowMs);
+      fixture.sendOrder(`task-${freeze}`);
+      await fixture.settle();
+      fixture.nowMs += 2000;
+      await fixture.runTimers();
+      await fixture.runTimers();
+    }
+    const clockToken = 1 + fixture.nowMs;
+    expect(findLastToken()).to.be.at.most(clockToken + 60);
+  });
+
   it('tells an answer of the next incarnation by its clock', async () => {
     fixture.targetOffsetMs = 10 - fixture.nowMs;
     fixture.outcomes.hold = OrderOutcome.UNANSWERED;
