review: case 2, FAULT after an entry of another writer in the store

Rule: no request is served. Order: all programs start; before the traffic, an entry of another writer whose address is a URL is put into the list of entries in the store, and removed after 15 s of traffic. Entries pass the address on, each agent's check throws when it opens a stream to it and never sets its next timer, so agents neither ping nor reconnect any more.

--- a/review/stand_ins/run_case.mjs
+++ b/review/stand_ins/run_case.mjs
@@ -16,7 +16,8 @@
 
 /**
  * @param file Path of the case's main file; `record.txt` is written beside it.
- * @param options `entries`, `runners` (a list of options), `configuration`.
+ * @param options `entries`, `runners` (a list of options), `configuration`,
+ *     `beforeTraffic` (called when the programs have started).
  * @param play Plays the case; returns the violations found, as lines.
  */
 export async function runCase(file, options, play) {
@@ -68,6 +69,7 @@
     for (let entry = 1; entry <= options.entries; entry += 1) {
       await system.awaitReady(entry);
     }
+    options.beforeTraffic?.({system, store, record, hasTrouble});
     await sleep(LEAD_MS);
     const violations = await play({system, store, runners, record, hasTrouble});
     for (const line of violations) record(`BROKEN: ${line}`);
