--- a/review/stand_ins/run_case.mjs
+++ b/review/stand_ins/run_case.mjs
@@ -27,6 +27,11 @@
   const runners = [];
   let system;
   let code = COULD_NOT_RUN;
+  process.once('exit', () => system?.kill());
+  process.once('uncaughtException', failure => {
+    record(`the case could not run: ${failure.stack}`);
+    process.exit(COULD_NOT_RUN);
+  });
   for (const signal of ['SIGINT', 'SIGTERM']) {
     process.once(signal, () => {
       void system?.close().then(() => process.exit(COULD_NOT_RUN));
--- a/review/stand_ins/system.mjs
+++ b/review/stand_ins/system.mjs
@@ -189,15 +189,17 @@
     throw new CannotRun(`entry ${number} is not ready`);
   }
 
+  /** Ends all programs at once, stopped ones too. */
+  kill() {
+    for (const child of this.children.values()) child.kill('SIGKILL');
+  }
+
   /** Ends all programs and removes the folder. */
   async close() {
     const ends = [...this.children.values()]
       .filter(child => child.exitCode === null && child.signalCode === null)
       .map(child => new Promise(resolve => child.once('exit', resolve)));
-    for (const child of this.children.values()) {
-      child.kill('SIGCONT');
-      child.kill('SIGKILL');
-    }
+    this.kill();
     await Promise.all(ends);
     if (process.env.KEEP_LOGS === undefined) {
       rmSync(this.folder, {recursive: true, force: true});
