Move the fencing token and the run commands into modules of their own

No behaviour changes: the fencing token is a pure decision with a test of its own, and the commands of the run registry are performed by `run_commands.ts`.

--- a/src/lib/work/agent/target_client.ts
+++ b/src/lib/work/agent/target_client.ts
@@ -1,6 +1,7 @@
 /** The agent's calls to the current incarnation of its target. */
 import type {ReadMonotonicMs} from '../../core/clock.js';
 import type {Post} from '../../core/task.js';
+import {FencingToken} from '../../decisions/fencing_token.js';
 import {ResponseTimeout} from '../../decisions/response_timeout.js';
 import {LeaseClock} from '../../decisions/lease_clock.js';
 import type {HeldRun} from '../../decisions/held_run.js';
@@ -26,9 +27,6 @@
  */
 const LONG_POLL_WAIT_MS = 100;
 
-/** Largest step in milliseconds by which a refused token is raised: one day. */
-const MAX_TOKEN_STEP = 86_400_000;
-
 /** Dependencies of the client. */
 export interface TargetClientOptions {
   readonly connect: ConnectTarget;
@@ -36,23 +34,13 @@
   readonly readMonotonicMs: ReadMonotonicMs;
 }
 
-/**
- * Sends orders to the current incarnation of the target and posts the answers.
- *
- * The fencing token is the start time of the target's incarnation plus its own
- * clock, read in the first answer. It is above the token of any earlier agent and
- * of any earlier incarnation, whose orders may still be carried out, and needs no
- * call to the store.
- */
+/** Sends orders to the current incarnation of the target and posts the answers. */
 export class TargetClient {
   private readonly clock = LeaseClock.create();
   private readonly responseTimeout = ResponseTimeout.create();
   private connection: TargetConnection | undefined;
   private latest: TargetHeartbeat | undefined;
-  private fencingToken = 0;
-  /** The highest token used so far, for whatever incarnation. */
-  private highestToken = 0;
-  private tokenStep = 1;
+  private readonly token = FencingToken.create();
   private hasPendingPoll = false;
   private lastAnswerMs = 0;
 
@@ -94,8 +82,7 @@
     this.connection?.close();
     this.connection = this.options.connect(heartbeat);
     this.latest = heartbeat;
-    this.fencingToken = 0;
-    this.tokenStep = 1;
+    this.token.reset();
     this.clock.reset();
     this.lastAnswerMs = this.options.readMonotonicMs();
     return true;
@@ -105,7 +92,7 @@
   disconnect(): void {
     this.connection?.close();
     this.connection = undefined;
-    this.fencingToken = 0;
+    this.token.drop();
   }
 
   /** Records the clock in an answer; the first becomes the fencing token. */
@@ -114,52 +101,39 @@
     if (answer.clockMs <= 0) return;
     this.lastAnswerMs = nowMs;
     this.clock.observe(answer.clockMs, nowMs);
-    if (this.fencingToken === 0) this.raiseToken(answer.clockMs);
+    this.token.set(this.computeTargetTime(answer.clockMs));
   }
 
-  /**
-   * Raises a token that the target has refused, by twice as much each time: it
-   * holds an unknown one if its time of day was set back between two incarnations.
-   */
+  /** Raises the token that the target has refused. */
   raiseRefusedToken(clockMs: number): void {
-    this.highestToken += this.tokenStep;
-    this.tokenStep = Math.min(this.tokenStep * 2, MAX_TOKEN_STEP);
-    this.raiseToken(clockMs);
+    this.token.raiseRefused(this.computeTargetTime(clockMs));
   }
 
   /** Records that the target has accepted the current token. */
   confirmToken(): void {
-    this.tokenStep = 1;
-  }
-
-  private raiseToken(clockMs: number): void {
-    const startMs = this.latest?.startMs ?? 0;
-    this.fencingToken = Math.max(this.highestToken + 1, startMs + clockMs);
-    this.highestToken = this.fencingToken;
+    this.token.confirm();
   }
 
   /** Makes the target refuse all earlier calls once it has answered a later one. */
   raiseFence(): void {
-    if (this.fencingToken === 0) return;
-    this.highestToken += 1;
-    this.fencingToken = this.highestToken;
+    this.token.raiseFence();
   }
 
   /** Drops the fencing token; the next answer gives a higher one. */
   dropToken(): void {
-    this.fencingToken = 0;
+    this.token.drop();
   }
 
   /** Returns whether a call with the token fences off all earlier calls. */
   isCurrentToken(fencingToken: number): boolean {
-    return fencingToken > 0 && fencingToken === this.fencingToken;
+    return this.token.isCurrent(fencingToken);
   }
 
   /** Sends a start order, which also extends the lease. */
   sendStart(run: HeldRun): void {
     const {task, run: runNumber, payload} = run.order;
     const deadlineMs = this.extendLease();
-    const {fencingToken} = this;
+    const fencingToken = this.token.value;
     this.send(
       RunnerMessageKind.START_ANSWER,
       task,
@@ -178,7 +152,7 @@
 
   /** Sends a stop order. */
   sendStop(task: string, run: number): void {
-    const {fencingToken} = this;
+    const fencingToken = this.token.value;
     this.send(
       RunnerMessageKind.STOP_ANSWER,
       task,
@@ -213,6 +187,11 @@
     this.connection?.close();
   }
 
+  /** Returns the target's time of day at a reading of its clock. */
+  private computeTargetTime(clockMs: number): number {
+    return (this.latest?.startMs ?? 0) + clockMs;
+  }
+
   private extendLease(): number {
     return this.clock.extend(this.options.readMonotonicMs(), LEASE_MS);
   }
@@ -226,9 +205,9 @@
     const {connection, latest} = this;
     if (connection === undefined || latest === undefined) return;
     const deadlineMs =
-      isExtended && this.fencingToken > 0 ? this.extendLease() : 0;
+      isExtended && this.token.value > 0 ? this.extendLease() : 0;
     const sentAtMs = this.options.readMonotonicMs();
-    const {fencingToken} = this;
+    const fencingToken = this.token.value;
     void connection
       .hold({fencingToken, deadlineMs, lastEndNumber, waitMs})
       .then(answer =>
--- a/src/lib/work/agent/target_controller.ts
+++ b/src/lib/work/agent/target_controller.ts
@@ -2,14 +2,12 @@
 import {RunEvent, RunState} from '../../decisions/held_run.js';
 import type {HeldRun} from '../../decisions/held_run.js';
 import {RunRegistry} from '../../decisions/run_registry.js';
-import {RunCommandKind} from '../../decisions/run_command.js';
-import type {RunCommand} from '../../decisions/run_command.js';
 import {FleetEvent} from '../../observe/fleet_log.js';
 import type {LineFields} from '../../observe/request_log.js';
 import {RunEndCause, TargetPhase} from '../../core/work_frames.js';
-import type {RunEndReport} from '../../core/work_frames.js';
 import {NO_RESOURCES} from '../../core/work_job.js';
-import {recordRun, recordRunEnd, recordRunStart} from './run_log.js';
+import {RunCommands} from './run_commands.js';
+import {recordRun} from './run_log.js';
 import type {RunId, TargetControllerOptions} from './controller_options.js';
 import {describeStatus} from './target_status.js';
 import {
@@ -41,6 +39,7 @@
   readonly api: TargetClient;
   readonly health: TargetHealthEstimate;
 
+  private readonly commands: RunCommands;
   private readonly orders: OrderAnswerHandler;
   private readonly takeover: TargetTakeover;
   private readonly lease: LeaseRenewer;
@@ -49,7 +48,7 @@
   private readonly crashes: CrashReporter;
 
   private constructor(private readonly options: TargetControllerOptions) {
-    this.runs = RunRegistry.create(command => this.performCommand(command));
+    this.runs = RunRegistry.create(command => this.commands.perform(command));
     this.api = TargetClient.create({
       connect: options.connectTarget,
       post: options.post,
@@ -66,6 +65,12 @@
       api: this.api,
       isControlled: () => this.takeover.isComplete,
     });
+    this.commands = RunCommands.create({
+      ...options,
+      api: this.api,
+      health: this.health,
+      lease: this.lease,
+    });
     this.takeover = TargetTakeover.create({
       ...options,
       runs: this.runs,
@@ -270,30 +275,4 @@
       this.stopRun(run, RunEndCause.HUNG, detail, nowMs);
     }
   }
-
-  private performCommand(command: RunCommand): void {
-    const {run} = command;
-    switch (command.kind) {
-      case RunCommandKind.SEND_START:
-        this.api.sendStart(run);
-        this.lease.list(this.options.readMonotonicMs());
-        break;
-      case RunCommandKind.SEND_STOP:
-        this.api.sendStop(run.order.task, run.order.run);
-        break;
-      case RunCommandKind.REPORT_STARTED:
-        recordRunStart(this.options.requests, run);
-        break;
-      case RunCommandKind.REPORT_END:
-        this.handleRunEnd(run, command.report);
-        break;
-    }
-  }
-
-  private handleRunEnd(run: HeldRun, report: RunEndReport): void {
-    this.health.recordEnd(report, run.order.estimateMs);
-    recordRunEnd(this.options.requests, run, report);
-    this.options.metrics.countRun(report.end, report.durationMs);
-    this.options.deliverEnd(run.owner, report);
-  }
 }
