Believe in another life of a target only on its own answer

Cause: an agent took a heartbeat with another id and no earlier start time for the proof that the known life had ended. It reported the runs as lost at once, turned to the address in the name of the sender, stopped to renew the lease, and ignored the true target, whose start time is earlier. A claim was taken for a proof.

Evidence: the agent's log has `run-ended` (`lost`, `target-away`) in the same millisecond as `target-found` for the sender, and neither a refused connection nor an answer of another life before it.

The agent asks the target for its run lists in that name, without a lease and with a token no higher than the current one. One life listens at the address at a time, so an answer in that name proves both that it is up and that the known one has ended; 421, or a list of another start time, denies the claim. A life with an earlier start time than the last one is no longer refused for that.

Why this works: what ends runs now is the target's own answer, its refused port or the end of its lease; no field of a heartbeat can produce one of these.

--- a/src/lib/decisions/fencing_token.ts
+++ b/src/lib/decisions/fencing_token.ts
@@ -68,6 +68,29 @@
     this.step = 1;
   }
 
+  /**
+   * Token for a call to an incarnation that is only claimed. It is no higher than
+   * the current one, which the known incarnation must go on accepting.
+   */
+  get claimValue(): number {
+    return this.highest;
+  }
+
+  /**
+   * Raises the token for such calls after the target has refused it.
+   *
+   * @param claimedTimeMs Time of day of the claimed incarnation.
+   * @param systemMs Local time of day. The token stays within a day of it, since
+   *     later agents have to find a higher one.
+   */
+  raiseClaim(refused: number, claimedTimeMs: number, systemMs: number): void {
+    if (refused < this.highest) return;
+    const limitMs = Math.floor(systemMs) + MAX_TOKEN_STEP;
+    const next = refused + this.step;
+    this.highest = Math.max(next, Math.min(claimedTimeMs, limitMs));
+    this.step = Math.min(this.step * 2, MAX_TOKEN_STEP);
+  }
+
   private raise(targetTimeMs: number): void {
     this.highest = Math.max(this.highest + 1, targetTimeMs);
     this.current = this.highest;
--- a/src/lib/observe/fleet_metrics.ts
+++ b/src/lib/observe/fleet_metrics.ts
@@ -14,6 +14,7 @@
   readonly countJob: (labels: JobEndLabels, tookMs: number) => void;
   readonly countRefusal: (queue: string, reason: string) => void;
   readonly countRun: (end: string, tookMs: number) => void;
+  readonly countRejectedHeartbeat: (reason: string) => void;
 }
 
 /** Metrics that record nothing, for tests. */
@@ -21,6 +22,7 @@
   countJob: () => undefined,
   countRefusal: () => undefined,
   countRun: () => undefined,
+  countRejectedHeartbeat: () => undefined,
 };
 
 /** Metrics that can be printed in the Prometheus text format. */
@@ -64,6 +66,12 @@
     buckets: BUCKETS_MS,
     registers,
   });
+  const rejectedHeartbeats = new Counter({
+    name: 'foxtailbay_heartbeats_rejected_total',
+    help: 'Heartbeats that an agent did not use.',
+    labelNames: ['reason'],
+    registers,
+  });
   return {
     countJob: ({queue, state, reason}, tookMs) => {
       jobs.inc({queue, state, reason});
@@ -71,6 +79,7 @@
     },
     countRefusal: (queue, reason) => refusals.inc({queue, reason}),
     countRun: (end, tookMs) => runs.observe({end}, tookMs),
+    countRejectedHeartbeat: reason => rejectedHeartbeats.inc({reason}),
     print: () => registry.metrics(),
   };
 }
@@ -98,6 +107,8 @@
     countRefusal: (queue, reason) =>
       forward(ready => ready.countRefusal(queue, reason)),
     countRun: (end, tookMs) => forward(ready => ready.countRun(end, tookMs)),
+    countRejectedHeartbeat: reason =>
+      forward(ready => ready.countRejectedHeartbeat(reason)),
   };
 }
 
--- a/src/lib/work/agent/controller_options.ts
+++ b/src/lib/work/agent/controller_options.ts
@@ -1,5 +1,5 @@
 /** Types in the interface of the target controller. */
-import type {ReadMonotonicMs} from '../../core/clock.js';
+import type {ReadMonotonicMs, ReadSystemMs} from '../../core/clock.js';
 import type {Post} from '../../core/task.js';
 import type {FleetLog} from '../../observe/fleet_log.js';
 import type {FleetMetrics} from '../../observe/fleet_metrics.js';
@@ -14,6 +14,7 @@
   readonly connectTarget: ConnectTarget;
   readonly post: Post<RunnerMessage>;
   readonly readMonotonicMs: ReadMonotonicMs;
+  readonly readSystemMs: ReadSystemMs;
   readonly log: FleetLog;
   readonly requests: RequestLog;
   readonly metrics: FleetMetrics;
--- a/src/lib/work/agent/runner_messages.ts
+++ b/src/lib/work/agent/runner_messages.ts
@@ -11,6 +11,7 @@
   START_ANSWER = 'start-answer',
   STOP_ANSWER = 'stop-answer',
   HOLD_ANSWER = 'hold-answer',
+  CLAIM_ANSWER = 'claim-answer',
   LINK_OPENED = 'link-opened',
   LINK_CLOSED = 'link-closed',
   LINK_WANTED = 'link-wanted',
@@ -49,6 +50,15 @@
       readonly fencingToken: number;
       readonly answer: HoldAnswer;
     }
+  | {
+      readonly kind: RunnerMessageKind.CLAIM_ANSWER;
+      /** Incarnation to which the call was addressed. */
+      readonly incarnation: string;
+      readonly call: number;
+      /** Token that the call carried. */
+      readonly fencingToken: number;
+      readonly answer: HoldAnswer;
+    }
   | {
       readonly kind: RunnerMessageKind.LINK_OPENED;
       readonly linkId: number;
@@ -120,6 +130,23 @@
   {kind: RunnerMessageKind.HOLD_ANSWER}
 >;
 
+/** An answer of the target's current incarnation, or of an earlier one. */
+export type TargetAnswer = Extract<
+  RunnerMessage,
+  {
+    kind:
+      | RunnerMessageKind.START_ANSWER
+      | RunnerMessageKind.STOP_ANSWER
+      | RunnerMessageKind.HOLD_ANSWER;
+  }
+>;
+
+/** The answer to a call to an incarnation that is not confirmed yet. */
+export type ClaimAnswer = Extract<
+  RunnerMessage,
+  {kind: RunnerMessageKind.CLAIM_ANSWER}
+>;
+
 /** Returns whether a message changes neither the load nor what may start next. */
 export function isWithoutEffect(message: RunnerMessage): boolean {
   if (message.kind === RunnerMessageKind.FRAME) {
--- a/src/lib/work/agent/target_client.ts
+++ b/src/lib/work/agent/target_client.ts
@@ -9,7 +9,6 @@
 import type {RunnerMessage} from './runner_messages.js';
 import {isAnswer, OrderOutcome} from './target_api.js';
 import type {
-  ConnectTarget,
   OrderAnswer,
   TargetHeartbeat,
   TargetConnection,
@@ -29,18 +28,18 @@
 
 /** Dependencies of the client. */
 export interface TargetClientOptions {
-  readonly connect: ConnectTarget;
   readonly post: Post<RunnerMessage>;
   readonly readMonotonicMs: ReadMonotonicMs;
 }
 
 /** Sends orders to the current incarnation of the target and posts the answers. */
 export class TargetClient {
+  readonly token = FencingToken.create();
+
   private readonly clock = LeaseClock.create();
   private readonly responseTimeout = ResponseTimeout.create();
   private connection: TargetConnection | undefined;
   private latest: TargetHeartbeat | undefined;
-  private readonly token = FencingToken.create();
   private hasPendingPoll = false;
   private lastAnswerMs = 0;
 
@@ -71,28 +70,23 @@
     return this.responseTimeout.timeoutMs;
   }
 
-  /** Handles a heartbeat; returns whether it begins another incarnation. */
-  handleHeartbeat(heartbeat: TargetHeartbeat): boolean {
-    const known = this.latest;
-    if (known !== undefined && known.incarnation === heartbeat.incarnation) {
-      if (heartbeat.sequence > known.sequence) this.latest = heartbeat;
-      return false;
-    }
-    if (known !== undefined && heartbeat.startMs < known.startMs) return false;
+  /** Updates the heartbeat of the current incarnation; ignores older ones. */
+  updateHeartbeat(heartbeat: TargetHeartbeat): void {
+    if (heartbeat.sequence <= (this.latest?.sequence ?? 0)) return;
+    this.latest = heartbeat;
+  }
+
+  /** Changes to an incarnation that the target has confirmed. */
+  beginIncarnation(
+    heartbeat: TargetHeartbeat,
+    connection: TargetConnection,
+  ): void {
     this.connection?.close();
-    this.connection = this.options.connect(heartbeat);
+    this.connection = connection;
     this.latest = heartbeat;
     this.token.reset();
     this.clock.reset();
     this.lastAnswerMs = this.options.readMonotonicMs();
-    return true;
-  }
-
-  /** Disconnects from the current incarnation and drops its token. */
-  disconnect(): void {
-    this.connection?.close();
-    this.connection = undefined;
-    this.token.drop();
   }
 
   /** Records the clock in an answer; the first becomes the fencing token. */
@@ -109,26 +103,6 @@
     this.token.raiseRefused(this.computeTargetTime(clockMs));
   }
 
-  /** Records that the target has accepted the current token. */
-  confirmToken(): void {
-    this.token.confirm();
-  }
-
-  /** Makes the target refuse all earlier calls once it has answered a later one. */
-  raiseFence(): void {
-    this.token.raiseFence();
-  }
-
-  /** Drops the fencing token; the next answer gives a higher one. */
-  dropToken(): void {
-    this.token.drop();
-  }
-
-  /** Returns whether a call with the token fences off all earlier calls. */
-  isCurrentToken(fencingToken: number): boolean {
-    return this.token.isCurrent(fencingToken);
-  }
-
   /** Sends a start order, which also extends the lease. */
   sendStart(run: HeldRun): void {
     const {task, run: runNumber, payload} = run.order;
--- a/src/lib/work/agent/work_agent.ts
+++ b/src/lib/work/agent/work_agent.ts
@@ -15,6 +15,7 @@
 import {FleetProcess} from '../fleet_process.js';
 import type {FleetProcessAction} from '../fleet_process.js';
 import {EntryLinkManager} from './entry_link_manager.js';
+import {HeartbeatRejection, RejectedHeartbeats} from './rejected_heartbeats.js';
 import {RunnerMessageKind} from './runner_messages.js';
 import type {ConnectTarget, TargetHeartbeat} from './target_api.js';
 import {WorkRunner} from './work_runner.js';
@@ -128,19 +129,14 @@
    */
   async start(): Promise<void> {
     const {runner, options, process} = this;
+    const rejected = RejectedHeartbeats.create(options);
     const listener = await options.openHeartbeatListener({
       handleHeartbeat: heartbeat =>
         runner.post({kind: RunnerMessageKind.HEARTBEAT, heartbeat}),
       handleDeregistration: (id, startMs) =>
         runner.post({kind: RunnerMessageKind.TARGET_DEREGISTERED, id, startMs}),
       reportRejected: id =>
-        options.log(
-          FleetEvent.HEARTBEAT_REJECTED,
-          'A heartbeat was invalid and was ignored.',
-          {
-            target: id,
-          },
-        ),
+        rejected.record(HeartbeatRejection.INVALID, {target: id}),
     });
     process.store.add(() => listener.close());
     process.send(ProcessEvent.READY);
--- a/src/lib/work/agent/work_runner.ts
+++ b/src/lib/work/agent/work_runner.ts
@@ -125,19 +125,12 @@
         target.handleDeregistration(message.id, message.startMs, nowMs);
         break;
       case RunnerMessageKind.START_ANSWER:
-        if (target.heartbeat?.incarnation === message.incarnation) {
-          target.handleStartAnswer(message, message.answer, nowMs);
-        }
-        break;
       case RunnerMessageKind.STOP_ANSWER:
-        if (target.heartbeat?.incarnation === message.incarnation) {
-          target.handleStopAnswer(message, message.answer, nowMs);
-        }
-        break;
       case RunnerMessageKind.HOLD_ANSWER:
-        if (target.heartbeat?.incarnation === message.incarnation) {
-          target.handleHoldAnswer(message, nowMs);
-        }
+        target.handleAnswer(message, nowMs);
+        break;
+      case RunnerMessageKind.CLAIM_ANSWER:
+        target.incarnations.handleAnswer(message, nowMs);
         break;
       case RunnerMessageKind.LINK_OPENED: {
         const {entry, linkId, openedAtMs} = message;
--- a/stand_ins/fleet_target.ts
+++ b/stand_ins/fleet_target.ts
@@ -47,12 +47,16 @@
 export class FleetTarget {
   /** Violations so far. */
   readonly violations: TargetViolations = {overCapacity: 0, duplicates: 0};
+  /** Tasks that started, in order. */
+  readonly started: string[] = [];
   /** Tasks that completed, in order of their end. */
   readonly done: string[] = [];
   /** Tasks stopped on request, in order of their end. */
   readonly stopped: string[] = [];
   /** Deadly tasks under which it crashed, in order. */
   readonly crashes: string[] = [];
+  /** Start of the incarnation in milliseconds since 1970. */
+  startMs = Math.round(performance.timeOrigin + performance.now());
   /** State that heartbeats report. */
   state = 'ready';
   /** Capacity in thousandths of a core that heartbeats report. */
@@ -67,7 +71,6 @@
   private highestFencingToken = 0;
   private deadlineMs = 0;
   private sequence = 0;
-  private bornMs = Math.round(performance.timeOrigin + performance.now());
   private startedAtMs = performance.now();
   private timers: NodeJS.Timeout[] = [];
   private rebirth: NodeJS.Timeout | undefined;
@@ -120,7 +123,7 @@
     this.highestFencingToken = 0;
     this.deadlineMs = 0;
     this.sequence = 0;
-    this.bornMs = Math.round(performance.timeOrigin + performance.now());
+    this.startMs = Math.round(performance.timeOrigin + performance.now());
     this.startedAtMs = performance.now();
     this.listener = await openHttpListener({
       host: '127.0.0.1',
@@ -152,7 +155,7 @@
       labels: ['a', 'r1'],
       clockMs: this.clockMs,
       sequence: this.sequence,
-      born: this.bornMs,
+      born: this.startMs,
     });
     const url = `http://${agentAddress}/v1/instances/${id}/heartbeat`;
     const request = createRequest(url, {method: 'POST'}, reply =>
@@ -204,6 +207,7 @@
       this.options.computeDemandMilli(spec),
     );
     if (used > this.cpuMilli) this.violations.overCapacity += 1;
+    this.started.push(task);
     const runMs = this.options.computeRunMs(spec);
     const outcome = runMs < 0 ? 'failed' : 'done';
     const timer = setTimeout(() => this.end(task, outcome), Math.abs(runMs));
@@ -288,7 +292,7 @@
     fields: Readonly<Record<string, unknown>>,
   ): void {
     if (response.destroyed) return;
-    const body = {...fields, clockMs: this.clockMs, born: this.bornMs};
+    const body = {...fields, clockMs: this.clockMs, born: this.startMs};
     response.writeHead(status, {'content-type': 'application/json'});
     response.end(JSON.stringify(body));
   }
--- a/test/decisions/fencing_token_test.ts
+++ b/test/decisions/fencing_token_test.ts
@@ -42,4 +42,20 @@
     token.raiseFence();
     expect(token.value).to.equal(5001);
   });
+
+  it('stays below what a claimed incarnation would spoil for later agents', () => {
+    const token = FencingToken.create();
+    token.raiseClaim(0, Number.MAX_SAFE_INTEGER, 5000.5);
+    expect(token.claimValue).to.equal(5000 + DAY_MS);
+    expect(token.value).to.equal(0);
+  });
+
+  it('rises for a claimed incarnation only if its highest value is refused', () => {
+    const token = FencingToken.create();
+    token.set(5000);
+    token.raiseClaim(4000, 9000, 9000);
+    expect(token.claimValue).to.equal(5000);
+    token.raiseClaim(5000, 0, 9000);
+    expect(token.claimValue).to.equal(5001);
+  });
 });
--- a/test/fleet/fleet_fixture.ts
+++ b/test/fleet/fleet_fixture.ts
@@ -154,7 +154,12 @@
     name: string,
     changes: Partial<FleetTargetOptions> = {},
     dataCentre = 'zone-a',
-  ): Promise<{readonly target: FleetTarget; readonly server: RunningServer}> {
+  ): Promise<{
+    readonly target: FleetTarget;
+    readonly server: RunningServer;
+    /** Address for the target's heartbeats. */
+    readonly agentAddress: string;
+  }> {
     const announceAddress = `127.0.0.1:${await findFreePort()}`;
     const target = await FleetTarget.create({
       id: name,
@@ -194,7 +199,7 @@
       stopped: agent.stopped,
     };
     this.servers.push(server);
-    return {target, server};
+    return {target, server, agentAddress: announceAddress};
   }
 
   /** Returns whether a process whose name contains `process` logged the event. */
--- a/test/observe/fleet_metrics_test.ts
+++ b/test/observe/fleet_metrics_test.ts
@@ -12,6 +12,7 @@
     metrics.countJob(labels, 120);
     metrics.countRefusal('q', 'overloaded');
     metrics.countRun('done', 80);
+    metrics.countRejectedHeartbeat('denied');
     const text = await metrics.print();
     expect(text).to.include(
       'foxtailbay_jobs_total{queue="q",state="completed",reason="none"} 1',
@@ -22,6 +23,9 @@
     expect(text).to.include(
       'foxtailbay_refusals_total{queue="q",reason="overloaded"} 1',
     );
+    expect(text).to.include(
+      'foxtailbay_heartbeats_rejected_total{reason="denied"} 1',
+    );
     expect(text).to.include(
       'foxtailbay_run_duration_milliseconds_count{end="done"} 1',
     );
--- a/test/work/runner_fixture.ts
+++ b/test/work/runner_fixture.ts
@@ -15,7 +15,7 @@
   LinkMessageKind,
   RunnerMessageKind,
 } from '../../src/lib/work/agent/runner_messages.js';
-import {OrderOutcome} from '../../src/lib/work/agent/target_api.js';
+import {isAnswer, OrderOutcome} from '../../src/lib/work/agent/target_api.js';
 import type {
   HoldAnswer,
   HoldCall,
@@ -32,6 +32,19 @@
 /** Capacity of the target. */
 export const CAPACITY = {cpuMilli: 2000, memoryMb: 1000, accelerators: 0};
 
+/** First heartbeat of the target. */
+const HEARTBEAT: TargetHeartbeat = {
+  incarnation: 't1-life',
+  startMs: 1,
+  id: 't1',
+  service: 'runner',
+  dataCentre: 'zone-a',
+  phase: TargetPhase.READY,
+  capacity: CAPACITY,
+  labels: [],
+  sequence: 1,
+};
+
 /** Kinds of call to the target. */
 export enum CallKind {
   START = 'start',
@@ -69,13 +82,15 @@
   /** Tasks in the target's list; without, all that were started. */
   running: readonly string[] | undefined;
   readonly runner: WorkRunner;
+  /** The latest heartbeat of the incarnation that is up. */
+  private target = HEARTBEAT;
   private sequence = 0;
   private handled = 0;
   private readonly timers = new Set<() => void>();
 
   private constructor() {
-    const answer = (kind: CallKind): HoldAnswer => ({
-      outcome: this.outcomes[kind],
+    const answer = (kind: CallKind, incarnation: string): HoldAnswer => ({
+      outcome: this.judgeCall(kind, incarnation),
       reason: this.reason,
       clockMs: this.nowMs + this.targetOffsetMs,
       running: (this.running ?? this.listStarted()).map(task => ({
@@ -85,27 +100,27 @@
       })),
       ended: [],
     });
-    const connection: TargetConnection = {
+    const connect = ({incarnation}: TargetHeartbeat): TargetConnection => ({
       start: call => {
         this.starts.push(call);
-        return Promise.resolve(answer(CallKind.START));
+        return Promise.resolve(answer(CallKind.START, incarnation));
       },
       stop: ({task}) => {
         this.stopped.push(task);
-        return Promise.resolve(answer(CallKind.STOP));
+        return Promise.resolve(answer(CallKind.STOP, incarnation));
       },
       hold: call => {
         this.holds.push(call);
         if (call.waitMs > 0) return new Promise(() => undefined);
-        return Promise.resolve(answer(CallKind.HOLD));
+        return Promise.resolve(answer(CallKind.HOLD, incarnation));
       },
       close: () => undefined,
-    };
+    });
     this.runner = WorkRunner.create({
       agent: 'agent-1',
       incarnation: 'agent-life',
       dataCentre: 'zone-a',
-      connectTarget: () => connection,
+      connectTarget: connect,
       postToLinks: message => {
         if (message.kind === LinkMessageKind.SEND) this.record(message.frame);
         this.handled += 1;
@@ -126,10 +141,10 @@
     });
   }
 
-  /** Creates a runner with a ready target and contact with two entries. */
-  static async create(): Promise<RunnerFixture> {
+  /** Creates a runner with a target and contact with two entries. */
+  static async create(isTargetHeard = true): Promise<RunnerFixture> {
     const fixture = new RunnerFixture();
-    fixture.sendHeartbeat();
+    if (isTargetHeard) fixture.sendHeartbeat();
     for (const [linkId, entry] of [ENTRY, PEER].entries()) {
       fixture.openLink(entry, linkId + 1, fixture.nowMs);
     }
@@ -137,28 +152,22 @@
     return fixture;
   }
 
-  /** Sends the first heartbeat of an incarnation of the target. */
+  /** Starts an incarnation of the target and sends its first heartbeat. */
   startTarget(id: string, startMs: number): void {
     const incarnation = `${id}@${startMs}`;
     this.sendHeartbeat({id, startMs, incarnation});
   }
 
+  /** Sends a heartbeat of the target; a later start time begins an incarnation. */
   sendHeartbeat(changes: Partial<TargetHeartbeat> = {}): void {
-    this.runner.post({
-      kind: RunnerMessageKind.HEARTBEAT,
-      heartbeat: {
-        incarnation: 't1-life',
-        startMs: 1,
-        id: 't1',
-        service: 'runner',
-        dataCentre: 'zone-a',
-        phase: TargetPhase.READY,
-        capacity: CAPACITY,
-        labels: [],
-        sequence: 1,
-        ...changes,
-      },
-    });
+    const heartbeat = {...HEARTBEAT, ...changes};
+    if (heartbeat.startMs >= this.target.startMs) this.target = heartbeat;
+    this.postHeartbeat(heartbeat);
+  }
+
+  /** Sends a heartbeat that the target knows nothing of. */
+  sendForeignHeartbeat(changes: Partial<TargetHeartbeat>): void {
+    this.postHeartbeat({...HEARTBEAT, ...changes});
   }
 
   /** Reports that an incarnation of the target has deregistered. */
@@ -243,6 +252,18 @@
     return this.ends.find(end => end.task === task);
   }
 
+  private postHeartbeat(heartbeat: TargetHeartbeat): void {
+    this.runner.post({kind: RunnerMessageKind.HEARTBEAT, heartbeat});
+  }
+
+  /** The target answers only calls that are addressed to its own incarnation. */
+  private judgeCall(kind: CallKind, incarnation: string): OrderOutcome {
+    const outcome = this.outcomes[kind];
+    const isOther = incarnation !== this.target.incarnation;
+    const isJudged = isAnswer(outcome);
+    return isOther && isJudged ? OrderOutcome.OTHER_INCARNATION : outcome;
+  }
+
   private record(frame: AgentFrame): void {
     if (frame.kind === AgentFrameKind.END) this.ends.push(frame.report);
     if (frame.kind === AgentFrameKind.CRASH) this.crashes.push(frame.crash);
