Keep the runs of a target that has deregistered until it refuses calls

What callers saw: none has reported it; a test of the project shows it. A `leave` with the id of a target and without a start time, or one that the target outlives, made its agent report all runs there as lost. Their tasks started elsewhere while they went on: 12 starts of 8 tasks, two runs of a task at the same time.

The message says that a target is about to end, and was taken for the proof that it has ended.

Ruled out: that the start time in the message would do as a check. It may be missing, and a target that has sent it is still up for as long as it takes to end.

Change: a deregistration counts as a heartbeat in phase draining and as a reason to call the target at once. Two refused connections, another life's answer or the end of the lease end the runs, as for any other loss. A newer heartbeat of the same life takes the phase back, and its crash counts again.

--- a/src/lib/work/agent/crash_reporter.ts
+++ b/src/lib/work/agent/crash_reporter.ts
@@ -27,16 +27,16 @@
     return new CrashReporter(publishCrash);
   }
 
-  /** Records that an incarnation has started, which proves the end of the last one. */
-  beginIncarnation(
-    life: string,
-    runs: readonly HeldRun[],
-    nowMs: number,
-  ): void {
-    this.report(runs, nowMs);
+  /** Watches an incarnation whose end would be a crash. */
+  watch(life: string): void {
     this.life = life;
   }
 
+  /** Handles the proof that the incarnation has ended: another one has started. */
+  endIncarnation(runs: readonly HeldRun[], nowMs: number): void {
+    this.report(runs, nowMs);
+  }
+
   /** Records that the end of the incarnation is planned. */
   expectEnd(): void {
     this.life = '';
--- a/src/lib/work/agent/target_client.ts
+++ b/src/lib/work/agent/target_client.ts
@@ -1,5 +1,6 @@
 /** The agent's calls to the current incarnation of its target. */
 import type {ReadMonotonicMs} from '../../core/clock.js';
+import {TargetPhase} from '../../core/work_frames.js';
 import type {Post} from '../../core/task.js';
 import {FencingToken} from '../../decisions/fencing_token.js';
 import {ResponseTimeout} from '../../decisions/response_timeout.js';
@@ -76,6 +77,12 @@
     this.latest = heartbeat;
   }
 
+  /** Records that the target drains, until a newer heartbeat tells otherwise. */
+  beginDrain(): void {
+    if (this.latest === undefined) return;
+    this.latest = {...this.latest, phase: TargetPhase.DRAINING};
+  }
+
   /** Changes to an incarnation that the target has confirmed. */
   beginIncarnation(
     heartbeat: TargetHeartbeat,
--- a/src/lib/work/agent/target_controller.ts
+++ b/src/lib/work/agent/target_controller.ts
@@ -145,16 +145,22 @@
     return this.applyHeartbeat(phase);
   }
 
-  /** Ends the runs of a target that leaves; ignores an earlier incarnation. */
+  /**
+   * Handles a deregistration; returns whether the target began to drain with it.
+   * Its runs go on until the target refuses calls: it may end later than it says,
+   * and others may send the message too.
+   */
   handleDeregistration(
     id: string,
     startMs: number | undefined,
     nowMs: number,
-  ): void {
+  ): boolean {
     const {heartbeat} = this;
-    if (heartbeat?.id !== id) return;
-    if (startMs !== undefined && startMs !== heartbeat.startMs) return;
-    this.loss.end('it deregistered', nowMs);
+    if (heartbeat?.id !== id) return false;
+    if (startMs !== undefined && startMs !== heartbeat.startMs) return false;
+    this.api.beginDrain();
+    this.lease.renew(nowMs);
+    return this.applyHeartbeat(heartbeat.phase);
   }
 
   /** Handles an answer of the target; one to an earlier incarnation has no effect. */
@@ -208,10 +214,9 @@
     nowMs: number,
   ): void {
     const previousId = this.heartbeat?.id;
-    const {incarnation, id} = heartbeat;
     this.api.beginIncarnation(heartbeat, connection);
     this.api.recordAnswer(answer);
-    this.crashes.beginIncarnation(incarnation, this.runs.listRuns(), nowMs);
+    this.crashes.endIncarnation(this.runs.listRuns(), nowMs);
     this.runs.loseAll(nowMs);
     this.runs.resetEnds();
     this.api.endLongPoll();
@@ -222,7 +227,7 @@
     logTargetFound(this.options.log, heartbeat);
     this.lease.renew(nowMs);
     // Another id refuses the orders that were addressed to this one.
-    if (id !== previousId) this.runs.endUncertain(nowMs);
+    if (heartbeat.id !== previousId) this.runs.endUncertain(nowMs);
     this.applyHeartbeat(TargetPhase.READY);
   }
 
@@ -237,6 +242,8 @@
     if (hasBegunDrain) {
       this.crashes.expectEnd();
       logTargetDraining(this.options.log, heartbeat);
+    } else if (heartbeat.phase === TargetPhase.READY) {
+      this.crashes.watch(heartbeat.incarnation);
     }
     return hasBegunDrain;
   }
--- a/src/lib/work/agent/work_runner.ts
+++ b/src/lib/work/agent/work_runner.ts
@@ -122,7 +122,9 @@
         }
         break;
       case RunnerMessageKind.TARGET_DEREGISTERED:
-        target.handleDeregistration(message.id, message.startMs, nowMs);
+        if (target.handleDeregistration(message.id, message.startMs, nowMs)) {
+          target.runs.returnQueued(RunEndCause.TARGET_UNAVAILABLE, nowMs);
+        }
         break;
       case RunnerMessageKind.START_ANSWER:
       case RunnerMessageKind.STOP_ANSWER:
--- a/test/fleet/foreign_heartbeat_test.ts
+++ b/test/fleet/foreign_heartbeat_test.ts
@@ -27,13 +27,8 @@
   ['no start', () => ({born: undefined})],
 ]);
 
-function sendHeartbeat(
-  agentAddress: string,
-  id: string,
-  body: unknown,
-): Promise<number> {
+function post(url: string, body: unknown): Promise<number> {
   return new Promise((resolve, reject) => {
-    const url = `http://${agentAddress}/v1/instances/${id}/heartbeat`;
     const request = createRequest(url, {method: 'POST'}, reply => {
       reply.resume();
       resolve(reply.statusCode ?? 0);
@@ -74,34 +69,47 @@
     return fleet.targets.flatMap(({started}) => started).length;
   }
 
+  /** Checks that what another writer sends while tasks run changes nothing. */
+  async function expectNoEffect(
+    send: (target: FleetTarget) => Promise<number>,
+  ): Promise<void> {
+    const body = createJobBody(8, RUN_MS);
+    const answer = call(callers, 'POST', createJobPath(), body, 8000);
+    await waitUntil('all tasks run', () => countStarted() === 8);
+    const [target] = fleet.targets;
+    expect(await send(target)).to.equal(200);
+    expect((await answer).body).to.deep.equal({state: 'completed'});
+    expect(countStarted()).to.equal(8);
+    // The second job needs both targets at once.
+    const next = createJobBody(8, 100);
+    const reply = await call(callers, 'POST', createJobPath(), next, 8000);
+    expect(reply.body).to.deep.equal({state: 'completed'});
+    expect(target.started).to.have.lengthOf(8);
+    expect(fleet.hasLogged(FleetEvent.TARGET_LOST)).to.equal(false);
+  }
+
   for (const [name, forge] of FORGERIES) {
-    it(`starts each task once if it has ${name}`, async () => {
-      const body = createJobBody(8, RUN_MS);
-      const answer = call(callers, 'POST', createJobPath(), body, 8000);
-      await waitUntil('all tasks run', () => countStarted() === 8);
-      const [target] = fleet.targets;
-      const {id, ...changes} = {id: TARGETS[0], ...forge(target)};
-      const status = await sendHeartbeat(agentAddress, id, {
-        service: 'runner',
-        address: target.address,
-        zone: 'zone-a',
-        state: 'ready',
-        capacity: {cpu: 4000, memMb: 100_000, gpus: 0},
-        labels: ['a', 'r1'],
-        clockMs: 5000,
-        sequence: 1000,
-        born: target.startMs + 60_000,
-        ...changes,
-      });
-      expect(status).to.equal(200);
-      expect((await answer).body).to.deep.equal({state: 'completed'});
-      expect(countStarted()).to.equal(8);
-      // The second job needs both targets at once.
-      const next = createJobBody(8, 100);
-      const reply = await call(callers, 'POST', createJobPath(), next, 8000);
-      expect(reply.body).to.deep.equal({state: 'completed'});
-      expect(target.started).to.have.lengthOf(8);
-      expect(fleet.hasLogged(FleetEvent.TARGET_LOST)).to.equal(false);
-    });
+    it(`starts each task once if it has ${name}`, () =>
+      expectNoEffect(target => {
+        const {id, ...changes} = {id: TARGETS[0], ...forge(target)};
+        const url = `http://${agentAddress}/v1/instances/${id}/heartbeat`;
+        return post(url, {
+          service: 'runner',
+          address: target.address,
+          zone: 'zone-a',
+          state: 'ready',
+          capacity: {cpu: 4000, memMb: 100_000, gpus: 0},
+          labels: ['a', 'r1'],
+          clockMs: 5000,
+          sequence: 1000,
+          born: target.startMs + 60_000,
+          ...changes,
+        });
+      }));
   }
+
+  it('starts each task once if it is the deregistration of the target', () =>
+    expectNoEffect(() =>
+      post(`http://${agentAddress}/v1/instances/${TARGETS[0]}/leave`, {}),
+    ));
 });
