Order a target's heartbeats by its clock, which its answers limit

What callers saw: none has reported it; tests of the project show it. A heartbeat of another writer in the name of the present life, with a high sequence, made every heartbeat of the target itself look older: its phase, service and capacity stayed as the writer gave them, and the target had no work for the rest of its life.

Cause: the `sequence` of a heartbeat was taken for the time at which it was sent. It is a claim that no true heartbeat may ever reach.

Ruled out: to limit the step of the sequence. Its period is "approximately" known, a retried call raises it too, and a life that was cut off for long steps far.

Change: heartbeats of one life are ordered by `clockMs`, the clock that the target's answers carry as well, and the clock of one that is taken counts at most as far as the target's own answers have shown it (`decisions/heartbeat_order.ts`). What another writer says in the target's name now holds until the target's next heartbeat. One that gives the life another service or data centre is not used at all, nor is one without a clock where the target sends one. Targets that send none are ordered as before.

--- a/src/lib/work/agent/incarnation_check.ts
+++ b/src/lib/work/agent/incarnation_check.ts
@@ -7,6 +7,7 @@
   ClaimState,
   IncarnationClaim,
 } from '../../decisions/incarnation_claim.js';
+import {isNewerHeartbeat} from '../../decisions/heartbeat_order.js';
 import type {FencingToken} from '../../decisions/fencing_token.js';
 import {HeartbeatRejection} from './rejected_heartbeats.js';
 import type {RejectedHeartbeats} from './rejected_heartbeats.js';
@@ -14,6 +15,7 @@
 import type {ClaimAnswer, RunnerMessage} from './runner_messages.js';
 import {isOtherIncarnation, OrderOutcome, REASON_FENCE} from './target_api.js';
 import type {
+  ConfirmedIncarnation,
   ConnectTarget,
   OrderAnswer,
   TargetConnection,
@@ -34,13 +36,6 @@
   readonly adopt: (confirmed: ConfirmedIncarnation, nowMs: number) => void;
 }
 
-/** An incarnation in whose name the target has answered. */
-export interface ConfirmedIncarnation {
-  readonly heartbeat: TargetHeartbeat;
-  readonly connection: TargetConnection;
-  readonly answer: OrderAnswer;
-}
-
 interface PendingClaim {
   readonly claim: IncarnationClaim;
   readonly connection: TargetConnection;
@@ -77,7 +72,7 @@
     const known = this.claims.get(incarnation);
     if (known !== undefined) {
       known.claim.recordHeartbeat(nowMs);
-      if (heartbeat.sequence > known.heartbeat.sequence) {
+      if (isNewerHeartbeat(heartbeat, known.heartbeat)) {
         known.heartbeat = heartbeat;
       }
     } else {
@@ -186,9 +181,7 @@
     this.forget(pending);
     const {DENIED, UNCONFIRMED} = HeartbeatRejection;
     const reason = isAnswered ? DENIED : UNCONFIRMED;
-    const {id, incarnation, service} = pending.heartbeat;
-    const fields = {target: id, targetLife: incarnation, service};
-    this.options.rejected.record(reason, fields);
+    this.options.rejected.recordHeartbeat(reason, pending.heartbeat);
   }
 
   private dropOldest(nowMs: number): void {
--- a/src/lib/work/agent/rejected_heartbeats.ts
+++ b/src/lib/work/agent/rejected_heartbeats.ts
@@ -4,6 +4,7 @@
 import type {FleetLog} from '../../observe/fleet_log.js';
 import type {FleetMetrics} from '../../observe/fleet_metrics.js';
 import type {LineFields} from '../../observe/request_log.js';
+import type {TargetHeartbeat} from './target_api.js';
 
 /** Minimum time in milliseconds between two lines: writers repeat their heartbeats. */
 const LOG_PERIOD_MS = 1000;
@@ -16,6 +17,8 @@
   DENIED = 'denied',
   /** The target has not answered as the incarnation that it names. */
   UNCONFIRMED = 'unconfirmed',
+  /** It gives the target another service or data centre than it began with. */
+  CONTRADICTORY = 'contradictory',
 }
 
 /** Dependencies of the counter. */
@@ -37,6 +40,14 @@
     return new RejectedHeartbeats(options);
   }
 
+  /** Records the rejection of a heartbeat that could be read. */
+  recordHeartbeat(
+    reason: HeartbeatRejection,
+    {id, incarnation, service}: TargetHeartbeat,
+  ): void {
+    this.record(reason, {target: id, targetLife: incarnation, service});
+  }
+
   /** Records a rejection; `fields` name the writer. */
   record(reason: HeartbeatRejection, fields: LineFields): void {
     const {log, metrics, readMonotonicMs} = this.options;
--- a/src/lib/work/agent/target_api.ts
+++ b/src/lib/work/agent/target_api.ts
@@ -16,8 +16,10 @@
   readonly phase: TargetPhase.READY | TargetPhase.DRAINING;
   readonly capacity: Resources;
   readonly labels: readonly string[];
-  /** Rises with each heartbeat of one incarnation; older ones are ignored. */
+  /** Rises with each heartbeat of one incarnation. */
   readonly sequence: number;
+  /** The target's monotonic clock in milliseconds; undefined if not given. */
+  readonly clockMs: number | undefined;
 }
 
 /** Outcome of an order to a target. */
@@ -127,5 +129,12 @@
   readonly close: () => void;
 }
 
+/** An incarnation in whose name the target has answered. */
+export interface ConfirmedIncarnation {
+  readonly heartbeat: TargetHeartbeat;
+  readonly connection: TargetConnection;
+  readonly answer: OrderAnswer;
+}
+
 /** Creates the connection to the target incarnation that sent a heartbeat. */
 export type ConnectTarget = (heartbeat: TargetHeartbeat) => TargetConnection;
--- a/src/lib/work/agent/target_client.ts
+++ b/src/lib/work/agent/target_client.ts
@@ -3,6 +3,10 @@
 import {TargetPhase} from '../../core/work_frames.js';
 import type {Post} from '../../core/task.js';
 import {FencingToken} from '../../decisions/fencing_token.js';
+import {
+  isNewerHeartbeat,
+  limitHeartbeatClock,
+} from '../../decisions/heartbeat_order.js';
 import {ResponseTimeout} from '../../decisions/response_timeout.js';
 import {LeaseClock} from '../../decisions/lease_clock.js';
 import type {HeldRun} from '../../decisions/held_run.js';
@@ -10,6 +14,7 @@
 import type {RunnerMessage} from './runner_messages.js';
 import {isAnswer, OrderOutcome} from './target_api.js';
 import type {
+  ConfirmedIncarnation,
   OrderAnswer,
   TargetHeartbeat,
   TargetConnection,
@@ -73,8 +78,9 @@
 
   /** Updates the heartbeat of the current incarnation; ignores older ones. */
   updateHeartbeat(heartbeat: TargetHeartbeat): void {
-    if (heartbeat.sequence <= (this.latest?.sequence ?? 0)) return;
-    this.latest = heartbeat;
+    const {latest} = this;
+    if (latest === undefined || !isNewerHeartbeat(heartbeat, latest)) return;
+    this.setHeartbeat(heartbeat);
   }
 
   /** Records that the target drains, until a newer heartbeat tells otherwise. */
@@ -83,17 +89,19 @@
     this.latest = {...this.latest, phase: TargetPhase.DRAINING};
   }
 
-  /** Changes to an incarnation that the target has confirmed. */
-  beginIncarnation(
-    heartbeat: TargetHeartbeat,
-    connection: TargetConnection,
-  ): void {
+  /** Changes to an incarnation that the target has confirmed with an answer. */
+  beginIncarnation({
+    heartbeat,
+    connection,
+    answer,
+  }: ConfirmedIncarnation): void {
     this.connection?.close();
     this.connection = connection;
     this.latest = heartbeat;
     this.token.reset();
     this.clock.reset();
-    this.lastAnswerMs = this.options.readMonotonicMs();
+    this.recordAnswer(answer);
+    this.setHeartbeat(heartbeat);
   }
 
   /** Records the clock in an answer; the first becomes the fencing token. */
@@ -173,6 +181,11 @@
     return (this.latest?.startMs ?? 0) + clockMs;
   }
 
+  private setHeartbeat(heartbeat: TargetHeartbeat): void {
+    const targetClockMs = this.clock.estimate(this.options.readMonotonicMs());
+    this.latest = limitHeartbeatClock(heartbeat, targetClockMs);
+  }
+
   private extendLease(): number {
     return this.clock.extend(this.options.readMonotonicMs(), LEASE_MS);
   }
--- a/src/lib/work/agent/target_controller.ts
+++ b/src/lib/work/agent/target_controller.ts
@@ -1,4 +1,5 @@
 /** Controls an agent's target: its incarnations, its runs and its health. */
+import {isSameOrigin} from '../../decisions/heartbeat_order.js';
 import {RunEvent, RunState} from '../../decisions/held_run.js';
 import type {HeldRun} from '../../decisions/held_run.js';
 import {RunRegistry} from '../../decisions/run_registry.js';
@@ -12,16 +13,19 @@
 import {logTargetDraining, logTargetFound} from './target_log.js';
 import {CrashReporter} from './crash_reporter.js';
 import {IncarnationCheck} from './incarnation_check.js';
-import type {ConfirmedIncarnation} from './incarnation_check.js';
 import {LeaseRenewer} from './lease_renewer.js';
-import {RejectedHeartbeats} from './rejected_heartbeats.js';
+import {HeartbeatRejection, RejectedHeartbeats} from './rejected_heartbeats.js';
 import {TargetClient} from './target_client.js';
 import {TargetLoss} from './target_loss.js';
 import {TargetTakeover} from './target_takeover.js';
 import {TargetHealthEstimate} from './target_health_estimate.js';
 import {OrderAnswerHandler} from './order_answer_handler.js';
 import {isUncertain, OrderOutcome, REASON_FENCE} from './target_api.js';
-import type {OrderAnswer, TargetHeartbeat} from './target_api.js';
+import type {
+  ConfirmedIncarnation,
+  OrderAnswer,
+  TargetHeartbeat,
+} from './target_api.js';
 import {RunnerMessageKind} from './runner_messages.js';
 import type {HeldAnswer, TargetAnswer} from './runner_messages.js';
 
@@ -36,6 +40,7 @@
   private readonly orders: OrderAnswerHandler;
   private readonly takeover: TargetTakeover;
   private readonly lease: LeaseRenewer;
+  private readonly rejected: RejectedHeartbeats;
   private readonly loss: TargetLoss;
   private lostHolds = 0;
   private readonly crashes: CrashReporter;
@@ -43,11 +48,12 @@
   private constructor(private readonly options: TargetControllerOptions) {
     this.runs = RunRegistry.create(command => this.commands.perform(command));
     this.api = TargetClient.create(options);
+    this.rejected = RejectedHeartbeats.create(options);
     this.incarnations = IncarnationCheck.create({
       ...options,
       connect: options.connectTarget,
       token: this.api.token,
-      rejected: RejectedHeartbeats.create(options),
+      rejected: this.rejected,
       adopt: (confirmed, nowMs) => this.adopt(confirmed, nowMs),
     });
     this.health = TargetHealthEstimate.create({
@@ -141,6 +147,13 @@
       return false;
     }
     const {phase} = this.heartbeat;
+    if (!isSameOrigin(heartbeat, this.heartbeat)) {
+      this.rejected.recordHeartbeat(
+        HeartbeatRejection.CONTRADICTORY,
+        heartbeat,
+      );
+      return false;
+    }
     this.api.updateHeartbeat(heartbeat);
     return this.applyHeartbeat(phase);
   }
@@ -209,13 +222,10 @@
     return {...describeStatus(this), lostHolds};
   }
 
-  private adopt(
-    {heartbeat, connection, answer}: ConfirmedIncarnation,
-    nowMs: number,
-  ): void {
+  private adopt(confirmed: ConfirmedIncarnation, nowMs: number): void {
     const previousId = this.heartbeat?.id;
-    this.api.beginIncarnation(heartbeat, connection);
-    this.api.recordAnswer(answer);
+    const {heartbeat} = confirmed;
+    this.api.beginIncarnation(confirmed);
     this.crashes.endIncarnation(this.runs.listRuns(), nowMs);
     this.runs.loseAll(nowMs);
     this.runs.resetEnds();
--- a/test/fleet/foreign_heartbeat_test.ts
+++ b/test/fleet/foreign_heartbeat_test.ts
@@ -25,6 +25,18 @@
   ['a start far in the future', () => ({born: Number.MAX_SAFE_INTEGER})],
   ['an earlier start', ({startMs}) => ({born: startMs - 5000})],
   ['no start', () => ({born: undefined})],
+  [
+    'the start of the target and another service',
+    ({startMs}) => ({born: startMs, service: 'unknown'}),
+  ],
+  [
+    'the start of the target and a clock far ahead',
+    ({startMs}) => ({born: startMs, clockMs: 2 ** 40}),
+  ],
+  [
+    'the start of the target and a capacity of 1',
+    ({startMs}) => ({born: startMs, capacity: {cpu: 1, memMb: 1}}),
+  ],
 ]);
 
 function post(url: string, body: unknown): Promise<number> {
--- a/test/interleavings/virtual_target.ts
+++ b/test/interleavings/virtual_target.ts
@@ -176,6 +176,7 @@
         capacity: TARGET_CAPACITY,
         labels: [],
         sequence,
+        clockMs: life.clockMs,
       });
       this.scheduleHeartbeat(
         life,
--- a/test/platform/codecs_test.ts
+++ b/test/platform/codecs_test.ts
@@ -74,6 +74,14 @@
     expect(heartbeat).to.include({id: 'i-1', phase: TargetPhase.READY});
     expect(heartbeat?.incarnation).to.equal('i-1@1764000000000');
     expect(heartbeat?.capacity.cpuMilli).to.equal(16000);
+    expect(heartbeat?.clockMs).to.equal(482113);
+  });
+
+  it('decodes a heartbeat without a readable clock', () => {
+    for (const clockMs of [undefined, null, -1, 'x']) {
+      const text = JSON.stringify({...HEARTBEAT, clockMs});
+      expect(decodeHeartbeat('i-1', text)).to.include({clockMs: undefined});
+    }
   });
 
   it('rejects a heartbeat with an invalid required field', () => {
--- a/test/work/foreign_heartbeat_test.ts
+++ b/test/work/foreign_heartbeat_test.ts
@@ -2,7 +2,7 @@
 import {RunEnd, TargetPhase} from '../../src/lib/core/work_frames.js';
 import {OrderOutcome} from '../../src/lib/work/agent/target_api.js';
 import type {TargetHeartbeat} from '../../src/lib/work/agent/target_api.js';
-import {ENTRY, PEER, RunnerFixture} from './runner_fixture.js';
+import {CAPACITY, ENTRY, PEER, RunnerFixture} from './runner_fixture.js';
 
 const FOREIGN: ReadonlyMap<string, Partial<TargetHeartbeat>> = new Map([
   [
@@ -103,6 +103,65 @@
   });
 });
 
+// Guards against a target without work, or with another figure, for the rest of its life:
+// a heartbeat of another writer in its name has a sequence that it never reaches.
+describe('A work runner that receives a heartbeat in the name of its target', () => {
+  const AHEAD = 2 ** 40;
+  let fixture: RunnerFixture;
+
+  beforeEach(async () => {
+    fixture = await RunnerFixture.create(false);
+    fixture.sendHeartbeat({clockMs: fixture.nowMs - 1});
+    await fixture.settle();
+  });
+
+  afterEach(() => fixture.runner.stop());
+
+  async function expectHeard(): Promise<void> {
+    fixture.nowMs += 1500;
+    for (const entry of [ENTRY, PEER]) fixture.sendPong(fixture.nowMs, entry);
+    fixture.sendHeartbeat({clockMs: fixture.nowMs - 1, sequence: 2});
+    fixture.sendOrder('a');
+    await fixture.settle();
+    expect(fixture.phases.at(-1)).to.equal(TargetPhase.READY);
+    expect(fixture.capacity).to.equal(CAPACITY.cpuMilli);
+    expect(fixture.listStarted()).to.deep.equal(['a']);
+  }
+
+  for (const [name, clockMs] of [
+    ['a clock far ahead', AHEAD],
+    ['the clock of the target', 10_000],
+    ['no clock', undefined],
+  ] as const) {
+    it(`follows its target again if it has ${name}`, async () => {
+      fixture.sendForeignHeartbeat({
+        phase: TargetPhase.DRAINING,
+        capacity: {...CAPACITY, cpuMilli: 1},
+        sequence: AHEAD,
+        clockMs,
+      });
+      await fixture.settle();
+      await expectHeard();
+    });
+  }
+
+  it('ignores a heartbeat without a clock if its target sends one', async () => {
+    fixture.sendForeignHeartbeat({phase: TargetPhase.DRAINING, sequence: 9});
+    await fixture.settle();
+    expect(fixture.phases).not.to.include(TargetPhase.DRAINING);
+  });
+
+  for (const change of [{service: 'unknown'}, {dataCentre: 'zone-z'}]) {
+    it(`ignores a heartbeat with another ${Object.keys(change)[0]}`, async () => {
+      const clockMs = fixture.nowMs;
+      fixture.sendForeignHeartbeat({...change, clockMs, sequence: 9});
+      fixture.sendOrder('a');
+      await fixture.settle();
+      expect(fixture.listStarted()).to.deep.equal(['a']);
+    });
+  }
+});
+
 // Guards against an agent that renews nothing and starts nothing after its first
 // heartbeat has come from another writer.
 describe('A work runner that has heard another writer first', () => {
--- a/test/work/runner_fixture.ts
+++ b/test/work/runner_fixture.ts
@@ -43,6 +43,7 @@
   capacity: CAPACITY,
   labels: [],
   sequence: 1,
+  clockMs: undefined,
 };
 
 /** Kinds of call to the target. */
