Tell a life of a target from one with the same id and start time

What callers saw: none has reported it; a test of the project shows it. A target that starts again under its id with the start time of its last life, after its time of day was set back, was taken for that life: its heartbeats looked old, so that its capacity was never read, and its ends were numbered below the last one read, so that done runs counted as lost and were repeated.

Cause: the name of a life, id and start time, was taken for its identity. PROTOCOL.md says that the counts of a new life start anew under the same id.

Change: the clock in the answer to a hold is compared with the last one, as it already was for starts and stops. Once another life has answered, a heartbeat with the name of the one that ended is a claim like any other, and is confirmed by the target's answer.

--- a/src/lib/decisions/lease_clock.ts
+++ b/src/lib/decisions/lease_clock.ts
@@ -34,8 +34,9 @@
     this.receivedAtMs = receivedAtMs;
   }
 
-  /** Returns a lower bound in milliseconds of the target's current clock. */
+  /** Returns a lower bound in milliseconds of the target's current clock; 0 if unknown. */
   estimate(nowMs: number): number {
+    if (!this.isKnown) return 0;
     const elapsedMs = Math.max(0, nowMs - this.receivedAtMs);
     return Math.floor(this.clockMs + elapsedMs * (1 - MAX_CLOCK_DRIFT));
   }
--- a/src/lib/work/agent/target_client.ts
+++ b/src/lib/work/agent/target_client.ts
@@ -47,6 +47,7 @@
   private connection: TargetConnection | undefined;
   private latest: TargetHeartbeat | undefined;
   private hasPendingPoll = false;
+  private hasEnded = false;
   private lastAnswerMs = 0;
 
   private constructor(private readonly options: TargetClientOptions) {}
@@ -76,6 +77,19 @@
     return this.responseTimeout.timeoutMs;
   }
 
+  /** Returns whether a heartbeat names the incarnation that is known to be up. */
+  isCurrent({incarnation}: TargetHeartbeat): boolean {
+    return incarnation === this.latest?.incarnation && !this.hasEnded;
+  }
+
+  /**
+   * Records that another incarnation has answered. The next one may have the same id
+   * and start time, so its first heartbeat has to be told from one of this.
+   */
+  endIncarnation(): void {
+    this.hasEnded = true;
+  }
+
   /** Updates the heartbeat of the current incarnation; ignores older ones. */
   updateHeartbeat(heartbeat: TargetHeartbeat): void {
     const {latest} = this;
@@ -98,6 +112,7 @@
     this.connection?.close();
     this.connection = connection;
     this.latest = heartbeat;
+    this.hasEnded = false;
     this.token.reset();
     this.clock.reset();
     this.recordAnswer(answer);
@@ -201,6 +216,7 @@
     const deadlineMs =
       isExtended && this.token.value > 0 ? this.extendLease() : 0;
     const sentAtMs = this.options.readMonotonicMs();
+    const sentAtClockMs = this.clock.estimate(sentAtMs);
     const fencingToken = this.token.value;
     void connection
       .hold({fencingToken, deadlineMs, lastEndNumber, waitMs})
@@ -211,7 +227,7 @@
           sentAtMs,
           isLongPoll,
           fencingToken,
-          answer,
+          answer: checkClock(answer, sentAtClockMs),
         }),
       );
   }
@@ -252,12 +268,15 @@
 const CLOCK_MARGIN_MS = 1000;
 
 /**
- * Tells an answer of another incarnation by its clock, which has started anew;
- * only run lists name the incarnation.
+ * Tells an answer of another incarnation by its clock, which has started anew: only
+ * run lists name the incarnation, and the next one may have the same name.
  *
  * @param sentAtClockMs Lower bound of the target's clock when the order was sent.
  */
-function checkClock(answer: OrderAnswer, sentAtClockMs: number): OrderAnswer {
+function checkClock<T extends OrderAnswer>(
+  answer: T,
+  sentAtClockMs: number,
+): T {
   const isOlder =
     answer.clockMs > 0 && answer.clockMs < sentAtClockMs - CLOCK_MARGIN_MS;
   if (!isOlder || !isAnswer(answer.outcome)) return answer;
--- a/src/lib/work/agent/target_controller.ts
+++ b/src/lib/work/agent/target_controller.ts
@@ -142,12 +142,12 @@
 
   /** Handles a heartbeat; returns whether the target began to drain with it. */
   handleHeartbeat(heartbeat: TargetHeartbeat, nowMs: number): boolean {
-    if (heartbeat.incarnation !== this.heartbeat?.incarnation) {
+    const {heartbeat: latest} = this;
+    if (latest === undefined || !this.api.isCurrent(heartbeat)) {
       this.incarnations.handleHeartbeat(heartbeat, nowMs);
       return false;
     }
-    const {phase} = this.heartbeat;
-    if (!isSameOrigin(heartbeat, this.heartbeat)) {
+    if (!isSameOrigin(heartbeat, latest)) {
       this.rejected.recordHeartbeat(
         HeartbeatRejection.CONTRADICTORY,
         heartbeat,
@@ -155,7 +155,7 @@
       return false;
     }
     this.api.updateHeartbeat(heartbeat);
-    return this.applyHeartbeat(phase);
+    return this.applyHeartbeat(latest.phase);
   }
 
   /**
--- a/src/lib/work/agent/target_loss.ts
+++ b/src/lib/work/agent/target_loss.ts
@@ -40,7 +40,10 @@
 
   /** Handles a call that the target did not accept. */
   handleRefusal(outcome: OrderOutcome, nowMs: number): void {
-    if (isOtherIncarnation(outcome)) this.end(outcome, nowMs);
+    if (isOtherIncarnation(outcome)) {
+      this.options.api.endIncarnation();
+      this.end(outcome, nowMs);
+    }
     if (outcome !== OrderOutcome.NOT_LISTENING) return;
     this.refusals += 1;
     if (this.refusals >= REFUSALS_UNTIL_LOST) this.end(outcome, nowMs);
--- a/test/decisions/lease_clock_test.ts
+++ b/test/decisions/lease_clock_test.ts
@@ -15,6 +15,10 @@
     expect(clock.estimate(60)).to.be.at.least(1000);
   });
 
+  it('estimates nothing before the first reading', () => {
+    expect(LeaseClock.create().estimate(150)).to.equal(0);
+  });
+
   it('computes the expiry by a clock that is 2 % slow', () => {
     const clock = LeaseClock.create();
     clock.observe(1000, 50);
--- a/test/work/runner_fixture.ts
+++ b/test/work/runner_fixture.ts
@@ -154,9 +154,14 @@
   }
 
   /** Starts an incarnation of the target and sends its first heartbeat. */
-  startTarget(id: string, startMs: number): void {
+  startTarget(
+    id: string,
+    startMs: number,
+    changes: Partial<TargetHeartbeat> = {},
+  ): void {
     const incarnation = `${id}@${startMs}`;
-    this.sendHeartbeat({id, startMs, incarnation});
+    this.target = {...HEARTBEAT, id, startMs, incarnation, ...changes};
+    this.postHeartbeat(this.target);
   }
 
   /** Sends a heartbeat of the target; a later start time begins an incarnation. */
