Play messages of other writers in the interleaving model

A sequence may now hold heartbeats and deregistrations that no target has sent: another or the same id, service and start, later, earlier and far ahead, and the present life with a sequence, clock, service or capacity of the writer's. They are drawn alone and among kills, freezes, cuts, crashes and lost calls. The virtual target answers only calls to its own id.

The sequences of work_once_test are drawn as before.

--- a/test/interleavings/virtual_target.ts
+++ b/test/interleavings/virtual_target.ts
@@ -54,8 +54,8 @@
 }
 
 interface Call<Body> {
-  /** Incarnation to which the call is addressed. */
-  readonly addressee: string;
+  /** Id and incarnation to which the call is addressed. */
+  readonly addressee: Pick<TargetHeartbeat, 'id' | 'incarnation'>;
   readonly name: string;
   readonly body: Body;
   readonly timeoutMs: number;
@@ -75,6 +75,8 @@
 /** A target that is born again under the same id after each crash. */
 export class VirtualTarget {
   life: VirtualTargetLife | undefined;
+  /** The latest heartbeat that it has sent. */
+  latestHeartbeat: TargetHeartbeat | undefined;
   private spells: Spell[] = [];
   private readonly lives = new Map<string, VirtualTargetLife>();
   private startedAtMs = 0;
@@ -113,7 +115,7 @@
     return {
       start: body =>
         this.send(process, {
-          addressee: heartbeat.incarnation,
+          addressee: heartbeat,
           name: `start ${body.task}#${body.run}`,
           body,
           timeoutMs: body.timeoutMs,
@@ -121,7 +123,7 @@
         }),
       stop: body =>
         this.send(process, {
-          addressee: heartbeat.incarnation,
+          addressee: heartbeat,
           name: `stop ${body.task}#${body.run}`,
           body: {...body, deadlineMs: 0},
           timeoutMs: body.timeoutMs,
@@ -129,7 +131,7 @@
         }),
       hold: body =>
         this.send(process, {
-          addressee: heartbeat.incarnation,
+          addressee: heartbeat,
           name: 'hold',
           body,
           timeoutMs: body.waitMs + HOLD_TIMEOUT_MS,
@@ -166,7 +168,7 @@
     const {time, id, sendHeartbeat} = this.options;
     time.schedule(delayMs, () => {
       if (life.isOver) return;
-      sendHeartbeat({
+      this.latestHeartbeat = {
         incarnation,
         startMs: this.startedAtMs,
         id,
@@ -177,7 +179,8 @@
         labels: [],
         sequence,
         clockMs: life.clockMs,
-      });
+      };
+      sendHeartbeat(this.latestHeartbeat);
       this.scheduleHeartbeat(
         life,
         incarnation,
@@ -203,7 +206,7 @@
       process.startTimer(call.timeoutMs, () =>
         resolve(createAnswer(OrderOutcome.UNANSWERED)),
       );
-      const sentMs = this.lives.get(call.addressee)?.clockMs ?? 0;
+      const sentMs = this.lives.get(call.addressee.incarnation)?.clockMs ?? 0;
       const execute = (answer?: (lists: HoldAnswer) => void) =>
         this.execute(call, sentMs, answer);
       const delayMs = 0.2 + drawRandom();
@@ -246,8 +249,8 @@
       return;
     }
     const {grants, isIdKept} = this.options;
-    const isOther = this.lives.get(addressee) !== life;
-    if (isOther && !isIdKept) {
+    const isOther = this.lives.get(addressee.incarnation) !== life;
+    if (addressee.id !== this.options.id || (isOther && !isIdKept)) {
       answer?.(createAnswer(OrderOutcome.OTHER_INCARNATION));
       return;
     }
--- a/test/interleavings/virtual_work_fleet.ts
+++ b/test/interleavings/virtual_work_fleet.ts
@@ -10,6 +10,7 @@
 import {createAgentAcceptor} from '../../src/lib/work/entry/accept_agents.js';
 import {Scheduler} from '../../src/lib/work/entry/scheduler.js';
 import {SchedulerMessageKind} from '../../src/lib/work/entry/scheduler_messages.js';
+import {drawForeignMessage} from './foreign_messages.js';
 import {RunMonitor} from './run_monitor.js';
 import {RULE, VirtualCallers} from './virtual_callers.js';
 import type {CalledEntry} from './virtual_callers.js';
@@ -64,6 +65,7 @@
   readonly callers: VirtualCallers;
   readonly links: VirtualLinks;
   readonly targets: VirtualTarget[] = [];
+  readonly time: VirtualTime;
   /** Exceptions of the code under test. */
   readonly failures: unknown[] = [];
   private readonly entries: CalledEntry[] = [];
@@ -72,6 +74,7 @@
 
   private constructor(private readonly options: VirtualWorkFleetOptions) {
     const {time, drawRandom} = options;
+    this.time = time;
     this.links = VirtualLinks.create(time, drawRandom);
     this.monitor = RunMonitor.create(time, RUNS_PER_TARGET, this.record);
     this.callers = VirtualCallers.create(time, index => this.entries[index]);
@@ -122,6 +125,19 @@
     this.options.time.schedule(downMs, () => this.startEntry(index));
   }
 
+  /** Sends an agent a message that its target knows nothing of. */
+  sendForeignMessage(index: number): void {
+    const {latestHeartbeat} = this.targets[index];
+    if (latestHeartbeat === undefined) return;
+    const {time, drawRandom} = this.options;
+    const message = drawForeignMessage(latestHeartbeat, drawRandom);
+    this.record(
+      `another writer to ${AGENTS[index]}: ${JSON.stringify(message)}`,
+    );
+    const {process, runner} = this.agents[index];
+    time.schedule(1, () => runner.post(message), process.host);
+  }
+
   private startEntry(index: number): void {
     const {time, drawRandom} = this.options;
     const process = VirtualProcess.create(time);
--- a/test/interleavings/work_trial.ts
+++ b/test/interleavings/work_trial.ts
@@ -19,8 +19,15 @@
   LOSE_CALLS = 'lose-calls',
   REFUSE_CALLS = 'refuse-calls',
   CRASH_TARGET = 'crash-target',
+  /** Another writer sends a message to an agent. */
+  FOREIGN_MESSAGE = 'foreign-message',
 }
 
+/** All kinds but the messages of other writers. */
+export const FAULT_KINDS: readonly WorkStepKind[] = Object.values(
+  WorkStepKind,
+).filter(kind => kind !== WorkStepKind.FOREIGN_MESSAGE);
+
 /** One step of a sequence. */
 export interface WorkStep {
   readonly kind: WorkStepKind;
@@ -38,27 +45,31 @@
 /** Time in which late orders arrive and all jobs end. */
 const QUIET_MS = 16_000;
 
-/** Draws sequences of faults among submissions. */
-export const WORK_STEPS: fc.Arbitrary<WorkStep[]> = fc.array(
-  fc.record({
-    kind: fc.oneof(
-      {weight: 5, arbitrary: fc.constant(WorkStepKind.SUBMIT)},
-      {weight: 6, arbitrary: fc.constantFrom(...Object.values(WorkStepKind))},
-    ),
-    agent: fc.integer({min: 0, max: AGENTS.length - 1}),
-    entry: fc.integer({min: 0, max: ENTRIES.length - 1}),
-    afterMs: fc.integer({min: 0, max: 700}),
-    durationMs: fc.integer({min: 100, max: 3000}),
-    runMs: fc.oneof(
-      {weight: 2, arbitrary: fc.integer({min: 40, max: 800})},
-      {weight: 1, arbitrary: fc.integer({min: 800, max: 5000})},
-    ),
-    tasks: fc.integer({min: 1, max: 3}),
-    sharePercent: fc.integer({min: 5, max: 50}),
-    cut: fc.constantFrom(...Object.values(CutKind)),
-  }),
-  {minLength: 8, maxLength: 30},
-);
+/** Creates sequences of steps of some kinds among submissions. */
+export function createWorkSteps(
+  kinds: readonly WorkStepKind[],
+): fc.Arbitrary<WorkStep[]> {
+  return fc.array(
+    fc.record({
+      kind: fc.oneof(
+        {weight: 5, arbitrary: fc.constant(WorkStepKind.SUBMIT)},
+        {weight: 6, arbitrary: fc.constantFrom(...kinds)},
+      ),
+      agent: fc.integer({min: 0, max: AGENTS.length - 1}),
+      entry: fc.integer({min: 0, max: ENTRIES.length - 1}),
+      afterMs: fc.integer({min: 0, max: 700}),
+      durationMs: fc.integer({min: 100, max: 3000}),
+      runMs: fc.oneof(
+        {weight: 2, arbitrary: fc.integer({min: 40, max: 800})},
+        {weight: 1, arbitrary: fc.integer({min: 800, max: 5000})},
+      ),
+      tasks: fc.integer({min: 1, max: 3}),
+      sharePercent: fc.integer({min: 5, max: 50}),
+      cut: fc.constantFrom(...Object.values(CutKind)),
+    }),
+    {minLength: 8, maxLength: 30},
+  );
+}
 
 /** Plays a sequence; returns the site after it has come to rest. */
 export async function runWorkTrial(
@@ -121,6 +132,9 @@
     case WorkStepKind.CRASH_TARGET:
       fleet.targets[agent].restart(durationMs);
       break;
+    case WorkStepKind.FOREIGN_MESSAGE:
+      fleet.sendForeignMessage(agent);
+      break;
   }
 }
 
