Let a target correct the service that another writer gave its life

An agent had started again; the first heartbeat that it heard was of another writer, in the name of the present life, with another service. Every heartbeat of the target itself was rejected as a contradiction from then on: no work for the rest of its life.

Ruled out: to let the latest heartbeat win. Each one of another writer would then take the target's work away until its next heartbeat, 1.5 s later.

Change: the known service and data centre hold while they are heard, and for 2 s after (`decisions/heartbeat_origin.ts`); a target that is heard can't be displaced by any number of contradictions, and one that was displaced before it was heard is back with its second heartbeat.

Work, heartbeat and house style tests: 142 passed.

--- a/src/lib/decisions/heartbeat_order.ts
+++ b/src/lib/decisions/heartbeat_order.ts
@@ -1,4 +1,4 @@
-/** Order and origin of the heartbeats that name one incarnation of a target. */
+/** Order of the heartbeats that name one incarnation of a target. */
 
 /** When a heartbeat was sent, as it says itself. */
 export interface HeartbeatTime {
@@ -36,14 +36,3 @@
   if (clockMs === undefined) return heartbeat;
   return {...heartbeat, clockMs: Math.min(clockMs, targetClockMs)};
 }
-
-/** What stays the same over all heartbeats of one incarnation. */
-export interface HeartbeatOrigin {
-  readonly service: string;
-  readonly dataCentre: string;
-}
-
-/** Returns whether two heartbeats can come from one incarnation. */
-export function isSameOrigin(a: HeartbeatOrigin, b: HeartbeatOrigin): boolean {
-  return a.service === b.service && a.dataCentre === b.dataCentre;
-}
--- a/src/lib/work/agent/target_controller.ts
+++ b/src/lib/work/agent/target_controller.ts
@@ -1,5 +1,5 @@
 /** Controls an agent's target: its incarnations, its runs and its health. */
-import {isSameOrigin} from '../../decisions/heartbeat_order.js';
+import {HeartbeatOriginCheck} from '../../decisions/heartbeat_origin.js';
 import {RunEvent, RunState} from '../../decisions/held_run.js';
 import type {HeldRun} from '../../decisions/held_run.js';
 import {RunRegistry} from '../../decisions/run_registry.js';
@@ -41,6 +41,7 @@
   private readonly takeover: TargetTakeover;
   private readonly lease: LeaseRenewer;
   private readonly rejected: RejectedHeartbeats;
+  private readonly origin = HeartbeatOriginCheck.create();
   private readonly loss: TargetLoss;
   private lostHolds = 0;
   private readonly crashes: CrashReporter;
@@ -147,11 +148,9 @@
       this.incarnations.handleHeartbeat(heartbeat, nowMs);
       return false;
     }
-    if (!isSameOrigin(heartbeat, latest)) {
-      this.rejected.recordHeartbeat(
-        HeartbeatRejection.CONTRADICTORY,
-        heartbeat,
-      );
+    if (!this.origin.admit(heartbeat, latest, nowMs)) {
+      const reason = HeartbeatRejection.CONTRADICTORY;
+      this.rejected.recordHeartbeat(reason, heartbeat);
       return false;
     }
     this.api.updateHeartbeat(heartbeat);
@@ -232,6 +231,7 @@
     this.api.endLongPoll();
     this.health.reset();
     this.takeover.reset();
+    this.origin.reset(nowMs);
     this.loss.reset();
     this.orders.reset();
     logTargetFound(this.options.log, heartbeat);
--- a/test/work/foreign_heartbeat_test.ts
+++ b/test/work/foreign_heartbeat_test.ts
@@ -18,6 +18,8 @@
   ],
 ]);
 
+const HEARTBEAT_PERIOD_MS = 1500;
+
 // Guards against two runs of one task: a heartbeat of another writer is taken for the
 // target's next incarnation, and the runs of the present one are reported as lost.
 describe('A work runner that receives the heartbeat of another writer', () => {
@@ -118,7 +120,7 @@
   afterEach(() => fixture.runner.stop());
 
   async function expectHeard(): Promise<void> {
-    fixture.nowMs += 1500;
+    fixture.nowMs += HEARTBEAT_PERIOD_MS;
     for (const entry of [ENTRY, PEER]) fixture.sendPong(fixture.nowMs, entry);
     fixture.sendHeartbeat({clockMs: fixture.nowMs - 1, sequence: 2});
     fixture.sendOrder('a');
@@ -177,4 +179,21 @@
     expect(fixture.listStarted()).to.deep.equal(['a']);
     await fixture.runner.stop();
   });
+
+  it('uses its target in the end if the writer has used its name', async () => {
+    const fixture = await RunnerFixture.create(false);
+    const clockMs = 2 ** 40;
+    fixture.sendForeignHeartbeat({service: 'x', sequence: clockMs, clockMs});
+    await fixture.settle();
+    for (let sequence = 1; sequence <= 3; sequence += 1) {
+      fixture.nowMs += HEARTBEAT_PERIOD_MS;
+      fixture.sendHeartbeat({sequence, clockMs: fixture.nowMs - 1});
+      await fixture.settle();
+    }
+    fixture.sendPong(fixture.nowMs);
+    fixture.sendOrder('a');
+    await fixture.settle();
+    expect(fixture.listStarted()).to.deep.equal(['a']);
+    await fixture.runner.stop();
+  });
 });
