Log why an entry takes runs for over, and the age of a link's latest answer

- Entry: runs-over names the proof, the number of runs and the agent's silence; task-returned the same in the story of each job; agent-connected has through.
- Agent: entry-connected and entry-lost have link and answeredAgoMs, run-started the owner and the sequence of its order, to compare with through.

No decision changes.

--- a/src/lib/work/agent/entry_link.ts
+++ b/src/lib/work/agent/entry_link.ts
@@ -1,6 +1,7 @@
 /** The link of an agent to one entry. */
 import type {AgentFrame} from '../../core/work_frames.js';
 import {computeConnectTimeout} from '../../decisions/reconnect_pause.js';
+import type {LineFields} from '../../observe/request_log.js';
 import type {FrameStream} from '../link/frame_stream.js';
 
 /** A link to the entry at one address. Changed by the link manager only. */
@@ -12,6 +13,8 @@
   incarnation: string;
   openedAtMs: number;
   lastReceivedAtMs: number;
+  /** Time of the entry's latest answer to a ping; undefined before the first. */
+  answeredAtMs: number | undefined;
   retryAtMs: number;
   /** Time of the disconnect, or of the discovery before the first link. */
   disconnectedSinceMs: number;
@@ -31,6 +34,7 @@
     incarnation: '',
     openedAtMs: 0,
     lastReceivedAtMs: 0,
+    answeredAtMs: undefined,
     retryAtMs: nowMs,
     disconnectedSinceMs: nowMs,
     hasFailed: false,
@@ -46,3 +50,13 @@
 }: EntryLink): number {
   return openedAtMs + computeConnectTimeout(openedAtMs - disconnectedSinceMs);
 }
+
+/** Describes a link for the log. */
+export function describeLink(
+  {address, linkId, answeredAtMs}: EntryLink,
+  nowMs: number,
+): LineFields {
+  const fields = {entry: address, link: linkId};
+  if (answeredAtMs === undefined) return fields;
+  return {...fields, answeredAgoMs: Math.round(nowMs - answeredAtMs)};
+}
--- a/src/lib/work/agent/entry_link_manager.ts
+++ b/src/lib/work/agent/entry_link_manager.ts
@@ -1,11 +1,5 @@
 /** The agent's task that owns the streams to the entries. */
-import type {
-  DrawRandom,
-  ReadMonotonicMs,
-  ReadSystemMs,
-  StartTimer,
-  StopTimer,
-} from '../../core/clock.js';
+import type {StopTimer} from '../../core/clock.js';
 import {Task} from '../../core/task.js';
 import type {Post} from '../../core/task.js';
 import {EntryFrameKind} from '../../core/work_frames.js';
@@ -13,38 +7,17 @@
 import {PingSchedule} from '../../decisions/ping_schedule.js';
 import type {DueMessages} from '../../decisions/ping_schedule.js';
 import {computeReconnectPause} from '../../decisions/reconnect_pause.js';
-import type {OpenFrameStream} from '../link/frame_stream.js';
-import {computeConnectDeadline, createLink} from './entry_link.js';
+import {
+  computeConnectDeadline,
+  createLink,
+  describeLink,
+} from './entry_link.js';
 import type {EntryLink} from './entry_link.js';
 import {EntryLookUp} from './entry_look_up.js';
 import {LinkSelection} from './link_selection.js';
+import type {EntryLinkManagerOptions} from './entry_link_manager_options.js';
 import {LinkMessageKind, RunnerMessageKind} from './runner_messages.js';
-import type {LinkMessage, RunnerMessage} from './runner_messages.js';
-
-/** Dependencies of the link manager. */
-export interface EntryLinkManagerOptions {
-  /** Name of the agent, which determines its preference of entries. */
-  readonly agent: string;
-  /** Initial addresses, `host:port`; these are never dropped. */
-  readonly seeds: readonly string[];
-  readonly open: OpenFrameStream<AgentFrame, EntryFrame>;
-  /** Looks up the entries' addresses; called while no link is open. */
-  readonly findEntries: () => Promise<readonly string[]>;
-  readonly createPing: (entry: string, sentAtMs: number) => AgentFrame;
-  /** Sends the load to an entry if it has changed since its last report. */
-  readonly reportLoad: (entry: string) => void;
-  readonly post: Post<RunnerMessage>;
-  readonly readMonotonicMs: ReadMonotonicMs;
-  readonly readSystemMs: ReadSystemMs;
-  readonly startTimer: StartTimer;
-  readonly drawRandom: DrawRandom;
-  readonly reportLink: (
-    address: string,
-    isOpen: boolean,
-    detail: string,
-  ) => void;
-  readonly reportFailure: (failure: unknown) => void;
-}
+import type {LinkMessage} from './runner_messages.js';
 
 /** Minimum delay in milliseconds between two checks. */
 const MIN_CHECK_DELAY_MS = 10;
@@ -223,6 +196,7 @@
     const nowMs = this.options.readMonotonicMs();
     link.lastReceivedAtMs = nowMs;
     for (const frame of frames) {
+      if (frame.kind === EntryFrameKind.PONG) link.answeredAtMs = nowMs;
       if (frame.kind === EntryFrameKind.HELLO) this.markOpen(link, frame.life);
       else if (frame.kind === EntryFrameKind.ENTRIES) {
         this.selection.setAdvice(linkId, frame, nowMs);
@@ -238,7 +212,7 @@
     link.hasFailed = false;
     const {linkId, address, openedAtMs} = link;
     this.selection.add([address], openedAtMs);
-    this.options.reportLink(address, true, '');
+    this.report(link, true);
     this.options.post({
       kind: RunnerMessageKind.LINK_OPENED,
       linkId,
@@ -257,7 +231,7 @@
     const link = this.linkById.get(linkId);
     this.linkById.delete(linkId);
     if (link === undefined || link.linkId !== linkId) return;
-    const {incarnation, address} = link;
+    const {incarnation} = link;
     this.selection.removeAdvice(linkId);
     link.stream = undefined;
     link.incarnation = '';
@@ -267,7 +241,7 @@
     if (incarnation !== '') link.disconnectedSinceMs = nowMs;
     link.retryAtMs =
       nowMs + computeReconnectPause(nowMs - link.disconnectedSinceMs);
-    if (incarnation !== '') this.options.reportLink(address, false, detail);
+    if (incarnation !== '') this.report(link, false, detail);
     this.options.post({
       kind: RunnerMessageKind.LINK_CLOSED,
       linkId,
@@ -276,6 +250,11 @@
     });
   }
 
+  private report(link: EntryLink, isOpen: boolean, detail = ''): void {
+    const fields = describeLink(link, this.options.readMonotonicMs());
+    this.options.reportLink(isOpen, detail, fields);
+  }
+
   private enqueue(linkId: number, frame: AgentFrame): void {
     const link = this.linkById.get(linkId);
     if (link === undefined || link.incarnation === '') return;
--- a/src/lib/work/agent/run_log.ts
+++ b/src/lib/work/agent/run_log.ts
@@ -20,7 +20,9 @@
 
 /** Buffers the log line for the start of a run. */
 export function recordRunStart(requests: RequestLog, run: HeldRun): void {
-  recordRun(requests, run, FleetEvent.RUN_STARTED, 'The run started.');
+  const {owner, order} = run;
+  const fields = {owner, sequence: order.sequence};
+  recordRun(requests, run, FleetEvent.RUN_STARTED, 'The run started.', fields);
 }
 
 /** Logs the end of a run and releases its buffered lines. */
--- a/src/lib/work/agent/work_agent.ts
+++ b/src/lib/work/agent/work_agent.ts
@@ -103,14 +103,14 @@
       createPing: this.runner.createPing,
       reportLoad: this.runner.reportLoad,
       post: this.runner.post,
-      reportLink: (entry, isOpen, detail) => {
+      reportLink: (isOpen, detail, fields) => {
         const event = isOpen
           ? FleetEvent.ENTRY_CONNECTED
           : FleetEvent.ENTRY_LOST;
         const text = isOpen
           ? 'Connected to an entry.'
           : `Lost the connection to an entry: ${detail}.`;
-        log(event, text, {entry});
+        log(event, text, fields);
       },
       reportFailure,
     });
--- a/src/lib/work/entry/active_job.ts
+++ b/src/lib/work/entry/active_job.ts
@@ -10,6 +10,7 @@
 import {formatTaskName} from '../../core/work_job.js';
 import type {
   JobAnswer,
+  JobEnd,
   JobReason,
   JobRequest,
   StepSpec,
@@ -145,3 +146,19 @@
     lastRunMs: lastRun?.durationMs,
   };
 }
+
+/** Creates an answer that asks for no retry. */
+export function createAnswer(end: JobEnd, reason: JobReason): JobAnswer {
+  return {end, reason, retryAfterMs: 0};
+}
+
+/** Describes the latest run of a task for the log. */
+export function describeRun({name, run, agent}: ActiveTask): LineFields {
+  return {task: name, run, agentLife: agent};
+}
+
+/** Describes a job in each of its log lines. */
+export function describeJob({request, rule}: ActiveJob): LineFields {
+  const {job, request: id} = request;
+  return {job, request: id, queue: rule.name};
+}
--- a/src/lib/work/entry/agent_fleet.ts
+++ b/src/lib/work/entry/agent_fleet.ts
@@ -12,7 +12,8 @@
 import {AgentFrameHandler} from './agent_frame_handler.js';
 import type {AgentSession} from './agent_session.js';
 import {RUN_EXPIRY_MS} from './run_expiry.js';
-import {RunStatusChange} from './run_status_change.js';
+import {logRunsOver, RunStatusChange} from './run_status_change.js';
+import type {RunOverProof} from './run_status_change.js';
 import {SessionIndex} from './session_index.js';
 import {AgentAction, AgentEvent, AgentState} from './work_charts.js';
 
@@ -45,7 +46,7 @@
       ...options,
       sessions: this.sessions,
       requestFlush: session => this.unflushed.add(session),
-      applyEvent: (session, event) => this.applyEvent(session, event),
+      applyEvent: (...change) => this.applyEvent(...change),
       remove: session => this.remove(session),
       getLinksPerAgent: () => this.subsetSize.value,
     });
@@ -141,9 +142,13 @@
   }
 
   /** Disconnects the agent whose stream has ended. */
-  handleStreamEnd(stream: FrameStream<EntryFrame>, detail: string): void {
+  handleStreamEnd(
+    stream: FrameStream<EntryFrame>,
+    detail: string,
+    nowMs: number,
+  ): void {
     const session = this.sessions.findByStream(stream);
-    if (session !== undefined) this.disconnect(session, detail);
+    if (session !== undefined) this.disconnect(session, detail, nowMs);
   }
 
   private measureFleet(nowMs: number): void {
@@ -174,13 +179,13 @@
         idleMs > RECEIVE_TIMEOUT_MS
       ) {
         session.closeStream();
-        this.disconnect(session, 'no messages');
+        this.disconnect(session, 'no messages', nowMs);
       }
       if (session.state === AgentState.DISCONNECTED && idleMs > RUN_EXPIRY_MS) {
-        this.applyEvent(session, AgentEvent.RUNS_EXPIRED);
+        this.applyEvent(session, AgentEvent.RUNS_EXPIRED, nowMs);
       }
       if (session.state === AgentState.EXPIRED && idleMs > REMOVE_AFTER_MS) {
-        this.applyEvent(session, AgentEvent.REMOVE);
+        this.applyEvent(session, AgentEvent.REMOVE, nowMs);
       }
       if (session.state === AgentState.ENDED) this.remove(session);
     }
@@ -229,29 +234,53 @@
     this.unflushed.delete(session);
   }
 
-  private disconnect(session: AgentSession, detail: string): void {
+  private disconnect(
+    session: AgentSession,
+    detail: string,
+    nowMs: number,
+  ): void {
     if (session.state !== AgentState.CONNECTED) return;
     this.options.log(FleetEvent.AGENT_DISCONNECTED, `Agent lost: ${detail}.`, {
       agent: session.hello.agent,
       agentLife: session.id,
       runs: session.tasks.size,
     });
-    this.applyEvent(session, AgentEvent.DISCONNECT);
+    this.applyEvent(session, AgentEvent.DISCONNECT, nowMs);
   }
 
-  private applyEvent(session: AgentSession, event: AgentEvent): void {
+  private applyEvent(
+    session: AgentSession,
+    event: AgentEvent,
+    nowMs: number,
+  ): void {
     for (const action of session.applyEvent(event)) {
       switch (action) {
         case AgentAction.MARK_RUNS_UNCERTAIN:
           this.notifyTasks(session, RunStatusChange.AGENT_UNREACHABLE);
           break;
         case AgentAction.REQUEUE_RUNS:
-          this.notifyTasks(session, RunStatusChange.NOT_HELD);
+          this.endRuns(
+            session,
+            event === AgentEvent.REPLACED
+              ? RunStatusChange.REPLACED
+              : RunStatusChange.EXPIRED,
+            nowMs,
+          );
           break;
       }
     }
   }
 
+  private endRuns(
+    session: AgentSession,
+    proof: RunOverProof,
+    nowMs: number,
+  ): void {
+    const {log} = this.options;
+    logRunsOver(log, session, proof, session.tasks.size, nowMs);
+    this.notifyTasks(session, proof);
+  }
+
   private notifyTasks(session: AgentSession, change: RunStatusChange): void {
     for (const task of [...session.tasks.values()]) {
       this.options.handleRunStatus(task, change);
--- a/src/lib/work/entry/agent_frame_handler.ts
+++ b/src/lib/work/entry/agent_frame_handler.ts
@@ -15,9 +15,10 @@
 } from '../../core/work_frames.js';
 import type {FrameStream} from '../link/frame_stream.js';
 import type {AgentFleetOptions} from './agent_fleet_options.js';
+import type {ActiveTask} from './active_job.js';
 import {AgentSession} from './agent_session.js';
 import type {AgentHello} from './agent_session.js';
-import {RunStatusChange} from './run_status_change.js';
+import {logRunsOver, RunStatusChange} from './run_status_change.js';
 import type {SessionIndex} from './session_index.js';
 import {AgentEvent, AgentState} from './work_charts.js';
 
@@ -34,7 +35,11 @@
   readonly sessions: SessionIndex;
   /** Called with a session that has frames to be sent. */
   readonly requestFlush: (session: AgentSession) => void;
-  readonly applyEvent: (session: AgentSession, event: AgentEvent) => void;
+  readonly applyEvent: (
+    session: AgentSession,
+    event: AgentEvent,
+    nowMs: number,
+  ) => void;
   readonly remove: (session: AgentSession) => void;
   /** Returns the number of links that each agent needs. */
   readonly getLinksPerAgent: () => number;
@@ -72,7 +77,7 @@
         this.handlePing(session, frame, nowMs);
         break;
       case AgentFrameKind.TARGET:
-        this.handleTarget(session, frame.target);
+        this.handleTarget(session, frame.target, nowMs);
         break;
       case AgentFrameKind.REPORT:
         session.applyReport(frame.report);
@@ -120,18 +125,22 @@
     });
   }
 
-  private handleTarget(session: AgentSession, target: TargetDescription): void {
+  private handleTarget(
+    session: AgentSession,
+    target: TargetDescription,
+    nowMs: number,
+  ): void {
     session.applyTarget(target);
     // A later incarnation that controls the target proves that the runs of
     // earlier ones are over.
-    if (target.phase !== TargetPhase.ABSENT) this.replaceOlder(session);
+    if (target.phase !== TargetPhase.ABSENT) this.replaceOlder(session, nowMs);
   }
 
-  private replaceOlder(current: AgentSession): void {
+  private replaceOlder(current: AgentSession, nowMs: number): void {
     for (const session of this.sessions.listOf(current.hello.agent)) {
       if (session === current) continue;
       if (session.lastReceivedAtMs > current.lastReceivedAtMs) continue;
-      this.options.applyEvent(session, AgentEvent.REPLACED);
+      this.options.applyEvent(session, AgentEvent.REPLACED, nowMs);
       this.options.remove(session);
     }
   }
@@ -196,31 +205,37 @@
       agentLife: hello.life,
       held: hello.held.length,
       ends: hello.ends.length,
+      through: hello.through,
     });
     for (const crash of hello.crashes ?? []) this.options.handleCrash(crash);
-    this.resolveTasks(session, hello);
+    this.resolveTasks(session, hello, nowMs);
     if (existing !== undefined && existing.state !== AgentState.CONNECTED) {
-      this.options.applyEvent(existing, AgentEvent.RECONNECT);
+      this.options.applyEvent(existing, AgentEvent.RECONNECT, nowMs);
     }
     // The summary follows with the answer to the agent's first ping.
     this.sendEntries(session);
   }
 
   /** Resolves each task by the agent's hello: held, ended, or never received. */
-  private resolveTasks(session: AgentSession, hello: AgentHello): void {
+  private resolveTasks(
+    session: AgentSession,
+    hello: AgentHello,
+    nowMs: number,
+  ): void {
     for (const report of hello.ends) {
       this.options.handleRunEnd(session, report);
       const {task, run} = report;
       session.send({kind: EntryFrameKind.ACKNOWLEDGE, task, run});
     }
     const held = new Map(hello.held.map(heldRun => [heldRun.task, heldRun]));
-    for (const task of [...session.tasks.values()]) {
-      const heldRun = held.get(task.name);
-      const isHeld = heldRun !== undefined && heldRun.run === task.run;
-      this.options.handleRunStatus(
-        task,
-        isHeld ? RunStatusChange.STILL_HELD : RunStatusChange.NOT_HELD,
-      );
+    const isHeld = ({name, run}: ActiveTask) => held.get(name)?.run === run;
+    const tasks = [...session.tasks.values()];
+    const proof = RunStatusChange.NOT_LISTED;
+    const over = tasks.filter(task => !isHeld(task)).length;
+    logRunsOver(this.options.log, session, proof, over, nowMs);
+    for (const task of tasks) {
+      const change = isHeld(task) ? RunStatusChange.STILL_HELD : proof;
+      this.options.handleRunStatus(task, change);
     }
     for (const {task, run} of hello.held) {
       if (session.tasks.get(task)?.run === run) continue;
--- a/src/lib/work/entry/job_registry.ts
+++ b/src/lib/work/entry/job_registry.ts
@@ -5,7 +5,13 @@
 import type {RunEndReport} from '../../core/work_frames.js';
 import {JobEnd, JobReason} from '../../core/work_job.js';
 import type {JobAnswer} from '../../core/work_job.js';
-import {describeEnd, listUnblocked} from './active_job.js';
+import {
+  createAnswer,
+  describeEnd,
+  describeJob,
+  describeRun,
+  listUnblocked,
+} from './active_job.js';
 import type {ActiveJob, ActiveTask, AnswerCaller} from './active_job.js';
 import type {AgentSession} from './agent_session.js';
 import {EndedJobs} from './ended_jobs.js';
@@ -187,7 +193,13 @@
       case RunStatusChange.STILL_HELD:
         this.applyEvent(task, TaskEvent.AGENT_RECONNECTED);
         break;
-      case RunStatusChange.NOT_HELD:
+      case RunStatusChange.EXPIRED:
+      case RunStatusChange.NOT_LISTED:
+      case RunStatusChange.REPLACED:
+        this.logJob(task.job, FleetEvent.TASK_RETURNED, 'A run is over.', {
+          ...describeRun(task),
+          proof: change,
+        });
         this.options.releaseTask(task);
         this.applyEvent(task, TaskEvent.REQUEUE);
         this.enqueueIfWaiting(task);
@@ -197,17 +209,13 @@
 
   /** Adds a line to the log of a job. */
   logJob(
-    {request, rule}: ActiveJob,
+    job: ActiveJob,
     event: FleetEvent,
     message: string,
     fields: LineFields = {},
   ): void {
-    this.options.requests.add(request.job, event, message, {
-      job: request.job,
-      request: request.request,
-      queue: rule.name,
-      ...fields,
-    });
+    const line = {...describeJob(job), ...fields};
+    this.options.requests.add(job.request.job, event, message, line);
   }
 
   private recordRun(
@@ -221,12 +229,9 @@
   }
 
   private advance(job: ActiveJob, nowMs: number): void {
-    if (job.remainingTasks > 0) {
-      this.unblock(job);
-      return;
-    }
     const answer = createAnswer(JobEnd.COMPLETED, JobReason.NONE);
-    this.end(job, JobEvent.COMPLETE, answer, nowMs);
+    if (job.remainingTasks > 0) this.unblock(job);
+    else this.end(job, JobEvent.COMPLETE, answer, nowMs);
   }
 
   /** Ends a job that cannot be completed. */
@@ -292,8 +297,3 @@
     this.options.requests.finish(request.job, request.job, !isGood);
   }
 }
-
-/** Creates an answer that asks for no retry. */
-function createAnswer(end: JobEnd, reason: JobReason): JobAnswer {
-  return {end, reason, retryAfterMs: 0};
-}
--- a/src/lib/work/entry/scheduler.ts
+++ b/src/lib/work/entry/scheduler.ts
@@ -181,7 +181,7 @@
         this.fleet.handleFrames(message.stream, message.frames, nowMs);
         break;
       case SchedulerMessageKind.AGENT_STREAM_ENDED:
-        this.fleet.handleStreamEnd(message.stream, message.detail);
+        this.fleet.handleStreamEnd(message.stream, message.detail, nowMs);
         break;
       case SchedulerMessageKind.CONFIGURATION:
         this.handleConfiguration(message.configuration);
