--- a/test/fleet/fleet_fixture.ts
+++ b/test/fleet/fleet_fixture.ts
@@ -18,6 +18,7 @@
   startTimer,
 } from '../../src/lib/core/clock.js';
 import {createIdentity} from '../../src/lib/core/identity.js';
+import type {AgentFrame, EntryFrame} from '../../src/lib/core/work_frames.js';
 import type {FleetEvent} from '../../src/lib/observe/fleet_log.js';
 import {NO_OP_FLEET_METRICS} from '../../src/lib/observe/fleet_metrics.js';
 import {WorkAgent} from '../../src/lib/work/agent/work_agent.js';
@@ -26,6 +27,7 @@
   openLineServer,
   openLineStream,
 } from '../../src/lib/work/link/line_stream.js';
+import type {OpenFrameStream} from '../../src/lib/work/link/frame_stream.js';
 import {listRegisteredEntries} from '../../src/lib/work/registered_entries.js';
 import {FleetStore} from '../../stand_ins/fleet_store.js';
 import {FleetTarget} from '../../stand_ins/fleet_target.js';
@@ -109,8 +111,9 @@
     return new FleetFixture(store);
   }
 
-  /** Starts an entry; returns its addresses for callers and for readiness checks. */
+  /** Starts an entry; returns its addresses for agents, callers and readiness checks. */
   async startEntry(name: string): Promise<{
+    readonly links: string;
     readonly callers: string;
     readonly ready: string;
     readonly server: RunningServer;
@@ -146,7 +149,7 @@
       stopped: entry.stopped,
     };
     this.servers.push(server);
-    return {callers, ready, server};
+    return {links: linkAddress, callers, ready, server};
   }
 
   /** Starts an agent and its target. */
@@ -154,6 +157,7 @@
     name: string,
     changes: Partial<FleetTargetOptions> = {},
     dataCentre = 'zone-a',
+    openStream: OpenFrameStream<AgentFrame, EntryFrame> = openLineStream,
   ): Promise<{
     readonly target: FleetTarget;
     readonly server: RunningServer;
@@ -185,7 +189,7 @@
       connectTarget: createTargetConnector(target.address, startDeferredTimer),
       openHeartbeatListener: handlers =>
         openHeartbeatListener({address: announceAddress, ...handlers}),
-      openStream: openLineStream,
+      openStream,
       readMonotonicMs,
       readSystemMs,
       startTimer,
