Count contact with an entry from its answers alone, not from a link that opens

Cause: the two clocks of one safety bound were set by different events. An entry takes the runs of an agent for over RUN_EXPIRY_MS after the last frame that it received. The agent counted its contact from the latest answered ping or, if later, from when it began to open a link that the entry has greeted; the entry greets a stream before it has received anything on it. On a path that loses what the agent sends while connections open, the agent stayed in contact for ever.

Ruled out: the stop of the runs (none was ever asked for), the lease (renewed throughout), the report of the agent (it never arrived).

The contact is now the send time of the latest answered ping. The first ping follows the hello in the same message, and its answer goes before every order of the entry on that link, so a link that opens loses no order.

test/work/work_runner_test.ts: one test demanded the fault (orders are started on a link that has opened after a freeze, without an answer). It is replaced by two: refused before the answer, started after it.

--- a/src/lib/work/agent/entry_registry.ts
+++ b/src/lib/work/agent/entry_registry.ts
@@ -23,10 +23,13 @@
   /** Number of the open link; undefined while there is none. */
   linkId: number | undefined;
   /**
-   * Local send time of the latest ping that this incarnation has answered, or
-   * the time at which the agent began to open its link, if that is later.
+   * Local send time of the latest ping that this incarnation has answered; 0
+   * before the first. A link that opens proves nothing: the entry greets it before
+   * it has received anything, and counts on the agent by what it receives.
    */
   lastContactMs: number;
+  /** Local time at which the agent began to open its latest link. */
+  openedAtMs: number;
   /** Highest sequence number of the orders received from it. */
   lastOrderSequence: number;
   /** Run ends that it has not acknowledged, by run key. */
@@ -43,7 +46,7 @@
   isReportUrgent: boolean;
 }
 
-/** Time in milliseconds without contact after which an entry is removed. */
+/** Time in milliseconds without contact or link after which an entry is removed. */
 const RETENTION_MS = 30_000;
 
 /** The entries known to an agent, by incarnation. */
@@ -78,13 +81,14 @@
       known.linkId = linkId;
       known.releasedAtMs = 0;
       known.reported = NOTHING_REPORTED;
-      known.lastContactMs = Math.max(known.lastContactMs, openedAtMs);
+      known.openedAtMs = openedAtMs;
       return known;
     }
     const entry: KnownEntry = {
       incarnation,
       linkId,
-      lastContactMs: openedAtMs,
+      lastContactMs: 0,
+      openedAtMs,
       lastOrderSequence: 0,
       unacknowledgedEnds: new Map(),
       backlog: 0,
@@ -120,7 +124,8 @@
   removeStale(nowMs: number): void {
     for (const [key, entry] of this.entries) {
       if (entry.linkId !== undefined) continue;
-      if (nowMs - entry.lastContactMs > RETENTION_MS) this.entries.delete(key);
+      const seenAtMs = Math.max(entry.lastContactMs, entry.openedAtMs);
+      if (nowMs - seenAtMs > RETENTION_MS) this.entries.delete(key);
     }
   }
 }
--- a/test/work/runner_fixture.ts
+++ b/test/work/runner_fixture.ts
@@ -148,6 +148,7 @@
     if (isTargetHeard) fixture.sendHeartbeat();
     for (const [linkId, entry] of [ENTRY, PEER].entries()) {
       fixture.openLink(entry, linkId + 1, fixture.nowMs);
+      fixture.sendPong(fixture.nowMs, entry);
     }
     await fixture.settle();
     return fixture;
@@ -192,6 +193,11 @@
     this.runner.post({kind, linkId, entry, address: entry, openedAtMs});
   }
 
+  closeLink(entry: string, linkId: number): void {
+    const kind = RunnerMessageKind.LINK_CLOSED;
+    this.runner.post({kind, linkId, entry, isRefused: false});
+  }
+
   send(frame: EntryFrame, entry = ENTRY): void {
     this.runner.post({kind: RunnerMessageKind.FRAME, linkId: 1, entry, frame});
   }
--- a/test/work/work_runner_test.ts
+++ b/test/work/work_runner_test.ts
@@ -79,11 +79,20 @@
     expect(fixture.listStarted()).to.deep.equal(['a']);
   });
 
-  it('starts orders again on a link that it opened after resuming', async () => {
+  it('refuses an order on a link that it opened after resuming, before an answer', async () => {
     fixture.nowMs += FREEZE_MS;
     fixture.openLink(ENTRY, 3, fixture.nowMs);
     fixture.sendOrder('a');
     await fixture.settle();
+    expectRefused('a');
+  });
+
+  it('starts orders again once a link that it opened after resuming has an answer', async () => {
+    fixture.nowMs += FREEZE_MS;
+    fixture.openLink(ENTRY, 3, fixture.nowMs);
+    fixture.sendPong(fixture.nowMs);
+    fixture.sendOrder('a');
+    await fixture.settle();
     expect(fixture.listStarted()).to.deep.equal(['a']);
   });
 
