Play links that carry frames one way, late streams and two addresses of one entry

The interleaving model plays the hypotheses of docs/incidents/unproven-contact.md: - cuts under which streams open and the entry's frames arrive, while frames to the entry are held or lost; links that are reset again and again, - streams that get stuck each for itself, for up to 3 s, closed or not, so that the hello of an older one arrives after that of a newer one, also of an earlier life, - agents that know each entry under two addresses.

The faults of paths move to link_faults.ts.

--- a/test/interleavings/recorded_sequences.ts
+++ b/test/interleavings/recorded_sequences.ts
@@ -1,5 +1,5 @@
 /** Sequences that broke the rule TWICE when they were recorded, shortened as far as possible. */
-import {CutKind} from './virtual_links.js';
+import {CutKind} from './link_faults.js';
 import type {TargetRules} from './virtual_work_fleet.js';
 import {WorkStepKind} from './work_trial.js';
 import type {WorkStep} from './work_trial.js';
--- a/test/interleavings/virtual_links.ts
+++ b/test/interleavings/virtual_links.ts
@@ -1,44 +1,28 @@
-/** Simulates the streams between agents and entries, with cuts that lose or hold frames. */
+/** Simulates the streams between agents and entries, which faults lose, hold and reset. */
 import type {AgentFrame, EntryFrame} from '../../src/lib/core/work_frames.js';
 import type {
   AcceptFrameStream,
   FrameListener,
   FrameStream,
 } from '../../src/lib/work/link/frame_stream.js';
+import {CutKind, LinkFaults} from './link_faults.js';
 import type {VirtualProcess} from './virtual_process.js';
 import type {VirtualTime} from './virtual_time.js';
 
-/** How a cut shows at the two ends. */
-export enum CutKind {
-  /** Streams break; the ends notice at different times, and none can be opened. */
-  BREAK = 'break',
-  /** Frames of both directions are held until the end of the cut. */
-  HOLD = 'hold',
-  /** Only frames to the entry are held. */
-  HOLD_TO_ENTRY = 'hold-to-entry',
-  /** Only frames to the agent are held. */
-  HOLD_TO_AGENT = 'hold-to-agent',
-}
-
 /** A process that accepts streams at an address. */
 export interface LinkServer {
   readonly process: VirtualProcess;
   readonly accept: AcceptFrameStream<EntryFrame, AgentFrame>;
 }
 
-interface Cut {
-  readonly agent: string;
-  readonly address: string;
-  readonly kind: CutKind;
-  readonly untilMs: number;
-}
-
 interface Direction {
   readonly process: VirtualProcess;
   readonly isToEntry: boolean;
   /** Batches in flight, in order. */
   readonly queue: Array<() => void>;
   lastArrivalMs: number;
+  /** Time until which this stream alone delivers nothing, whether closed or not. */
+  stuckUntilMs: number;
   /** Whether the receiver still reads. */
   isRead: boolean;
   /** Whether what is in flight has been lost. */
@@ -51,22 +35,30 @@
   readonly toEntry: Direction;
   readonly toAgent: Direction;
   isOpen: boolean;
+  /** Whether the entry has accepted it. */
+  isAccepted: boolean;
   failAgent: (detail: string) => void;
   failEntry: (detail: string) => void;
 }
 
 const RESET = 'ECONNRESET';
 
+/** Bounds of the time from one reset of a link to the next, in milliseconds. */
+const MIN_RESET_PERIOD_MS = 100;
+const MAX_RESET_PERIOD_MS = 500;
+
 /** Carries frames in order, direction by direction. */
 export class VirtualLinks {
   private readonly servers = new Map<string, LinkServer>();
   private connections: Connection[] = [];
-  private cuts: Cut[] = [];
+  private readonly faults: LinkFaults;
 
   private constructor(
     private readonly time: VirtualTime,
     private readonly drawRandom: () => number,
-  ) {}
+  ) {
+    this.faults = LinkFaults.create(time, drawRandom);
+  }
 
   /** Creates a network without servers. */
   static create(time: VirtualTime, drawRandom: () => number): VirtualLinks {
@@ -80,14 +72,31 @@
 
   /** Cuts the link between an agent and an address. */
   cut(agent: string, address: string, kind: CutKind, durationMs: number): void {
+    this.faults.addCut({agent, address, kind, durationMs});
+    if (kind === CutKind.BREAK) this.breakAll(agent, address);
+  }
+
+  /** Resets the streams between an agent and an address again and again. */
+  reset(agent: string, address: string, durationMs: number): void {
     const untilMs = this.time.nowMs + durationMs;
-    this.cuts.push({agent, address, kind, untilMs});
-    if (kind !== CutKind.BREAK) return;
-    for (const connection of this.connections) {
-      const isHit =
-        connection.agent === agent && connection.address === address;
-      if (isHit) this.break(connection, 100);
-    }
+    const spreadMs = MAX_RESET_PERIOD_MS - MIN_RESET_PERIOD_MS;
+    const repeat = () => {
+      this.breakAll(agent, address);
+      const periodMs = MIN_RESET_PERIOD_MS + this.drawRandom() * spreadMs;
+      if (this.time.nowMs + periodMs > untilMs) return;
+      this.time.schedule(periodMs, repeat);
+    };
+    repeat();
+  }
+
+  /** Lets streams between an agent and an address fall behind; see `LinkFaults`. */
+  pauseStreams(
+    agent: string,
+    address: string,
+    share: number,
+    durationMs: number,
+  ): void {
+    this.faults.addPause({agent, address, share, durationMs});
   }
 
   /** Breaks the streams of a killed process. */
@@ -114,6 +123,7 @@
       toEntry: createDirection(server?.process ?? process, true),
       toAgent: createDirection(process, false),
       isOpen: true,
+      isAccepted: false,
       failAgent: detail => listener.fail(detail),
       failEntry: () => undefined,
     };
@@ -129,7 +139,7 @@
     if (
       server === undefined ||
       !server.process.isAlive ||
-      this.isBroken(connection)
+      this.faults.isBroken(connection)
     ) {
       this.refuse(connection);
       return stream;
@@ -144,6 +154,7 @@
           ),
         close: () => this.close(connection, connection.toEntry),
       };
+      connection.isAccepted = true;
       receive = server.accept(entryStream);
       connection.failEntry = detail => receive?.fail(detail);
     });
@@ -153,7 +164,7 @@
   private refuse(connection: Connection): void {
     connection.isOpen = false;
     // A cut may leave an attempt without an answer.
-    if (this.isBroken(connection) && this.drawRandom() < 0.5) return;
+    if (this.faults.isBroken(connection) && this.drawRandom() < 0.5) return;
     this.schedule(connection.toAgent, this.drawDelayMs(), () =>
       connection.failAgent('ECONNREFUSED'),
     );
@@ -172,7 +183,12 @@
     );
     direction.lastArrivalMs = arrivalMs;
     direction.queue.push(arrive);
+    const stuckUntilMs = this.faults.drawStuckUntil(connection);
+    direction.stuckUntilMs = Math.max(direction.stuckUntilMs, stuckUntilMs);
     const deliver = () => {
+      if (this.faults.isLosing(connection, direction.isToEntry)) {
+        direction.isLost = true;
+      }
       const waitMs = this.findHold(connection, direction);
       if (waitMs > 0) {
         this.time.schedule(waitMs, deliver, direction.process.host);
@@ -192,12 +208,22 @@
     this.break(connection, 5);
   }
 
+  private breakAll(agent: string, address: string): void {
+    for (const connection of this.connections) {
+      const isHit =
+        connection.agent === agent && connection.address === address;
+      if (isHit) this.break(connection, 100);
+    }
+  }
+
   private break(connection: Connection, spreadMs: number): void {
     if (!connection.isOpen) return;
     connection.isOpen = false;
     const {toEntry, toAgent} = connection;
     for (const direction of [toEntry, toAgent]) {
-      direction.isLost = this.drawRandom() < 0.5;
+      const isCutOff = this.drawRandom() < 0.5;
+      const isStuck = direction.stuckUntilMs > this.time.nowMs;
+      direction.isLost ||= isCutOff && !isStuck;
       const waitMs = Math.max(
         this.findHold(connection, direction),
         direction.lastArrivalMs - this.time.nowMs,
@@ -224,32 +250,11 @@
     this.time.schedule(delayMs, fail, direction.process.host);
   }
 
-  private findHold(
-    {agent, address}: Connection,
-    {isToEntry}: Direction,
-  ): number {
-    const {nowMs} = this.time;
-    this.cuts = this.cuts.filter(({untilMs}) => untilMs > nowMs);
-    let waitMs = 0;
-    for (const cut of this.cuts) {
-      if (cut.agent !== agent || cut.address !== address) continue;
-      const isHeld =
-        cut.kind === CutKind.HOLD ||
-        cut.kind ===
-          (isToEntry ? CutKind.HOLD_TO_ENTRY : CutKind.HOLD_TO_AGENT);
-      if (isHeld) waitMs = Math.max(waitMs, cut.untilMs - nowMs);
-    }
-    return waitMs;
-  }
-
-  private isBroken({agent, address}: Connection): boolean {
-    const {nowMs} = this.time;
-    return this.cuts.some(
-      cut =>
-        cut.agent === agent &&
-        cut.address === address &&
-        cut.kind === CutKind.BREAK &&
-        cut.untilMs > nowMs,
+  private findHold(connection: Connection, direction: Direction): number {
+    return Math.max(
+      0,
+      direction.stuckUntilMs - this.time.nowMs,
+      this.faults.findHold(connection, direction.isToEntry),
     );
   }
 
@@ -271,6 +276,7 @@
     isToEntry,
     queue: [],
     lastArrivalMs: 0,
+    stuckUntilMs: 0,
     isRead: true,
     isLost: false,
   };
--- a/test/interleavings/virtual_work_fleet.ts
+++ b/test/interleavings/virtual_work_fleet.ts
@@ -21,6 +21,8 @@
 
 /** Addresses of the entries. */
 export const ENTRIES = ['entry-0:1', 'entry-1:1'];
+/** Further addresses of the same entries, in the same order. */
+const OTHER_ADDRESSES = ['entry-0.alias:1', 'entry-1.alias:1'];
 /** Names of the agents. */
 export const AGENTS = ['agent-0', 'agent-1', 'agent-2', 'agent-3'];
 
@@ -36,7 +38,7 @@
   dataCentresOut: [],
 };
 
-/** How the targets treat late orders, and what refuses calls. */
+/** How the targets treat late orders, what refuses calls, and how entries are known. */
 export interface TargetRules {
   /** Whether the lease time of a late order counts from its arrival. */
   readonly grants: boolean;
@@ -44,6 +46,8 @@
   readonly isIdKept: boolean;
   /** Whether spells of refusals refuse connections instead of answering 503. */
   readonly isCutRefused: boolean;
+  /** Whether the agents know each entry under two addresses. */
+  readonly isEntryKnownTwice?: boolean;
 }
 
 /** Settings of a fleet. */
@@ -169,11 +173,15 @@
     this.entries[index] = {process, post: scheduler.post};
     const accept = createAgentAcceptor(scheduler);
     this.links.listen(address, {process, accept});
+    this.links.listen(OTHER_ADDRESSES[index], {process, accept});
   }
 
   private startAgent(index: number): void {
-    const {time, drawRandom} = this.options;
+    const {time, drawRandom, isEntryKnownTwice = false} = this.options;
     const agent = AGENTS[index];
+    const seeds = isEntryKnownTwice
+      ? [...ENTRIES, ...OTHER_ADDRESSES]
+      : ENTRIES;
     const process = VirtualProcess.create(time);
     const incarnation = this.createIncarnation(agent);
     const common = {
@@ -197,14 +205,18 @@
     });
     const links = EntryLinkManager.create({
       ...common,
-      seeds: ENTRIES,
+      seeds,
       open: (address, listener) =>
         this.links.connect(agent, process, address, listener),
       findEntries: () => Promise.resolve(ENTRIES),
       createPing: runner.createPing,
       reportLoad: runner.reportLoad,
       post: runner.post,
-      reportLink: () => undefined,
+      reportLink: (isOpen, detail, {entry, link}) =>
+        this.record(
+          `${incarnation} link ${String(link)} to ${String(entry)} ` +
+            (isOpen ? 'opens' : `ends: ${detail}`),
+        ),
     });
     this.agents[index] = {process, runner};
   }
@@ -237,9 +249,10 @@
   private createLog(process: string): FleetLog {
     return (event, message, fields = {}) => {
       if (event === FleetEvent.STATUS) return;
-      const {agoMs, task, run, agent, end, cause, runs} = fields;
+      const {agoMs, task, run, agent, agentLife, end, cause, proof, runs} =
+        fields;
       const run1 = run === undefined ? '' : `#${String(run)}`;
-      const detail = [agent, task, end, cause, runs]
+      const detail = [agentLife ?? agent, task, end, cause, proof, runs]
         .filter(value => value !== undefined)
         .join(' ');
       const text = `${process} ${event}: ${message} ${detail}${run1}`;
--- a/test/interleavings/work_once_test.ts
+++ b/test/interleavings/work_once_test.ts
@@ -14,7 +14,7 @@
   runWorkTrial,
   WorkStepKind,
 } from './work_trial.js';
-import {CutKind} from './virtual_links.js';
+import {CutKind} from './link_faults.js';
 
 const SEED = Number(process.env.FOXTAILBAY_SEED ?? 20261205);
 /** Sequences per rule, so that CI takes under 20 s on a busy machine. */
--- a/test/interleavings/work_trial.ts
+++ b/test/interleavings/work_trial.ts
@@ -1,6 +1,7 @@
 /** Plays a sequence of faults against a virtual site. */
 import fc from 'fast-check';
-import {CutKind} from './virtual_links.js';
+import {CUT_KINDS} from './link_faults.js';
+import type {CutKind} from './link_faults.js';
 import {CallFate} from './virtual_target.js';
 import {VirtualTime} from './virtual_time.js';
 import {AGENTS, ENTRIES, VirtualWorkFleet} from './virtual_work_fleet.js';
@@ -21,12 +22,23 @@
   CRASH_TARGET = 'crash-target',
   /** Another writer sends a message to an agent. */
   FOREIGN_MESSAGE = 'foreign-message',
+  /** The link of an agent to an entry is reset again and again. */
+  RESET_LINKS = 'reset-links',
+  /** Streams between an agent and an entry fall behind, each for itself. */
+  DELAY_STREAMS = 'delay-streams',
 }
 
-/** All kinds but the messages of other writers. */
+/** Kinds of steps that sequences of their own play. */
+const SPECIAL_KINDS: ReadonlySet<WorkStepKind> = new Set([
+  WorkStepKind.FOREIGN_MESSAGE,
+  WorkStepKind.RESET_LINKS,
+  WorkStepKind.DELAY_STREAMS,
+]);
+
+/** All kinds but the messages of other writers and the troubles of single streams. */
 export const FAULT_KINDS: readonly WorkStepKind[] = Object.values(
   WorkStepKind,
-).filter(kind => kind !== WorkStepKind.FOREIGN_MESSAGE);
+).filter(kind => !SPECIAL_KINDS.has(kind));
 
 /** One step of a sequence. */
 export interface WorkStep {
@@ -48,6 +60,7 @@
 /** Creates sequences of steps of some kinds among submissions. */
 export function createWorkSteps(
   kinds: readonly WorkStepKind[],
+  cuts: readonly CutKind[] = CUT_KINDS,
 ): fc.Arbitrary<WorkStep[]> {
   return fc.array(
     fc.record({
@@ -65,7 +78,7 @@
       ),
       tasks: fc.integer({min: 1, max: 3}),
       sharePercent: fc.integer({min: 5, max: 50}),
-      cut: fc.constantFrom(...Object.values(CutKind)),
+      cut: fc.constantFrom(...cuts),
     }),
     {minLength: 8, maxLength: 30},
   );
@@ -132,6 +145,17 @@
     case WorkStepKind.CRASH_TARGET:
       fleet.targets[agent].restart(durationMs);
       break;
+    case WorkStepKind.RESET_LINKS:
+      fleet.links.reset(AGENTS[agent], ENTRIES[entry], durationMs);
+      break;
+    case WorkStepKind.DELAY_STREAMS:
+      fleet.links.pauseStreams(
+        AGENTS[agent],
+        ENTRIES[entry],
+        share,
+        durationMs,
+      );
+      break;
     case WorkStepKind.FOREIGN_MESSAGE:
       fleet.sendForeignMessage(agent);
       break;
