Refuse the hello of an agent's older link that arrives after a newer one

Callers see two runs of one task: an entry places elsewhere what the latest hello of an agent does not list.

Cause: hellos were ordered by their arrival. A closed socket goes on sending what is queued, and after a loss its packets come up to seconds behind those of the next connection. Such a hello describes a moment before the orders that were sent over the newer link; it also replaced the newer stream.

The hello now carries the number of its link, which rises within one life of the agent; an entry refuses one that is not above the latest accepted, with a line (hello-rejected). Earlier versions send no number and are taken as before.

--- a/src/lib/core/work_frames.ts
+++ b/src/lib/core/work_frames.ts
@@ -228,6 +228,11 @@
       readonly ends: readonly RunEndReport[];
       /** Highest sequence accepted from the receiving entry's incarnation. */
       readonly through: number;
+      /**
+       * Number of the link, which rises with each link of one life of the agent;
+       * not sent by earlier versions.
+       */
+      readonly link?: number;
       /** Recent crashes of its target; not sent by earlier versions. */
       readonly crashes?: readonly TargetCrash[];
     }
--- a/src/lib/observe/fleet_log.ts
+++ b/src/lib/observe/fleet_log.ts
@@ -21,6 +21,7 @@
   ENTRY_LOST = 'entry-lost',
   AGENT_CONNECTED = 'agent-connected',
   AGENT_DISCONNECTED = 'agent-away',
+  HELLO_REJECTED = 'hello-rejected',
   RUNS_OVER = 'runs-over',
   TARGET_FOUND = 'target-found',
   TARGET_READY = 'target-ready',
--- a/src/lib/work/agent/entry_reporter.ts
+++ b/src/lib/work/agent/entry_reporter.ts
@@ -115,6 +115,7 @@
         })),
       ends: [...entry.unacknowledgedEnds.values()],
       through: entry.lastOrderSequence,
+      link: linkId,
       crashes: this.crashes.list(this.options.readMonotonicMs()),
     });
     const sentAtMs = this.options.readMonotonicMs();
--- a/src/lib/work/entry/agent_frame_handler.ts
+++ b/src/lib/work/entry/agent_frame_handler.ts
@@ -190,6 +190,10 @@
     nowMs: number,
   ): void {
     const existing = this.sessions.find(hello.life);
+    if (existing?.isOutdated(hello) === true) {
+      this.rejectHello(stream, hello);
+      return;
+    }
     const session =
       existing ??
       AgentSession.create(hello, stream, nowMs, this.options.requestFlush);
@@ -197,7 +201,7 @@
       this.sessions.add(session, stream);
     } else {
       this.sessions.replaceStream(existing, existing.currentStream, stream);
-      existing.replaceStream(stream);
+      existing.replaceStream(stream, hello);
       existing.lastReceivedAtMs = nowMs;
     }
     this.options.log(FleetEvent.AGENT_CONNECTED, 'An agent has connected.', {
@@ -206,6 +210,7 @@
       held: hello.held.length,
       ends: hello.ends.length,
       through: hello.through,
+      link: hello.link,
     });
     for (const crash of hello.crashes ?? []) this.options.handleCrash(crash);
     this.resolveTasks(session, hello, nowMs);
@@ -216,6 +221,18 @@
     this.sendEntries(session);
   }
 
+  private rejectHello(
+    stream: FrameStream<EntryFrame>,
+    {agent, life, link}: AgentHello,
+  ): void {
+    this.options.log(FleetEvent.HELLO_REJECTED, 'A hello is out of date.', {
+      agent,
+      agentLife: life,
+      link,
+    });
+    stream.close();
+  }
+
   /** Resolves each task by the agent's hello: held, ended, or never received. */
   private resolveTasks(
     session: AgentSession,
--- a/src/lib/work/entry/agent_session.ts
+++ b/src/lib/work/entry/agent_session.ts
@@ -65,6 +65,8 @@
   /** Free capacity of its target, less the orders in flight. */
   free: Resources = NO_RESOURCES;
 
+  /** Highest number of the agent's links whose hello was accepted. */
+  private latestLink: number;
   private current: AgentState = AGENT_CHART.initial;
   private lastSequence = 0;
   private inFlightOrders: InFlightOrder[] = [];
@@ -78,6 +80,7 @@
     private readonly requestFlush: (session: AgentSession) => void,
   ) {
     this.lastReceivedAtMs = nowMs;
+    this.latestLink = hello.link ?? 0;
   }
 
   /**
@@ -114,8 +117,17 @@
     return this.stream;
   }
 
+  /**
+   * Returns whether a hello was written before the latest accepted one: its runs
+   * are those of a moment before orders that the agent may have received since.
+   */
+  isOutdated({link = this.latestLink + 1}: AgentHello): boolean {
+    return link <= this.latestLink;
+  }
+
   /** Switches to a new stream; frames queued for the old one are dropped. */
-  replaceStream(stream: FrameStream<EntryFrame>): void {
+  replaceStream(stream: FrameStream<EntryFrame>, hello: AgentHello): void {
+    this.latestLink = hello.link ?? this.latestLink;
     if (this.stream !== stream) this.stream.close();
     this.stream = stream;
     this.outbox = [];
