Ignore the frames of a link that another one to the same entry has replaced

Callers see two runs of one task.

Cause: an agent's hello lists the runs that it holds as it is written, and the entry places elsewhere what it does not list. The work runner took the orders of each link, so one that was on its way by the older link was started after the hello on the newer one.

Ruled out: orders in the runner's mailbox, which are handled before the hello is written.

A frame is now applied only if it comes by the entry's latest link. What an older link still carries is what its entry has given up by the hello.

--- a/src/lib/work/agent/runner_messages.ts
+++ b/src/lib/work/agent/runner_messages.ts
@@ -124,6 +124,12 @@
     }
   | {readonly kind: LinkMessageKind.TICK};
 
+/** A frame of an entry, with the link that it came by. */
+export type EntryFrameMessage = Extract<
+  RunnerMessage,
+  {kind: RunnerMessageKind.FRAME}
+>;
+
 /** The answer to a hold call, with what identifies the call. */
 export type HeldAnswer = Extract<
   RunnerMessage,
--- a/src/lib/work/agent/work_runner.ts
+++ b/src/lib/work/agent/work_runner.ts
@@ -13,7 +13,6 @@
 import type {
   AgentFrame,
   ConfigurationSummary,
-  EntryFrame,
   RunOrder,
 } from '../../core/work_frames.js';
 import {CheckTimer} from './check_timer.js';
@@ -21,7 +20,7 @@
 import {EntryReporter} from './entry_reporter.js';
 import {OwnerContacts} from './owner_contacts.js';
 import {isWithoutEffect, RunnerMessageKind} from './runner_messages.js';
-import type {RunnerMessage} from './runner_messages.js';
+import type {EntryFrameMessage, RunnerMessage} from './runner_messages.js';
 import {TargetController} from './target_controller.js';
 import {describeTarget} from './target_status.js';
 import type {WorkRunnerOptions} from './work_runner_options.js';
@@ -146,7 +145,7 @@
         entries.markWanted(message.entry, message.isWanted, nowMs);
         break;
       case RunnerMessageKind.FRAME:
-        this.handleFrame(message.entry, message.frame, nowMs);
+        this.handleFrame(message, nowMs);
         break;
       case RunnerMessageKind.TICK:
         this.runChecks(nowMs);
@@ -169,12 +168,13 @@
   }
 
   private handleFrame(
-    incarnation: string,
-    frame: EntryFrame,
+    {entry: incarnation, linkId, frame}: EntryFrameMessage,
     nowMs: number,
   ): void {
     const entry = this.entries.find(incarnation);
-    if (entry === undefined) return;
+    // The hello on the latest link lists what was received before it. An order by
+    // an older link would start a run that the entry takes for lost.
+    if (entry?.linkId !== linkId) return;
     switch (frame.kind) {
       case EntryFrameKind.HELLO:
       case EntryFrameKind.ENTRIES:
--- a/test/work/runner_fixture.ts
+++ b/test/work/runner_fixture.ts
@@ -87,6 +87,8 @@
   private target = HEARTBEAT;
   private sequence = 0;
   private handled = 0;
+  /** Latest link of each entry. */
+  private readonly links = new Map<string, number>();
   private readonly timers = new Set<() => void>();
 
   private constructor() {
@@ -190,6 +192,7 @@
 
   openLink(entry: string, linkId: number, openedAtMs: number): void {
     const kind = RunnerMessageKind.LINK_OPENED;
+    this.links.set(entry, linkId);
     this.runner.post({kind, linkId, entry, address: entry, openedAtMs});
   }
 
@@ -198,8 +201,13 @@
     this.runner.post({kind, linkId, entry, isRefused: false});
   }
 
-  send(frame: EntryFrame, entry = ENTRY): void {
-    this.runner.post({kind: RunnerMessageKind.FRAME, linkId: 1, entry, frame});
+  /** Sends a frame of an entry, by its latest link unless another is given. */
+  send(
+    frame: EntryFrame,
+    entry = ENTRY,
+    linkId = this.links.get(entry) ?? 0,
+  ): void {
+    this.runner.post({kind: RunnerMessageKind.FRAME, linkId, entry, frame});
   }
 
   sendOrder(
@@ -208,6 +216,7 @@
     cpuMilli = 1000,
     patienceMs = 5000,
     changes: Partial<RunOrder> = {},
+    linkId = this.links.get(entry),
   ): void {
     this.sequence += 1;
     this.send(
@@ -229,6 +238,7 @@
         },
       },
       entry,
+      linkId,
     );
   }
 
@@ -247,8 +257,7 @@
 
   /** Waits until no message is handled in three turns of the event loop. */
   async settle(): Promise<void> {
-    let idleTurns = 0;
-    let before = -1;
+    let [idleTurns, before] = [0, -1];
     while (idleTurns < 3) {
       idleTurns = before === this.handled ? idleTurns + 1 : 0;
       before = this.handled;
