Keep one link to an entry that an agent knows under two addresses

Callers see jobs late: each new link ends the orders that are on their way by the other.

Cause: links are kept by address, and the entry closes the older one of two streams of one life of an agent; the agent opens it again, which closes the newer.

--- a/src/lib/work/agent/entry_link_manager.ts
+++ b/src/lib/work/agent/entry_link_manager.ts
@@ -148,6 +148,11 @@
     return dueMs;
   }
 
+  private isLinkedTo(incarnation: string): boolean {
+    const links = [...this.links.values()];
+    return links.some(link => link.incarnation === incarnation);
+  }
+
   private hasOpenLink(): boolean {
     const links = [...this.links.values()];
     return links.some(({incarnation}) => incarnation !== '');
@@ -208,6 +213,11 @@
   }
 
   private markOpen(link: EntryLink, incarnation: string): void {
+    // Each of two links to one entry would replace the other without end.
+    if (this.isLinkedTo(incarnation)) {
+      this.close(link, 'linked by another address');
+      return;
+    }
     link.incarnation = incarnation;
     link.hasFailed = false;
     const {linkId, address, openedAtMs} = link;
