Order two lives of an agent by the token of their target, not by arrival

Callers see two runs of one task.

Cause: an entry takes the runs of an agent's other lives for over when a life reports that it controls the target, if it heard that life last. A killed process leaves what it had queued to the kernel, which may deliver it after its successor has taken orders: the life that is over then ends the runs of the present one.

The description of the target now carries the agent's fencing token, which each life raises above all earlier ones before it takes control; only a higher token ends the runs of another life. Where the token is lower (the target's time of day was set back), runs wait for the run expiry. Without tokens, from earlier versions, the order of arrival holds as before.

Failed before, passes now: 'keeps the runs of the present life' in test/work/late_hello_test.ts.

--- a/src/lib/core/work_frames.ts
+++ b/src/lib/core/work_frames.ts
@@ -125,6 +125,11 @@
   readonly life: string;
   readonly labels: readonly string[];
   readonly capacity: Resources;
+  /**
+   * Fencing token of the agent, which orders its lives; 0 until it is known, and
+   * not sent by earlier versions.
+   */
+  readonly token?: number;
 }
 
 /** Load of a target, as reported by its agent. */
--- a/src/lib/work/agent/target_reporter.ts
+++ b/src/lib/work/agent/target_reporter.ts
@@ -119,11 +119,11 @@
   }
 
   private describeTo({releasedAtMs}: KnownEntry): TargetDescription {
-    const {service, life, labels, capacity} = this.target;
+    const {service, life, labels, capacity, token} = this.target;
     // An entry whose link is to be closed must place nothing more here.
     const isReleased =
       releasedAtMs > 0 && this.target.phase === TargetPhase.READY;
     const phase = isReleased ? TargetPhase.DRAINING : this.target.phase;
-    return {phase, service, life, labels, capacity};
+    return {phase, service, life, labels, capacity, token};
   }
 }
--- a/src/lib/work/agent/target_status.ts
+++ b/src/lib/work/agent/target_status.ts
@@ -24,6 +24,7 @@
     life: heartbeat?.incarnation ?? '',
     labels: heartbeat?.labels ?? [],
     capacity: runs.totalCapacity,
+    token: api.token.value,
     free: health.computeFreeCapacity(),
     waiting: runs.countQueued(),
     slowness: Math.round(health.slowness * 1000) / 1000,
--- a/src/lib/work/entry/agent_frame_handler.ts
+++ b/src/lib/work/entry/agent_frame_handler.ts
@@ -139,7 +139,7 @@
   private replaceOlder(current: AgentSession, nowMs: number): void {
     for (const session of this.sessions.listOf(current.hello.agent)) {
       if (session === current) continue;
-      if (session.lastReceivedAtMs > current.lastReceivedAtMs) continue;
+      if (!isReplacedBy(session, current)) continue;
       this.options.applyEvent(session, AgentEvent.REPLACED, nowMs);
       this.options.remove(session);
     }
@@ -260,3 +260,16 @@
     }
   }
 }
+
+/**
+ * Returns whether a life of an agent is over because another one controls the
+ * target. Arrival proves nothing: what a life has sent may arrive after its end.
+ */
+function isReplacedBy(session: AgentSession, other: AgentSession): boolean {
+  const {token = 0} = session.report;
+  const {token: otherToken = 0} = other.report;
+  if (token > 0 && otherToken > 0) return otherToken > token;
+  // A life that never controlled the target has no run, and earlier versions
+  // send no token.
+  return session.lastReceivedAtMs <= other.lastReceivedAtMs;
+}
--- a/test/work/entry_fleet_fixture.ts
+++ b/test/work/entry_fleet_fixture.ts
@@ -73,6 +73,7 @@
     stream: AgentStream,
     held: readonly string[] = [],
     changes: Partial<Extract<AgentFrame, {kind: AgentFrameKind.HELLO}>> = {},
+    token?: number,
   ): void {
     this.receive(stream, {
       kind: AgentFrameKind.HELLO,
@@ -92,6 +93,7 @@
         life: 'target-life',
         labels: [],
         capacity: CAPACITY,
+        token,
       },
     });
   }
--- a/test/work/late_hello_test.ts
+++ b/test/work/late_hello_test.ts
@@ -1,5 +1,6 @@
 import {expect} from 'chai';
 import {FleetEvent} from '../../src/lib/observe/fleet_log.js';
+import {RunStatusChange} from '../../src/lib/work/entry/run_status_change.js';
 import {AgentStream, EntryFleetFixture} from './entry_fleet_fixture.js';
 
 // Guards against two runs of one task: the hello of a link that the agent has closed
@@ -50,3 +51,41 @@
     expect(next.isClosed).to.equal(false);
   });
 });
+
+// Guards against two runs of one task: what an agent sent before it was killed arrives
+// after its next life has taken orders, and counts as the end of that life.
+describe('An entry that hears an earlier life of an agent late', () => {
+  const FORMER = {life: 'former-life'};
+  const FORMER_TOKEN = 100;
+  const TOKEN = 200;
+  let entry: EntryFleetFixture;
+
+  beforeEach(() => {
+    entry = EntryFleetFixture.create();
+  });
+
+  it('keeps the runs of the present life', () => {
+    entry.sendHello(AgentStream.create(), [], {}, TOKEN);
+    entry.order('a');
+    entry.nowMs += 100;
+    entry.sendHello(AgentStream.create(), [], FORMER, FORMER_TOKEN);
+    expect(entry.changes).to.deep.equal([]);
+    const stream = AgentStream.create();
+    entry.sendHello(stream, ['a'], {}, TOKEN);
+    expect(entry.changes).to.deep.equal([['a', RunStatusChange.STILL_HELD]]);
+  });
+
+  it('takes the runs of the earlier life for over once the next one controls the target', () => {
+    entry.sendHello(AgentStream.create(), [], FORMER, FORMER_TOKEN);
+    entry.order('a', FORMER.life);
+    entry.sendHello(AgentStream.create(), [], {}, TOKEN);
+    expect(entry.changes).to.deep.equal([['a', RunStatusChange.REPLACED]]);
+  });
+
+  it('goes by the arrival if an earlier version sends no token', () => {
+    entry.sendHello(AgentStream.create(), [], FORMER);
+    entry.order('a', FORMER.life);
+    entry.sendHello(AgentStream.create(), [], {}, TOKEN);
+    expect(entry.changes).to.deep.equal([['a', RunStatusChange.REPLACED]]);
+  });
+});
