Count a run as without its owner from the end of the contact, not from its check

Callers may see two runs of one task.

Cause: two clocks of one bound again. The entry counts RUN_EXPIRY_MS from the last frame that it received; the agent counted the 180 ms in which the stop of a run without an owner has to take effect, after which the lease is no longer renewed, from the check that found the contact lost. An agent without processor time checks late, and renewed the lease before it looked at the contacts.

The time now counts from the end of the contact, and the contacts are judged before the lease is renewed. A check in time changes nothing.

--- a/src/lib/decisions/held_run.ts
+++ b/src/lib/decisions/held_run.ts
@@ -109,6 +109,11 @@
   };
 }
 
+/** Records that a run has been without its owner since a time. */
+export function markOrphaned(run: HeldRun, sinceMs: number): void {
+  run.orphanedAtMs ||= sinceMs;
+}
+
 /** Records when an event of a run happened, and why. */
 export function recordEvent(
   run: HeldRun,
--- a/src/lib/decisions/owner_contact.ts
+++ b/src/lib/decisions/owner_contact.ts
@@ -39,7 +39,13 @@
 
 /** Returns whether the runs of the entry must be stopped. */
 export function isContactLost(contact: OwnerContact, nowMs: number): boolean {
+  return nowMs > computeContactEnd(contact);
+}
+
+/** Returns the time at which the contact ends, or has ended, without an answer. */
+export function computeContactEnd(contact: OwnerContact): number {
   const {lastContactMs, resumedAtMs} = contact;
-  if (nowMs - lastContactMs > OWNER_CONTACT_TIMEOUT_MS) return true;
-  return lastContactMs <= resumedAtMs && nowMs - resumedAtMs > RESUME_GRACE_MS;
+  const endMs = lastContactMs + OWNER_CONTACT_TIMEOUT_MS;
+  if (lastContactMs > resumedAtMs) return endMs;
+  return Math.min(endMs, resumedAtMs + RESUME_GRACE_MS);
 }
--- a/src/lib/work/agent/owner_contacts.ts
+++ b/src/lib/work/agent/owner_contacts.ts
@@ -1,6 +1,10 @@
 /** Judges the agent's contact with the entries that own its runs. */
 import type {ReadSystemMs} from '../../core/clock.js';
-import {isContactFresh, isContactLost} from '../../decisions/owner_contact.js';
+import {
+  computeContactEnd,
+  isContactFresh,
+  isContactLost,
+} from '../../decisions/owner_contact.js';
 import type {OwnerContact} from '../../decisions/owner_contact.js';
 import {SuspensionDetector} from '../../decisions/suspension_detector.js';
 import {FleetEvent} from '../../observe/fleet_log.js';
@@ -46,6 +50,11 @@
     return isContactLost(this.getContact(owner), nowMs);
   }
 
+  /** Returns the time at which the contact with the owner has ended. */
+  computeEnd(owner: string): number {
+    return computeContactEnd(this.getContact(owner));
+  }
+
   private getContact(owner: string): OwnerContact {
     const lastContactMs = this.options.findLastContactMs(owner) ?? 0;
     return {lastContactMs, resumedAtMs: this.resumedAtMs};
--- a/src/lib/work/agent/work_runner.ts
+++ b/src/lib/work/agent/work_runner.ts
@@ -1,7 +1,7 @@
 /** The agent's task that runs work on the target beside it. */
 import {Task} from '../../core/task.js';
 import type {Post} from '../../core/task.js';
-import {RunEvent} from '../../decisions/held_run.js';
+import {markOrphaned, RunEvent} from '../../decisions/held_run.js';
 import {FleetEvent} from '../../observe/fleet_log.js';
 import {RequestLog} from '../../observe/request_log.js';
 import {
@@ -257,8 +257,9 @@
   }
 
   private runChecks(nowMs: number): void {
-    this.target.advance(nowMs);
+    // First, so that the lease of a run without an owner is not renewed.
     this.stopOrphaned(nowMs);
+    this.target.advance(nowMs);
     this.entries.removeStale(nowMs);
     this.entries.closeReleased(this.target.runs.listRuns(), nowMs);
     this.entries.configurations.advance(nowMs);
@@ -275,6 +276,8 @@
     for (const run of this.target.runs.listRuns()) {
       if (run.cause === cause) continue;
       if (!this.contacts.isLost(run.owner, nowMs)) continue;
+      // The owner counts from the end of the contact, not from this check.
+      markOrphaned(run, this.contacts.computeEnd(run.owner));
       this.target.stopRun(run, cause, 'No contact with the entry.', nowMs);
     }
   }
