Number an agent's orders from those that its hello tells of

Callers see jobs late or lost: the agent ignored orders without a report.

Cause: an entry removes the session of an agent 30 s after its latest frame, and numbers its orders from 1 when the agent returns; the agent, which was frozen or cut off, still holds the highest number and takes lower ones for repeated.

A new session begins at the number in the hello (through), as on the older path.

--- a/src/lib/work/entry/agent_session.ts
+++ b/src/lib/work/entry/agent_session.ts
@@ -68,7 +68,7 @@
   /** Highest number of the agent's links whose hello was accepted. */
   private latestLink: number;
   private current: AgentState = AGENT_CHART.initial;
-  private lastSequence = 0;
+  private lastSequence: number;
   private inFlightOrders: InFlightOrder[] = [];
   private latestReport = INITIAL_REPORT;
   private outbox: EntryFrame[] = [];
@@ -81,6 +81,8 @@
   ) {
     this.lastReceivedAtMs = nowMs;
     this.latestLink = hello.link ?? 0;
+    // The agent ignores an order that is not above those it knows of.
+    this.lastSequence = hello.through;
   }
 
   /**
