--- a/test/interleavings/recorded_sequences.ts
+++ b/test/interleavings/recorded_sequences.ts
@@ -13,7 +13,7 @@
 }
 
 /** What all steps have that do not say otherwise. */
-const DEFAULTS: Omit<WorkStep, 'kind'> = {
+export const DEFAULTS: Omit<WorkStep, 'kind'> = {
   agent: 0,
   entry: 0,
   afterMs: 0,
--- a/test/interleavings/unproven_contact_test.ts
+++ b/test/interleavings/unproven_contact_test.ts
@@ -1,8 +1,9 @@
 // Guards against two runs of one task where one side counts on what the other has not proven:
 // links that open on a path that carries frames one way only, and frames that arrive seconds late.
-import {checkSequences, RULES} from './work_checks.js';
 import {ONE_WAY_CUT_KINDS} from './link_faults.js';
-import {createWorkSteps, WorkStepKind} from './work_trial.js';
+import {RECORDED_LINKS} from './recorded_links.js';
+import {checkFleet, checkSequences, RULES} from './work_checks.js';
+import {createWorkSteps, runWorkTrial, WorkStepKind} from './work_trial.js';
 
 const SEED = Number(process.env.FOXTAILBAY_SEED ?? 20261205);
 /** Sequences per case, so that CI takes a few seconds. */
@@ -43,4 +44,10 @@
       await checkSequences({seed: SEED, runs: RUNS, rules, arbitrary});
     });
   }
+
+  for (const {name, seed, rules, steps} of RECORDED_LINKS) {
+    it(`run each task once where ${name}`, async () => {
+      checkFleet(await runWorkTrial(seed, steps, rules));
+    });
+  }
 });
