Judge the lease by the end of each owner's contact, whatever is handled first

Callers may see two runs of one task.

Cause: only a check marked a run as without its owner, and a check follows the messages that have arrived before it. After a stall of 400 ms the answer to a long poll, or the start of another entry's run, extended the lease of all runs to 1,800 ms after the contact; the entry takes them for over after 1,674 ms.

The lease is now extended only if for each run on the target the contact with its owner has not ended, or ended so shortly ago that its stop may still take effect, by the contacts as they are at that moment. An answer that waits in the mailbox counts as soon as it is handled.

--- a/src/lib/decisions/held_run.ts
+++ b/src/lib/decisions/held_run.ts
@@ -134,10 +134,20 @@
  */
 const ORPHAN_STOP_TIMEOUT_MS = 180;
 
-/** Returns whether a run has outlived its owner: only the end of the lease ends it. */
-export function isOutlivingOwner(run: HeldRun, nowMs: number): boolean {
+/**
+ * Returns whether a run has outlived its owner: only the end of the lease ends it.
+ *
+ * @param contactEndMs Time at which the contact with its owner ends, or has ended.
+ */
+export function isOutlivingOwner(
+  run: HeldRun,
+  contactEndMs: number,
+  nowMs: number,
+): boolean {
   const {orphanedAtMs} = run;
-  return orphanedAtMs > 0 && nowMs - orphanedAtMs > ORPHAN_STOP_TIMEOUT_MS;
+  // Not every message is preceded by a check that has marked the run.
+  const sinceMs = orphanedAtMs > 0 ? orphanedAtMs : contactEndMs;
+  return isOccupying(run) && nowMs - sinceMs > ORPHAN_STOP_TIMEOUT_MS;
 }
 
 /** Time in milliseconds after which an order is certainly not carried out any more. */
--- a/src/lib/work/agent/controller_options.ts
+++ b/src/lib/work/agent/controller_options.ts
@@ -18,6 +18,8 @@
   readonly log: FleetLog;
   readonly requests: RequestLog;
   readonly metrics: FleetMetrics;
+  /** Returns the time at which the contact with an owner ends, or has ended. */
+  readonly computeContactEnd: (owner: string) => number;
   /** Called with the end of each run. */
   readonly deliverEnd: (owner: string, report: RunEndReport) => void;
   /** Called with the runs of a target that crashed, before their ends. */
--- a/src/lib/work/agent/lease_renewer.ts
+++ b/src/lib/work/agent/lease_renewer.ts
@@ -15,6 +15,8 @@
   readonly api: TargetClient;
   /** Whether it is known what runs on the target. */
   readonly isControlled: () => boolean;
+  /** Returns the time at which the contact with an owner ends, or has ended. */
+  readonly computeContactEnd: (owner: string) => number;
 }
 
 /** Decides when the lease is renewed. Owned by the target controller. */
@@ -44,8 +46,10 @@
    * for all when the stop of a run without an owner does not take effect in time.
    */
   allowExtension(nowMs: number): boolean {
-    const runs = this.options.runs.listRuns();
-    return !runs.some(run => isOutlivingOwner(run, nowMs));
+    const {runs, computeContactEnd} = this.options;
+    return !runs
+      .listRuns()
+      .some(run => isOutlivingOwner(run, computeContactEnd(run.owner), nowMs));
   }
 
   /** Requests the run lists at once. */
--- a/src/lib/work/agent/target_controller.ts
+++ b/src/lib/work/agent/target_controller.ts
@@ -63,17 +63,15 @@
       getTarget: () => this.heartbeat?.id ?? '',
     });
     this.crashes = CrashReporter.create(options);
+    const {runs, api} = this;
     this.lease = LeaseRenewer.create({
-      runs: this.runs,
-      api: this.api,
-      isControlled: () => this.takeover.isComplete,
-    });
-    this.commands = RunCommands.create({
       ...options,
-      api: this.api,
-      health: this.health,
-      lease: this.lease,
+      runs,
+      api,
+      isControlled: () => this.takeover.isComplete,
     });
+    const {lease, health} = this;
+    this.commands = RunCommands.create({...options, api, health, lease});
     this.takeover = TargetTakeover.create({
       ...options,
       runs: this.runs,
@@ -120,8 +118,8 @@
     const hasRuns = this.runs.listRuns().length > 0;
     const isSettling =
       this.heartbeat !== undefined && !this.takeover.isComplete;
-    const isAsking = this.incarnations.isPending;
-    return hasRuns || isSettling || isAsking || this.health.isSuspect;
+    const {health, incarnations} = this;
+    return hasRuns || isSettling || incarnations.isPending || health.isSuspect;
   }
 
   /** Whether no run is left but orders whose fate is uncertain. */
--- a/src/lib/work/agent/work_runner.ts
+++ b/src/lib/work/agent/work_runner.ts
@@ -61,6 +61,7 @@
         ...options,
         linesPerSecond: MAX_LOG_LINES_PER_SECOND,
       }),
+      computeContactEnd: owner => this.contacts.computeEnd(owner),
       deliverEnd: (owner, report) => this.entries.deliverEnd(owner, report),
       publishCrash: (...crash) => this.entries.publishCrash(...crash),
     });
