Number an agent's hellos as they are written, not as their links are opened

Where one entry is known under two addresses, the link that was opened first may be greeted last, and its hello, which is the present one, had the lower number: it was refused, and a late one of the other link accepted.

The hello carries a number of its own, which rises with each hello of one life.

Failed before (the linked numbers fall), passes now: 'numbers its hellos as they are written' in test/work/replaced_link_test.ts.

--- a/src/lib/core/work_frames.ts
+++ b/src/lib/core/work_frames.ts
@@ -234,10 +234,10 @@
       /** Highest sequence accepted from the receiving entry's incarnation. */
       readonly through: number;
       /**
-       * Number of the link, which rises with each link of one life of the agent;
+       * Number of this hello, which rises with each hello of one life of the agent;
        * not sent by earlier versions.
        */
-      readonly link?: number;
+      readonly number?: number;
       /** Recent crashes of its target; not sent by earlier versions. */
       readonly crashes?: readonly TargetCrash[];
     }
--- a/src/lib/work/agent/entry_reporter.ts
+++ b/src/lib/work/agent/entry_reporter.ts
@@ -37,6 +37,8 @@
 export class EntryReporter {
   private readonly entries = EntryRegistry.create();
   private readonly crashes = CrashLog.create();
+  /** Number of the latest hello to any entry. */
+  private lastHello = 0;
   /** Carries configurations between entries. */
   readonly configurations: ConfigurationRelay;
   private readonly reporter: TargetReporter;
@@ -101,6 +103,7 @@
   ): void {
     const entry = this.entries.openLink(incarnation, linkId, openedAtMs);
     const {agent, incarnation: agentIncarnation, dataCentre} = this.options;
+    this.lastHello += 1;
     this.send(entry, {
       kind: AgentFrameKind.HELLO,
       agent,
@@ -115,7 +118,7 @@
         })),
       ends: [...entry.unacknowledgedEnds.values()],
       through: entry.lastOrderSequence,
-      link: linkId,
+      number: this.lastHello,
       crashes: this.crashes.list(this.options.readMonotonicMs()),
     });
     const sentAtMs = this.options.readMonotonicMs();
--- a/src/lib/work/entry/agent_frame_handler.ts
+++ b/src/lib/work/entry/agent_frame_handler.ts
@@ -210,7 +210,7 @@
       held: hello.held.length,
       ends: hello.ends.length,
       through: hello.through,
-      link: hello.link,
+      hello: hello.number,
     });
     for (const crash of hello.crashes ?? []) this.options.handleCrash(crash);
     this.resolveTasks(session, hello, nowMs);
@@ -223,12 +223,12 @@
 
   private rejectHello(
     stream: FrameStream<EntryFrame>,
-    {agent, life, link}: AgentHello,
+    {agent, life, number}: AgentHello,
   ): void {
     this.options.log(FleetEvent.HELLO_REJECTED, 'A hello is out of date.', {
       agent,
       agentLife: life,
-      link,
+      hello: number,
     });
     stream.close();
   }
--- a/src/lib/work/entry/agent_session.ts
+++ b/src/lib/work/entry/agent_session.ts
@@ -65,8 +65,8 @@
   /** Free capacity of its target, less the orders in flight. */
   free: Resources = NO_RESOURCES;
 
-  /** Highest number of the agent's links whose hello was accepted. */
-  private latestLink: number;
+  /** Highest number of the agent's hellos that were accepted. */
+  private latestHello: number;
   private current: AgentState = AGENT_CHART.initial;
   private lastSequence: number;
   private inFlightOrders: InFlightOrder[] = [];
@@ -80,7 +80,7 @@
     private readonly requestFlush: (session: AgentSession) => void,
   ) {
     this.lastReceivedAtMs = nowMs;
-    this.latestLink = hello.link ?? 0;
+    this.latestHello = hello.number ?? 0;
     // The agent ignores an order that is not above those it knows of.
     this.lastSequence = hello.through;
   }
@@ -123,13 +123,13 @@
    * Returns whether a hello was written before the latest accepted one: its runs
    * are those of a moment before orders that the agent may have received since.
    */
-  isOutdated({link = this.latestLink + 1}: AgentHello): boolean {
-    return link <= this.latestLink;
+  isOutdated({number}: AgentHello): boolean {
+    return number !== undefined && number <= this.latestHello;
   }
 
   /** Switches to a new stream; frames queued for the old one are dropped. */
   replaceStream(stream: FrameStream<EntryFrame>, hello: AgentHello): void {
-    this.latestLink = hello.link ?? this.latestLink;
+    this.latestHello = hello.number ?? this.latestHello;
     if (this.stream !== stream) this.stream.close();
     this.stream = stream;
     this.outbox = [];
--- a/test/work/foreign_heartbeat_test.ts
+++ b/test/work/foreign_heartbeat_test.ts
@@ -2,7 +2,8 @@
 import {RunEnd, TargetPhase} from '../../src/lib/core/work_frames.js';
 import {OrderOutcome} from '../../src/lib/work/agent/target_api.js';
 import type {TargetHeartbeat} from '../../src/lib/work/agent/target_api.js';
-import {CAPACITY, ENTRY, PEER, RunnerFixture} from './runner_fixture.js';
+import {CAPACITY} from './first_heartbeat.js';
+import {ENTRY, PEER, RunnerFixture} from './runner_fixture.js';
 
 const FOREIGN: ReadonlyMap<string, Partial<TargetHeartbeat>> = new Map([
   [
--- a/test/work/late_hello_test.ts
+++ b/test/work/late_hello_test.ts
@@ -14,9 +14,9 @@
     entry = EntryFleetFixture.create();
     present = AgentStream.create();
     late = AgentStream.create();
-    entry.sendHello(present, [], {link: 2});
+    entry.sendHello(present, [], {number: 2});
     entry.order('a');
-    entry.sendHello(late, [], {link: 1});
+    entry.sendHello(late, [], {number: 1});
   });
 
   it('does not take the runs of the agent for over', () => {
@@ -34,20 +34,20 @@
 
   it('logs the hello', () => {
     expect(entry.listLines(FleetEvent.HELLO_REJECTED)).to.deep.equal([
-      {agent: 'agent-1', agentLife: 'agent-life', link: 1},
+      {agent: 'agent-1', agentLife: 'agent-life', hello: 1},
     ]);
   });
 
   it('accepts the hello of a newer link', () => {
     const next = AgentStream.create();
-    entry.sendHello(next, ['a'], {link: 3});
+    entry.sendHello(next, ['a'], {number: 3});
     expect(present.isClosed).to.equal(true);
     expect(next.isClosed).to.equal(false);
   });
 
   it('accepts a hello of an earlier version, which has no number', () => {
     const next = AgentStream.create();
-    entry.sendHello(next, ['a'], {link: undefined});
+    entry.sendHello(next, ['a'], {number: undefined});
     expect(next.isClosed).to.equal(false);
   });
 });
--- a/test/work/replaced_link_test.ts
+++ b/test/work/replaced_link_test.ts
@@ -1,5 +1,6 @@
 import {expect} from 'chai';
-import {CAPACITY, ENTRY, PEER, RunnerFixture} from './runner_fixture.js';
+import {CAPACITY} from './first_heartbeat.js';
+import {ENTRY, PEER, RunnerFixture} from './runner_fixture.js';
 
 const FORMER_LINK = 1;
 const LATEST_LINK = 3;
@@ -46,4 +47,10 @@
     await fixture.settle();
     expect(fixture.listStarted()).to.deep.equal([]);
   });
+
+  it('numbers its hellos as they are written, not as the links were opened', async () => {
+    fixture.openLink(ENTRY, LATEST_LINK - 1, fixture.nowMs);
+    await fixture.settle();
+    expect(fixture.hellos).to.deep.equal([1, 2, 3, 4]);
+  });
 });
--- a/test/work/runner_fixture.ts
+++ b/test/work/runner_fixture.ts
@@ -24,28 +24,12 @@
   TargetHeartbeat,
 } from '../../src/lib/work/agent/target_api.js';
 import {WorkRunner} from '../../src/lib/work/agent/work_runner.js';
+import {HEARTBEAT} from './first_heartbeat.js';
 
 /** Entries that the runner is linked to. */
 export const ENTRY = 'entry-life';
 export const PEER = 'peer-life';
 
-/** Capacity of the target. */
-export const CAPACITY = {cpuMilli: 2000, memoryMb: 1000, accelerators: 0};
-
-/** First heartbeat of the target. */
-const HEARTBEAT: TargetHeartbeat = {
-  incarnation: 't1-life',
-  startMs: 1,
-  id: 't1',
-  service: 'runner',
-  dataCentre: 'zone-a',
-  phase: TargetPhase.READY,
-  capacity: CAPACITY,
-  labels: [],
-  sequence: 1,
-  clockMs: undefined,
-};
-
 /** Kinds of call to the target. */
 export enum CallKind {
   START = 'start',
@@ -64,6 +48,8 @@
   /** Crashes as reported in frames of their own and in the latest hello. */
   readonly crashes: TargetCrash[] = [];
   greeted: readonly TargetCrash[] = [];
+  /** Numbers of the hellos, in the order in which they were written. */
+  readonly hellos: Array<number | undefined> = [];
   nowMs = 10_000;
   /** Clock of the target less the monotonic clock. */
   targetOffsetMs = 0;
@@ -257,7 +243,8 @@
 
   /** Waits until no message is handled in three turns of the event loop. */
   async settle(): Promise<void> {
-    let [idleTurns, before] = [0, -1];
+    let idleTurns = 0;
+    let before = -1;
     while (idleTurns < 3) {
       idleTurns = before === this.handled ? idleTurns + 1 : 0;
       before = this.handled;
@@ -288,7 +275,10 @@
   private record(frame: AgentFrame): void {
     if (frame.kind === AgentFrameKind.END) this.ends.push(frame.report);
     if (frame.kind === AgentFrameKind.CRASH) this.crashes.push(frame.crash);
-    if (frame.kind === AgentFrameKind.HELLO) this.greeted = frame.crashes ?? [];
+    if (frame.kind === AgentFrameKind.HELLO) {
+      this.greeted = frame.crashes ?? [];
+      this.hellos.push(frame.number);
+    }
     if (frame.kind === AgentFrameKind.TARGET) {
       this.phases.push(frame.target.phase);
       this.capacity = frame.target.capacity.cpuMilli;
--- a/test/work/target_rebirth_test.ts
+++ b/test/work/target_rebirth_test.ts
@@ -1,6 +1,7 @@
 import {expect} from 'chai';
 import {RunEnd} from '../../src/lib/core/work_frames.js';
-import {CAPACITY, ENTRY, PEER, RunnerFixture} from './runner_fixture.js';
+import {CAPACITY} from './first_heartbeat.js';
+import {ENTRY, PEER, RunnerFixture} from './runner_fixture.js';
 
 const SMALL = {...CAPACITY, cpuMilli: 1000};
 
--- a/test/work/work_runner_test.ts
+++ b/test/work/work_runner_test.ts
@@ -3,7 +3,8 @@
 import {RESUME_GRACE_MS} from '../../src/lib/decisions/owner_contact.js';
 import {OrderOutcome} from '../../src/lib/work/agent/target_api.js';
 import {waitUntil} from '../wait_until.js';
-import {CAPACITY, ENTRY, PEER, RunnerFixture} from './runner_fixture.js';
+import {CAPACITY} from './first_heartbeat.js';
+import {ENTRY, PEER, RunnerFixture} from './runner_fixture.js';
 
 const FREEZE_MS = 1600;
 
