Place nothing on a life of an agent that is over, and keep the one without a token

- A former life that is heard late stayed usable beside the present one, and orders went to its stream until that ended.
A life is now ended, and its stream closed, whichever of the two speaks.
- A present life that has no token yet was removed when a former one was heard.
Only a higher token of a life that controls the target ends another one.
- A session that a late hello began kept its low number of orders when the next hello told of a higher one.

--- a/src/lib/work/entry/agent_frame_handler.ts
+++ b/src/lib/work/entry/agent_frame_handler.ts
@@ -139,12 +139,17 @@
   private replaceOlder(current: AgentSession, nowMs: number): void {
     for (const session of this.sessions.listOf(current.hello.agent)) {
       if (session === current) continue;
-      if (!isReplacedBy(session, current)) continue;
-      this.options.applyEvent(session, AgentEvent.REPLACED, nowMs);
-      this.options.remove(session);
+      if (isReplacedBy(session, current)) this.replace(session, nowMs);
+      else if (isReplacedBy(current, session)) this.replace(current, nowMs);
     }
   }
 
+  private replace(session: AgentSession, nowMs: number): void {
+    this.options.applyEvent(session, AgentEvent.REPLACED, nowMs);
+    session.closeStream();
+    this.options.remove(session);
+  }
+
   /** Sends the summary of a configuration unless the agent knows it. */
   sendSummary(
     session: AgentSession,
@@ -266,10 +271,12 @@
  * target. Arrival proves nothing: what a life has sent may arrive after its end.
  */
 function isReplacedBy(session: AgentSession, other: AgentSession): boolean {
-  const {token = 0} = session.report;
-  const {token: otherToken = 0} = other.report;
-  if (token > 0 && otherToken > 0) return otherToken > token;
-  // A life that never controlled the target has no run, and earlier versions
-  // send no token.
-  return session.lastReceivedAtMs <= other.lastReceivedAtMs;
+  const {token} = session.report;
+  const {token: otherToken, phase} = other.report;
+  if (phase === TargetPhase.ABSENT) return false;
+  if (token === undefined || otherToken === undefined) {
+    // Earlier versions send no token.
+    return session.lastReceivedAtMs <= other.lastReceivedAtMs;
+  }
+  return token > 0 && otherToken > token;
 }
--- a/src/lib/work/entry/agent_session.ts
+++ b/src/lib/work/entry/agent_session.ts
@@ -130,6 +130,7 @@
   /** Switches to a new stream; frames queued for the old one are dropped. */
   replaceStream(stream: FrameStream<EntryFrame>, hello: AgentHello): void {
     this.latestHello = hello.number ?? this.latestHello;
+    this.lastSequence = Math.max(this.lastSequence, hello.through);
     if (this.stream !== stream) this.stream.close();
     this.stream = stream;
     this.outbox = [];
