--- a/test/fleet/fleet_fixture.ts
+++ b/test/fleet/fleet_fixture.ts
@@ -23,6 +23,7 @@
 import {NO_OP_FLEET_METRICS} from '../../src/lib/observe/fleet_metrics.js';
 import {WorkAgent} from '../../src/lib/work/agent/work_agent.js';
 import {WorkEntry} from '../../src/lib/work/entry/work_entry.js';
+import type {WorkEntryOptions} from '../../src/lib/work/entry/work_entry.js';
 import {
   openLineServer,
   openLineStream,
@@ -112,13 +113,17 @@
   }
 
   /** Starts an entry; returns its addresses for agents, callers and readiness checks. */
-  async startEntry(name: string): Promise<{
+  async startEntry(
+    name: string,
+    changes: Partial<WorkEntryOptions> = {},
+  ): Promise<{
     readonly links: string;
     readonly callers: string;
     readonly ready: string;
     readonly server: RunningServer;
   }> {
-    const linkAddress = `127.0.0.1:${await findFreePort()}`;
+    const linkAddress =
+      changes.linkAddress ?? `127.0.0.1:${await findFreePort()}`;
     const callers = `127.0.0.1:${await findFreePort()}`;
     const ready = `127.0.0.1:${await findFreePort()}`;
     const log = this.createLog(name);
@@ -141,6 +146,7 @@
       drawRandom: Math.random,
       log,
       metrics: NO_OP_FLEET_METRICS,
+      ...changes,
     });
     await entry.start();
     this.linkAddresses.push(linkAddress);
