--- a/test/fleet/one_way_link_test.ts
+++ b/test/fleet/one_way_link_test.ts
@@ -1,5 +1,5 @@
 import {expect} from 'chai';
-import {startTimer} from '../../src/lib/core/clock.js';
+import {repeatTimer, startTimer} from '../../src/lib/core/clock.js';
 import {FleetEvent} from '../../src/lib/observe/fleet_log.js';
 import {openLineStream} from '../../src/lib/work/link/line_stream.js';
 import {RUN_EXPIRY_MS} from '../../src/lib/work/entry/run_expiry.js';
@@ -24,10 +24,6 @@
   readonly relay: RelayServer;
 }
 
-function pause(durationMs: number): Promise<void> {
-  return new Promise(resolve => startTimer(durationMs, resolve));
-}
-
 // Guards against two runs of one task: an agent whose messages get lost takes a link
 // that opens for contact, and goes on with runs that its entry places elsewhere.
 describe('Agents whose links open but carry messages one way only', function () {
@@ -103,11 +99,11 @@
       const [cut] = nodes.filter(isRunning);
       const [other] = nodes.filter(node => node !== cut);
       await control(cut.relay, {action: DirectionEvent.HOLD});
-      await waitUntil('it runs on the other target', async () => {
-        if (isReset) await control(cut.relay, {reset: true});
-        await pause(RESET_PERIOD_MS);
-        return isRunning(other);
+      const stopResets = repeatTimer(startTimer, RESET_PERIOD_MS, () => {
+        if (isReset) void control(cut.relay, {reset: true});
       });
+      await waitUntil('it runs on the other target', () => isRunning(other));
+      stopResets();
       const isTwice = isRunning(cut);
       await control(cut.relay, {action: DirectionEvent.RESTORE});
       await submission;
