--- a/src/lib/core/work_job.ts
+++ b/src/lib/core/work_job.ts
@@ -128,3 +128,8 @@
   memoryMb: 0,
   accelerators: 0,
 };
+
+/** Creates an answer that asks for no retry. */
+export function createAnswer(end: JobEnd, reason: JobReason): JobAnswer {
+  return {end, reason, retryAfterMs: 0};
+}
--- a/src/lib/decisions/held_run.ts
+++ b/src/lib/decisions/held_run.ts
@@ -124,7 +124,6 @@
   run.cause = cause;
   if (event === RunEvent.ACCEPTED) run.acceptedAtMs = nowMs;
   if (event === RunEvent.STOP_ANSWERED) run.stopAnsweredAtMs = nowMs;
-  if (cause === RunEndCause.OWNER_UNREACHABLE) run.orphanedAtMs ||= nowMs;
 }
 
 /**
--- a/src/lib/work/agent/entry_registry.ts
+++ b/src/lib/work/agent/entry_registry.ts
@@ -25,7 +25,7 @@
   /**
    * Local send time of the latest ping that this incarnation has answered; 0
    * before the first. A link that opens proves nothing: the entry greets it before
-   * it has received anything, and counts on the agent by what it receives.
+   * it has received anything.
    */
   lastContactMs: number;
   /** Local time at which the agent began to open its latest link. */
--- a/src/lib/work/entry/active_job.ts
+++ b/src/lib/work/entry/active_job.ts
@@ -10,11 +10,11 @@
 import {formatTaskName} from '../../core/work_job.js';
 import type {
   JobAnswer,
-  JobEnd,
   JobReason,
   JobRequest,
   StepSpec,
 } from '../../core/work_job.js';
+import type {RunOverProof} from './run_status_change.js';
 import {JOB_CHART, JobState, TASK_CHART, TaskState} from './work_charts.js';
 
 /** Sends a caller the answer to its job. */
@@ -147,14 +147,12 @@
   };
 }
 
-/** Creates an answer that asks for no retry. */
-export function createAnswer(end: JobEnd, reason: JobReason): JobAnswer {
-  return {end, reason, retryAfterMs: 0};
-}
-
-/** Describes the latest run of a task for the log. */
-export function describeRun({name, run, agent}: ActiveTask): LineFields {
-  return {task: name, run, agentLife: agent};
+/** Describes the latest run of a task, and why it is over, for the log. */
+export function describeReturn(
+  {name, run, agent}: ActiveTask,
+  proof: RunOverProof,
+): LineFields {
+  return {task: name, run, agentLife: agent, proof};
 }
 
 /** Describes a job in each of its log lines. */
--- a/src/lib/work/entry/agent_fleet.ts
+++ b/src/lib/work/entry/agent_fleet.ts
@@ -46,7 +46,8 @@
       ...options,
       sessions: this.sessions,
       requestFlush: session => this.unflushed.add(session),
-      applyEvent: (...change) => this.applyEvent(...change),
+      applyEvent: (session, event, nowMs) =>
+        this.applyEvent(session, event, nowMs),
       remove: session => this.remove(session),
       getLinksPerAgent: () => this.subsetSize.value,
     });
--- a/src/lib/work/entry/job_registry.ts
+++ b/src/lib/work/entry/job_registry.ts
@@ -3,13 +3,12 @@
 import type {LineFields} from '../../observe/request_log.js';
 import {isTargetFault, RunEnd} from '../../core/work_frames.js';
 import type {RunEndReport} from '../../core/work_frames.js';
-import {JobEnd, JobReason} from '../../core/work_job.js';
+import {createAnswer, JobEnd, JobReason} from '../../core/work_job.js';
 import type {JobAnswer} from '../../core/work_job.js';
 import {
-  createAnswer,
   describeEnd,
   describeJob,
-  describeRun,
+  describeReturn,
   listUnblocked,
 } from './active_job.js';
 import type {ActiveJob, ActiveTask, AnswerCaller} from './active_job.js';
@@ -196,10 +195,7 @@
       case RunStatusChange.EXPIRED:
       case RunStatusChange.NOT_LISTED:
       case RunStatusChange.REPLACED:
-        this.logJob(task.job, FleetEvent.TASK_RETURNED, 'A run is over.', {
-          ...describeRun(task),
-          proof: change,
-        });
+        this.logReturn(task, describeReturn(task, change));
         this.options.releaseTask(task);
         this.applyEvent(task, TaskEvent.REQUEUE);
         this.enqueueIfWaiting(task);
@@ -207,6 +203,10 @@
     }
   }
 
+  private logReturn({job}: ActiveTask, fields: LineFields): void {
+    this.logJob(job, FleetEvent.TASK_RETURNED, 'A run is over.', fields);
+  }
+
   /** Adds a line to the log of a job. */
   logJob(
     job: ActiveJob,
@@ -229,9 +229,9 @@
   }
 
   private advance(job: ActiveJob, nowMs: number): void {
+    if (job.remainingTasks > 0) return this.unblock(job);
     const answer = createAnswer(JobEnd.COMPLETED, JobReason.NONE);
-    if (job.remainingTasks > 0) this.unblock(job);
-    else this.end(job, JobEvent.COMPLETE, answer, nowMs);
+    this.end(job, JobEvent.COMPLETE, answer, nowMs);
   }
 
   /** Ends a job that cannot be completed. */
--- a/test/work/returning_agent_test.ts
+++ b/test/work/returning_agent_test.ts
@@ -5,7 +5,7 @@
 /** Silence after which the entry has removed the session of an agent. */
 const SILENCE_MS = 40_000;
 
-// Guards against orders that are ignored without a word: the entry removes the session
+// Guards against orders that are ignored without a report: the entry removes the session
 // of a silent agent and numbers its orders anew, while the agent, frozen or with a link
 // that opened again and again, still holds the highest number and drops the rest.
 describe('An agent that returns to an entry that has removed its session', () => {
