--- a/stand_ins/fleet_target.ts
+++ b/stand_ins/fleet_target.ts
@@ -7,24 +7,8 @@
   FleetTargetOptions,
   TargetViolations,
 } from './fleet_target_options.js';
-
-interface Run {
-  readonly task: string;
-  readonly run: number;
-  readonly payload: string;
-  readonly startedAtMs: number;
-  readonly timer: NodeJS.Timeout | undefined;
-}
-
-interface RequestBody {
-  readonly task: string;
-  readonly run: number;
-  readonly spec: string;
-  readonly deadlineMs?: number;
-  readonly fencingToken?: number;
-  readonly ackedThrough?: number;
-  readonly waitMs?: number;
-}
+import {RunOutcome} from './fleet_target_run.js';
+import type {EndedRun, RequestBody, Run} from './fleet_target_run.js';
 
 const HEARTBEAT_PERIOD_MS = 200;
 const CRASH_DELAY_MS = 5;
@@ -35,14 +19,6 @@
 const MAX_BODY_BYTES = 65_536;
 const REQUEST_TIMEOUT_MS = 10_000;
 
-type EndedRun = [
-  number: number,
-  task: string,
-  run: number,
-  outcome: string,
-  savedState: string,
-];
-
 /** Runs tasks, counts violations of its limits and sends heartbeats. */
 export class FleetTarget {
   /** Violations so far. */
@@ -89,7 +65,12 @@
 
   /** `host:port` that requests are sent to. */
   get address(): string {
-    return `127.0.0.1:${this.listener?.port}`;
+    return `${this.host}:${this.listener?.port}`;
+  }
+
+  /** Whether an incarnation is up, not between a crash and its rebirth. */
+  get isOpen(): boolean {
+    return this.listener !== undefined;
   }
 
   /** Returns the ids of the running tasks. */
@@ -101,10 +82,16 @@
   async close(): Promise<void> {
     clearTimeout(this.rebirth);
     for (const timer of this.timers) clearInterval(timer);
-    for (const {timer} of this.runs.values()) clearTimeout(timer);
+    for (const {task, run, timer} of this.runs.values()) {
+      clearTimeout(timer);
+      const outcome = RunOutcome.CRASHED;
+      this.options.reportRun?.({task, run, outcome, lateMs: 0});
+    }
     this.runs.clear();
-    this.listener?.server.closeAllConnections();
-    await this.listener?.close();
+    const {listener} = this;
+    this.listener = undefined;
+    listener?.server.closeAllConnections();
+    await listener?.close();
   }
 
   /** Ends without notice, and starts again under the same id and address. */
@@ -126,7 +113,7 @@
     this.startMs = Math.round(performance.timeOrigin + performance.now());
     this.startedAtMs = performance.now();
     this.listener = await openHttpListener({
-      host: '127.0.0.1',
+      host: this.host,
       port,
       requestTimeoutMs: REQUEST_TIMEOUT_MS,
       handle: (request, response) => void this.serve(request, response),
@@ -137,6 +124,10 @@
     ];
   }
 
+  private get host(): string {
+    return this.options.host ?? '127.0.0.1';
+  }
+
   private get clockMs(): number {
     return Math.round(performance.now() - this.startedAtMs) + 1000;
   }
@@ -209,10 +200,11 @@
     if (used > this.cpuMilli) this.violations.overCapacity += 1;
     this.started.push(task);
     const runMs = this.options.computeRunMs(spec);
-    const outcome = runMs < 0 ? 'failed' : 'done';
+    const outcome = runMs < 0 ? RunOutcome.FAILED : RunOutcome.DONE;
     const timer = setTimeout(() => this.end(task, outcome), Math.abs(runMs));
     const startedAtMs = performance.now();
     this.runs.set(task, {task, run, payload: spec, startedAtMs, timer});
+    this.options.reportRun?.({task, run, lateMs: 0});
     if (this.options.isDeadly?.(spec) === true) {
       setTimeout(() => {
         if (!this.runs.has(task)) return;
@@ -229,12 +221,12 @@
       Math.max(run, this.highestClosedRuns.get(task) ?? 0),
     );
     if (this.runs.get(task)?.run === run) {
-      setTimeout(() => this.end(task, 'stopped'), STOP_DELAY_MS);
+      setTimeout(() => this.end(task, RunOutcome.STOPPED), STOP_DELAY_MS);
     }
     return '';
   }
 
-  private end(task: string, outcome: string): void {
+  private end(task: string, outcome: RunOutcome, lateMs = 0): void {
     const run = this.runs.get(task);
     if (run === undefined) return;
     clearTimeout(run.timer);
@@ -243,10 +235,11 @@
       task,
       Math.max(run.run, this.highestClosedRuns.get(task) ?? 0),
     );
+    this.options.reportRun?.({task, run: run.run, outcome, lateMs});
     this.endCount += 1;
     this.ended.push([this.endCount, task, run.run, outcome, '']);
-    if (outcome === 'done') this.done.push(task);
-    if (outcome === 'stopped') this.stopped.push(task);
+    if (outcome === RunOutcome.DONE) this.done.push(task);
+    if (outcome === RunOutcome.STOPPED) this.stopped.push(task);
     for (const reply of [...this.pendingHolds]) reply();
   }
 
@@ -282,8 +275,11 @@
   }
 
   private checkLease(): void {
-    if (this.clockMs <= this.deadlineMs) return;
-    for (const {task} of [...this.runs.values()]) this.end(task, 'lapsed');
+    const lateMs = this.clockMs - this.deadlineMs;
+    if (lateMs <= 0) return;
+    for (const {task} of [...this.runs.values()]) {
+      this.end(task, RunOutcome.LAPSED, lateMs);
+    }
   }
 
   private answer(
--- a/stand_ins/fleet_target_options.ts
+++ b/stand_ins/fleet_target_options.ts
@@ -1,4 +1,5 @@
 /** Options and counters of the stand-in for a target that runs tasks under a lease. */
+import type {RunReport} from './fleet_target_run.js';
 
 /** Violations by the caller, as the target counts them. */
 export interface TargetViolations {
@@ -15,6 +16,8 @@
   readonly dataCentre: string;
   /** Capacity in thousandths of a core. */
   readonly cpuMilli: number;
+  /** Loopback host to listen on; 127.0.0.1 if absent. */
+  readonly host?: string;
   /** Address that heartbeats are sent to, `host:port`. */
   readonly agentAddress: string;
   /**
@@ -31,4 +34,6 @@
   readonly isAnswered?: (path: string) => boolean;
   /** Whether a task crashes the target soon after its start. */
   readonly isDeadly?: (payload: string) => boolean;
+  /** Receives each start and end of a run. */
+  readonly reportRun?: (report: RunReport) => void;
 }
