--- a/tools/soak/caller.ts
+++ b/tools/soak/caller.ts
@@ -77,7 +77,7 @@
     this.lastJob += 1;
     const id = ((index + 1) * 2 ** 32 + this.lastJob).toString(16);
     const {least, most} = RUN_MS;
-    const runMs = Math.round(least * (most / least) ** drawRandom());
+    const runMs = Math.round(least * (most / least) ** Math.sqrt(drawRandom()));
     const count = 1 + Math.floor(drawRandom() * MAX_TASKS);
     const step = {count, cpu: TASK_CPU_MILLI, memMb: 10, estimateMs: runMs};
     const spec = `${runMs}/${TASK_CPU_MILLI}`;
--- a/tools/soak/draw_faults.ts
+++ b/tools/soak/draw_faults.ts
@@ -54,7 +54,10 @@
 
 const MAX_FAULTS = 3;
 const MAX_OFFSET_MS = 900;
-const DURATION_MS = {least: 150, most: 4500};
+/** Share of the silent links that are also reset again and again. */
+const RESETS_WHILE_SILENT = 0.5;
+
+const DURATION_MS = {least: 300, most: 5000};
 const RESTART_MS = {least: 100, most: 1500};
 const DELAY_MS = {least: 20, most: 700};
 const RESET_PERIOD_MS = {least: 80, most: 500};
@@ -74,7 +77,13 @@
     const count = 1 + Math.floor(drawRandom() * MAX_FAULTS);
     for (let fault = 0; fault < count; fault += 1) {
       const offsetMs = fault === 0 ? 0 : drawRandom() * MAX_OFFSET_MS;
-      faults.push(drawFault(atMs + offsetMs, place, drawRandom));
+      const drawn = drawFault(atMs + offsetMs, place, drawRandom);
+      faults.push(drawn);
+      const isSilent =
+        drawn.kind === FaultKind.HOLD || drawn.kind === FaultKind.LOSE;
+      if (!isSilent || drawRandom() > RESETS_WHILE_SILENT) continue;
+      const delayMs = drawBetween(RESET_PERIOD_MS, drawRandom);
+      faults.push({...drawn, kind: FaultKind.RESETS, delayMs});
     }
     atMs += periodMs * 2 * drawRandom();
   }
