--- a/stand_ins/delay_line.ts
+++ b/stand_ins/delay_line.ts
@@ -30,6 +30,8 @@
 export interface LineRule {
   readonly delayMs: number;
   readonly isHeld: boolean;
+  /** Whether items are dropped instead of being queued. */
+  readonly isLossy?: boolean;
 }
 
 interface QueuedItem {
@@ -45,6 +47,7 @@
   private readonly queue: QueuedItem[] = [];
   private stopTimer: StopTimer | undefined;
   private queuedBytes = 0;
+  private hasLost = false;
   /** Running estimate of how late timers fire; delays are shortened by it. */
   private errorMs = 0;
 
@@ -63,8 +66,17 @@
     return this.queuedBytes;
   }
 
+  /** Whether an item has been dropped, so that the stream has a gap. */
+  get hasGap(): boolean {
+    return this.hasLost;
+  }
+
   /** Queues an item; delivers it at once if it is due. */
   push(item: StreamItem): void {
+    if (this.rule.isLossy === true) {
+      this.hasLost = true;
+      return;
+    }
     const lastMs = this.queue.at(-1)?.dueMs ?? 0;
     const dueMs = this.options.readMonotonicMs() + this.rule.delayMs;
     this.queue.push({item, dueMs: Math.max(dueMs, lastMs)});
--- a/stand_ins/relay_connection.ts
+++ b/stand_ins/relay_connection.ts
@@ -20,6 +20,9 @@
   readonly port: number;
 }
 
+/** Converts the bytes that the server sends. */
+export type ConvertBytes = (bytes: Buffer) => Buffer;
+
 enum MessageKind {
   ITEM,
   DRAINED,
@@ -55,6 +58,7 @@
     address: RelayAddress,
     rules: RelayRules,
     private readonly notifyEnd: (connection: RelayConnection) => void,
+    convert: ConvertBytes,
   ) {
     this.task = createStandInTask<Message>('relay-connection', message =>
       this.handle(message),
@@ -64,8 +68,8 @@
       [Direction.FORWARD]: this.createLine(Direction.FORWARD, rules),
       [Direction.BACKWARD]: this.createLine(Direction.BACKWARD, rules),
     };
-    this.listen(client, Direction.FORWARD);
-    this.listen(this.server, Direction.BACKWARD);
+    this.listen(client, Direction.FORWARD, bytes => bytes);
+    this.listen(this.server, Direction.BACKWARD, convert);
     this.task.store.add(() => this.release());
   }
 
@@ -78,11 +82,15 @@
     address: RelayAddress,
     rules: RelayRules,
     notifyEnd: (connection: RelayConnection) => void,
+    convert: ConvertBytes = bytes => bytes,
   ): RelayConnection {
-    return new RelayConnection(client, address, rules, notifyEnd);
+    return new RelayConnection(client, address, rules, notifyEnd, convert);
   }
 
-  /** Changes the delay rules of both directions. */
+  /**
+   * Changes the rules of both directions. A connection that has lost bytes is reset
+   * when the direction that lost them delivers again.
+   */
   setRules(rules: RelayRules): void {
     this.task.post({kind: MessageKind.RULES, rules});
   }
@@ -97,9 +105,15 @@
     return this.task.stop();
   }
 
-  private listen(source: Socket, direction: Direction): void {
+  private listen(
+    source: Socket,
+    direction: Direction,
+    convert: ConvertBytes,
+  ): void {
     source.setNoDelay(true);
-    source.on('data', (item: Buffer) => this.receive(direction, item));
+    source.on('data', (bytes: Buffer) =>
+      this.receive(direction, convert(bytes)),
+    );
     source.on('end', () => this.receive(direction, StreamEnd.FINISHED));
     source.on('drain', () =>
       // The sink of one direction is the source of the other.
@@ -133,7 +147,10 @@
         return this.limitReading(message.direction);
       case MessageKind.RULES:
         for (const direction of Object.values(Direction)) {
-          this.lines[direction].setRule(message.rules[direction]);
+          const rule = message.rules[direction];
+          const line = this.lines[direction];
+          line.setRule(rule);
+          if (line.hasGap && rule.isLossy !== true) this.reset();
         }
         return;
       case MessageKind.RESET:
--- a/tools/soak/deploy_programs.ts
+++ b/tools/soak/deploy_programs.ts
@@ -3,8 +3,8 @@
 import {join} from 'node:path';
 import {fileURLToPath} from 'node:url';
 import {Role} from './fault.js';
-import {SoakPort} from './soak_network.js';
 import {SoakError} from './soak_error.js';
+import {SoakPort} from './soak_network.js';
 
 /** Root of the repository, from which the programs run. */
 export const ROOT = fileURLToPath(new URL('../../..', import.meta.url));
@@ -18,12 +18,28 @@
 /** Service of the targets. */
 export const SERVICE = 'runner';
 
-/** Time in milliseconds between the stop signal and the kill. */
-export const STOP_WITHIN_MS = 6000;
+/** Time in seconds between the stop signal and the kill. */
+export const STOP_WITHIN_S = 6;
 
-const MS_PER_S = 1000;
-const HEARTBEAT_PERIOD_MS = 200;
-const JOB_TIMEOUT_MS = 20_000;
+/** Configuration with one queue, whose jobs callers do not submit again. */
+export const CONFIGURATION = {
+  version: 1,
+  routes: [
+    {
+      name: 'queue',
+      host: QUEUE_HOST,
+      prefix: QUEUE_PREFIX,
+      type: 'non_idempotent',
+      targetDurationMs: 60,
+      priority: 0,
+      service: SERVICE,
+      maxAttempts: 3,
+      stretch: 1.6,
+    },
+  ],
+  services: [{name: SERVICE}],
+  limits: {maxBodyBytes: 10_000},
+};
 
 /** What the settings of a program depend on. */
 export interface ProgramSettings {
@@ -59,52 +75,20 @@
 /** Formats a settings file as the platform writes it. */
 export function formatSettings(settings: ProgramSettings): string {
   const {name, role, host, dataCentre, seedHosts, storeAddress} = settings;
-  const isEntry = role === Role.ENTRY;
-  const machineClass = isEntry ? 'front' : 'side';
   const control = `${host}:${SoakPort.TARGET_HEARTBEAT}`;
-  const entryAddresses = {
-    front: `${host}:${SoakPort.CALLER}`,
-    ready: `${host}:${SoakPort.READY}`,
-  };
+  const front = `${host}:${SoakPort.CALLER}`;
+  const ready = `${host}:${SoakPort.READY}`;
+  const isEntry = role === Role.ENTRY;
   return JSON.stringify({
     nodeName: name,
     role,
-    machineClass,
-    serves: isEntry ? ['front', 'control'] : ['side'],
     ip: host,
     zone: dataCentre,
-    region: 'region',
-    zones: {[dataCentre]: 'region'},
-    listenAddrs: isEntry ? {...entryAddresses, control} : {control},
+    listenAddrs: isEntry ? {front, ready, control} : {control},
     internalPortRange: [SoakPort.LINK, SoakPort.LINK + 15],
     seeds: seedHosts.map(seed => `${seed}:${SoakPort.TARGET_HEARTBEAT}`),
-    bootstrap: true,
-    heartbeatIntervalMs: HEARTBEAT_PERIOD_MS,
-    bounds: {graceS: STOP_WITHIN_MS / MS_PER_S, farX: 1.5},
-    ...(isEntry ? {} : {app: settings.targetAddress, service: SERVICE}),
+    bounds: {graceS: STOP_WITHIN_S, farX: 1.5},
+    app: settings.targetAddress,
     platform: {address: storeAddress, form: 'kv', ttlMinMs: 1000},
   });
 }
-
-/** Formats the configuration: one queue whose jobs callers do not send again. */
-export function formatConfiguration(): string {
-  const queue = {
-    name: 'queue',
-    host: QUEUE_HOST,
-    prefix: QUEUE_PREFIX,
-    type: 'non_idempotent',
-    timeoutMs: JOB_TIMEOUT_MS,
-    targetDurationMs: 60,
-    priority: 0,
-    service: SERVICE,
-    maxAttempts: 3,
-    stretch: 1.6,
-  };
-  const limits = {maxBodyBytes: 10_000};
-  return JSON.stringify({
-    version: 1,
-    routes: [queue],
-    services: [{name: SERVICE}],
-    limits,
-  });
-}
--- a/tools/soak/fault.ts
+++ b/tools/soak/fault.ts
@@ -1,4 +1,6 @@
 /** The faults of a soak. */
+import {ControlScope} from '../../stand_ins/relay_control.js';
+import type {RelayRules} from '../../stand_ins/relay_connection.js';
 
 /** Sizes of the deployment that a soak runs. */
 export interface SoakSize {
@@ -13,10 +15,9 @@
   AGENT = 'agent',
 }
 
-/** A program of the deployment. */
+/** A program: its role, and its number among those of its role, from 0. */
 export interface ProgramId {
   readonly role: Role;
-  /** Number among the programs of its role, from 0. */
   readonly index: number;
 }
 
@@ -40,81 +41,72 @@
   TERMINATE = 'terminate',
   /** A program is killed, and started again. */
   KILL = 'kill',
-  /** A target ends without notice, and starts again. */
+  /** The targets of the agents end without notice, and start again. */
   CRASH = 'crash',
 }
 
-/** Directions of a link that a fault applies to. */
-export enum FaultDirection {
-  FROM_AGENT = 'from-agent',
-  FROM_ENTRY = 'from-entry',
-  BOTH = 'both',
-}
-
-interface FaultTime {
+/** A fault; which fields apply depends on its kind. */
+export interface Fault {
+  readonly kind: FaultKind;
   /** Time since the start of the faults, in milliseconds. */
   readonly atMs: number;
   /** Time until the fault ends or the program starts again, in milliseconds. */
   readonly durationMs: number;
-}
-
-/** A fault of the links between some agents and some entries. */
-export interface LinkFault extends FaultTime {
-  readonly kind:
-    | FaultKind.HOLD
-    | FaultKind.LOSE
-    | FaultKind.DELAY
-    | FaultKind.RESET
-    | FaultKind.RESETS
-    | FaultKind.REFUSE;
+  /** The links between these agents and entries are concerned. */
   readonly agents: readonly number[];
   readonly entries: readonly number[];
-  readonly direction: FaultDirection;
+  /** Direction of the bytes; forward is from the agents. */
+  readonly scope: ControlScope;
   /** Delay of the bytes, or time between two resets, in milliseconds. */
   readonly delayMs: number;
-}
-
-/** A fault of a program. */
-export interface ProgramFault extends FaultTime {
-  readonly kind: FaultKind.FREEZE | FaultKind.TERMINATE | FaultKind.KILL;
   readonly program: ProgramId;
 }
 
-/** A fault of a target. */
-export interface TargetFault extends FaultTime {
-  readonly kind: FaultKind.CRASH;
-  readonly agent: number;
-}
-
-/** A fault of any kind. */
-export type Fault = LinkFault | ProgramFault | TargetFault;
+const PROGRAM_KINDS: ReadonlySet<FaultKind> = new Set([
+  FaultKind.FREEZE,
+  FaultKind.TERMINATE,
+  FaultKind.KILL,
+]);
 
 /** Describes a fault in one line. */
 export function describeFault(fault: Fault): string {
-  const {atMs, durationMs, kind} = fault;
+  const {atMs, durationMs, kind, program, scope, delayMs} = fault;
   const time = `${Math.round(atMs)} ms, for ${Math.round(durationMs)} ms: ${kind}`;
-  switch (kind) {
-    case FaultKind.FREEZE:
-    case FaultKind.TERMINATE:
-    case FaultKind.KILL:
-      return `${time} ${fault.program.role} ${fault.program.index + 1}`;
-    case FaultKind.CRASH:
-      return `${time} target ${fault.agent + 1}`;
-    case FaultKind.HOLD:
-    case FaultKind.LOSE:
-    case FaultKind.DELAY:
-    case FaultKind.RESET:
-    case FaultKind.RESETS:
-    case FaultKind.REFUSE: {
-      const agents = fault.agents.map(agent => agent + 1).join(',');
-      const entries = fault.entries.map(entry => entry + 1).join(',');
-      const detail = `${fault.direction}, ${Math.round(fault.delayMs)} ms`;
-      return `${time} (${detail}) agents ${agents}, entries ${entries}`;
-    }
-  }
+  if (PROGRAM_KINDS.has(kind)) return `${time} ${nameProgram(program)}`;
+  const agents = fault.agents.map(agent => agent + 1).join(',');
+  if (kind === FaultKind.CRASH) return `${time} targets ${agents}`;
+  const entries = fault.entries.map(entry => entry + 1).join(',');
+  const detail = `${scope}, ${Math.round(delayMs)} ms`;
+  return `${time} (${detail}) agents ${agents}, entries ${entries}`;
+}
+
+/** Returns the name of a program, as its settings and logs have it. */
+export function nameProgram({role, index}: ProgramId): string {
+  return `${role}-${index + 1}`;
 }
 
 /** Returns the number of the data centre of a program. */
 export function locateProgram(index: number, {dataCentres}: SoakSize): number {
   return index % dataCentres;
 }
+
+/** Composes the rules of a link from the faults that apply to it at a time. */
+export function composeRules(faults: readonly Fault[]): RelayRules {
+  const composeRule = (direction: ControlScope) => {
+    const applied = faults.filter(({scope}) =>
+      [direction, ControlScope.BOTH].includes(scope),
+    );
+    const delays = applied
+      .filter(({kind}) => kind === FaultKind.DELAY)
+      .map(({delayMs}) => delayMs);
+    return {
+      isHeld: applied.some(({kind}) => kind === FaultKind.HOLD),
+      isLossy: applied.some(({kind}) => kind === FaultKind.LOSE),
+      delayMs: Math.max(0, ...delays),
+    };
+  };
+  return {
+    forward: composeRule(ControlScope.FORWARD),
+    backward: composeRule(ControlScope.BACKWARD),
+  };
+}
--- a/tools/soak/fault_player.ts
+++ b/tools/soak/fault_player.ts
@@ -1,18 +1,17 @@
 /** Applies the faults of a soak to its deployment at their times. */
 import {repeatTimer, startTimer} from '../../src/lib/core/clock.js';
-import type {StopTimer} from '../../src/lib/core/clock.js';
 import {DisposableStore} from '../../src/lib/core/disposable_store.js';
-import {FaultKind} from './fault.js';
-import type {Fault, LinkFault, ProgramId} from './fault.js';
 import type {AgentRelay} from './agent_relay.js';
-import {composeRule} from './link_rule.js';
+import {composeRules, FaultKind, nameProgram} from './fault.js';
+import type {Fault, ProgramId} from './fault.js';
 import type {SoakFleet} from './soak_fleet.js';
 
-/** Plays faults; those that last longer than the soak end with it. */
+/** Plays faults; those that would last longer than the soak end with it. */
 export class FaultPlayer {
   private readonly store = DisposableStore.create();
-  private readonly activeFaults = new Set<LinkFault>();
-  /** Number of faults that stop a program, by role and number. */
+  /** Faults that change the rules of links at present. */
+  private readonly linkFaults = new Set<Fault>();
+  /** Number of faults that stop a program at present, by its name. */
   private readonly freezes = new Map<string, number>();
 
   private constructor(
@@ -28,42 +27,42 @@
   ): FaultPlayer {
     const player = new FaultPlayer(fleet, durationMs);
     for (const fault of faults) {
-      player.schedule(fault.atMs, () => player.begin(fault));
+      if (fault.atMs >= durationMs) continue;
+      player.store.add(startTimer(fault.atMs, () => player.begin(fault)));
     }
     return player;
   }
 
-  /** Drops the faults that have not begun. */
+  /** Stops playing. */
   close(): Promise<void> {
     return this.store.dispose();
   }
 
-  private schedule(atMs: number, fire: () => void): void {
-    this.store.add(startTimer(Math.min(atMs, this.durationMs), fire));
-  }
-
   private begin(fault: Fault): void {
-    const restMs = Math.max(0, this.durationMs - fault.atMs);
-    const end = (run: () => void) =>
-      void this.store.add(startTimer(Math.min(restMs, fault.durationMs), run));
+    const lastMs = Math.min(fault.durationMs, this.durationMs - fault.atMs);
+    const end = (run: () => void) => this.store.add(startTimer(lastMs, run));
+    const {program} = fault;
     switch (fault.kind) {
       case FaultKind.FREEZE:
-        this.changeFreezes(fault.program, 1);
-        return end(() => this.changeFreezes(fault.program, -1));
+        this.changeFreezes(program, 1);
+        return end(() => this.changeFreezes(program, -1));
       case FaultKind.TERMINATE:
-      case FaultKind.KILL: {
-        const isKill = fault.kind === FaultKind.KILL;
-        const program = this.fleet.getProgram(fault.program);
-        program.restart(isKill ? 'SIGKILL' : 'SIGTERM', fault.durationMs);
+        return this.fleet
+          .getProgram(program)
+          .restart('SIGTERM', fault.durationMs);
+      case FaultKind.KILL:
+        return this.fleet
+          .getProgram(program)
+          .restart('SIGKILL', fault.durationMs);
+      case FaultKind.CRASH: {
+        const up = fault.agents.map(agent => this.fleet.targets[agent]);
+        for (const target of up) if (target.isOpen) void target.restart();
         return;
       }
-      case FaultKind.CRASH:
-        return this.endTarget(fault.agent);
       case FaultKind.RESET:
         return this.resetLinks(fault);
       case FaultKind.RESETS: {
-        this.resetLinks(fault);
-        const stop: StopTimer = repeatTimer(startTimer, fault.delayMs, () =>
+        const stop = repeatTimer(startTimer, fault.delayMs, () =>
           this.resetLinks(fault),
         );
         this.store.add(stop);
@@ -73,10 +72,10 @@
       case FaultKind.LOSE:
       case FaultKind.DELAY:
       case FaultKind.REFUSE:
-        this.activeFaults.add(fault);
+        this.linkFaults.add(fault);
         this.applyRules(fault);
         return end(() => {
-          this.activeFaults.delete(fault);
+          this.linkFaults.delete(fault);
           this.applyRules(fault);
         });
     }
@@ -84,34 +83,29 @@
 
   /** Stops a program while at least one fault does so. */
   private changeFreezes(id: ProgramId, change: number): void {
-    const key = `${id.role} ${id.index}`;
-    const count = (this.freezes.get(key) ?? 0) + change;
-    this.freezes.set(key, count);
-    const program = this.fleet.getProgram(id);
-    program.signal(count > 0 ? 'SIGSTOP' : 'SIGCONT');
-  }
-
-  private endTarget(agent: number): void {
-    const target = this.fleet.targets[agent];
-    if (target.isOpen) void target.restart();
+    const name = nameProgram(id);
+    const count = (this.freezes.get(name) ?? 0) + change;
+    this.freezes.set(name, count);
+    this.fleet.getProgram(id).signal(count > 0 ? 'SIGSTOP' : 'SIGCONT');
   }
 
-  private resetLinks(fault: LinkFault): void {
+  private resetLinks(fault: Fault): void {
     this.visitLinks(fault, relay => relay.reset());
   }
 
-  private applyRules(changed: LinkFault): void {
-    const active = [...this.activeFaults];
+  private applyRules(changed: Fault): void {
+    const active = [...this.linkFaults];
     this.visitLinks(changed, (relay, agent, entry) => {
       const applied = active.filter(
         fault => fault.agents.includes(agent) && fault.entries.includes(entry),
       );
-      relay.setRule(composeRule(applied));
+      const isRefusing = applied.some(({kind}) => kind === FaultKind.REFUSE);
+      relay.setRules(composeRules(applied), isRefusing);
     });
   }
 
   private visitLinks(
-    {agents, entries}: LinkFault,
+    {agents, entries}: Fault,
     visit: (relay: AgentRelay, agent: number, entry: number) => void,
   ): void {
     for (const agent of agents) {
--- a/tools/soak/main.ts
+++ b/tools/soak/main.ts
@@ -9,7 +9,6 @@
   readonly agents: number;
   readonly dataCentres: number;
   readonly seconds: number;
-  readonly together: number;
   readonly keep: boolean;
 }
 
@@ -29,7 +28,6 @@
   .option('--agents <count>', 'number of agents', parseCount, 8)
   .option('--data-centres <count>', 'number of data centres', parseCount, 2)
   .option('--seconds <count>', 'duration of the faults', parseCount, 15)
-  .option('--together <count>', 'seeds at a time', parseCount, 1)
   .option('--keep', 'keep settings and logs', false)
   .parse();
 
@@ -38,20 +36,15 @@
 }
 
 const {seeds, ...options} = program.opts<Options>();
-const waiting = [...seeds];
+const {entries, agents, dataCentres, seconds, keep} = options;
 const failed: number[] = [];
-const runNext = async (): Promise<void> => {
-  const seed = waiting.shift();
-  if (seed === undefined) return;
-  const {entries, agents, dataCentres, seconds, keep} = options;
+for (const seed of seeds) {
   const size = {entries, agents, dataCentres};
   const durationMs = seconds * MS_PER_S;
   const result = await runSoak({size, seed, durationMs, isKept: keep});
   print(result);
   if (result.violations.length > 0) failed.push(seed);
-  return runNext();
-};
-await Promise.all(Array.from({length: options.together}, runNext));
+}
 const list = failed.length > 0 ? `: ${failed.join(', ')}` : '';
 console.log(`${failed.length} of ${seeds.length} seeds failed${list}`);
 process.exit(failed.length > 0 ? 1 : 0);
--- a/tools/soak/run_soak.ts
+++ b/tools/soak/run_soak.ts
@@ -13,14 +13,13 @@
 import {createRandom} from '../scenario/random.js';
 import {Caller} from './caller.js';
 import {drawFaults} from './draw_faults.js';
-import {describeFault} from './fault.js';
+import {describeFault, nameProgram, Role} from './fault.js';
 import type {SoakSize} from './fault.js';
 import {FaultPlayer} from './fault_player.js';
 import {readLogLines} from './log_lines.js';
 import {RunHistory} from './run_history.js';
 import type {ObservedRun, Overlap} from './run_history.js';
-import {nameProgram, SoakFleet} from './soak_fleet.js';
-import {Role} from './fault.js';
+import {SoakFleet} from './soak_fleet.js';
 
 /** Size, seed and duration of a run of the soak. */
 export interface SoakOptions {
@@ -69,13 +68,13 @@
 /** Time in milliseconds with callers after the faults. */
 const SETTLE_MS = 2500;
 
-const CALLERS_PER_AGENT = 0.75;
+const CALLERS_PER_AGENT = 1;
 const OK = 200;
 const NS_PER_MS = 1e6;
 const DELAY_RESOLUTION_MS = 10;
 
-/** Time in milliseconds around an overlap for which agents' lines are shown. */
-const LOG_MARGIN_MS = 4000;
+/** Time in milliseconds before the first and after the second start of a task. */
+const LOG_MARGIN_MS = 500;
 
 /** Starts a deployment, plays the faults of a seed and judges the runs. */
 export async function runSoak(options: SoakOptions): Promise<SoakResult> {
@@ -94,8 +93,7 @@
       folder,
       reportRun: (agent, report) =>
         history.record(agent, report, readMonotonicMs() - startMs),
-      reportOwnEnd: (program, detail) =>
-        ownEnds.push(`${program} ended by itself: ${detail}`),
+      reportOwnEnd: detail => ownEnds.push(detail),
     });
     store.add(() => fleet.close());
     await pause(LEAD_MS);
@@ -173,8 +171,6 @@
   const agents = [earlier, later].map(({agent}) =>
     nameProgram({role: Role.AGENT, index: agent}),
   );
-  const fromMs = startWallMs + earlier.startedAtMs - LOG_MARGIN_MS;
-  const toMs = startWallMs + later.startedAtMs + durationMs + LOG_MARGIN_MS;
   const [job] = earlier.task.split('.');
   return {
     rule: SoakRule.TWICE,
@@ -183,8 +179,8 @@
       `${Math.round(durationMs)} ms together`,
     logLines: readLogLines(folder, {
       words: [job, ...agents],
-      fromMs,
-      toMs,
+      fromMs: earlier.startedAtMs - LOG_MARGIN_MS,
+      toMs: later.startedAtMs + LOG_MARGIN_MS,
       startMs: startWallMs,
     }),
   };
--- a/tools/soak/soak_fleet.ts
+++ b/tools/soak/soak_fleet.ts
@@ -1,10 +1,11 @@
 /** The deployment of a soak: programs, targets, stores and relays. */
 import {once} from 'node:events';
-import {request as createRequest} from 'node:http';
 import {writeFileSync} from 'node:fs';
+import {request as createRequest} from 'node:http';
+import type {IncomingMessage} from 'node:http';
 import {join} from 'node:path';
 import {OPERATORS_PREFIX} from '../../platform/configuration_codec.js';
-import {startTimer} from '../../src/lib/core/clock.js';
+import {readMonotonicMs, startTimer} from '../../src/lib/core/clock.js';
 import {DisposableStore} from '../../src/lib/core/disposable_store.js';
 import {ENTRIES_PREFIX} from '../../src/lib/work/registered_entries.js';
 import {FleetStore} from '../../stand_ins/fleet_store.js';
@@ -13,16 +14,16 @@
 import {AgentRelay} from './agent_relay.js';
 import {readDemandMilli, readRunMs} from './caller.js';
 import {
-  formatConfiguration,
+  CONFIGURATION,
   formatSettings,
   readCommand,
   SERVICE,
 } from './deploy_programs.js';
 import type {ProgramSettings} from './deploy_programs.js';
-import {locateProgram, Role} from './fault.js';
+import {locateProgram, nameProgram, Role} from './fault.js';
 import type {ProgramId, SoakSize} from './fault.js';
 import {SoakError} from './soak_error.js';
-import {SoakNetwork, SoakPort} from './soak_network.js';
+import {HostBlock, SoakNetwork, SoakPort} from './soak_network.js';
 import {SoakProgram} from './soak_program.js';
 
 /** Size, folder and callbacks of a deployment. */
@@ -32,26 +33,24 @@
   readonly folder: string;
   readonly reportRun: (agent: number, report: RunReport) => void;
   /** Receives that a program ended by itself. */
-  readonly reportOwnEnd: (program: string, detail: string) => void;
+  readonly reportOwnEnd: (detail: string) => void;
 }
 
 const TARGET_CPU_MILLI = 4000;
 const READY_TIMEOUT_MS = 60_000;
 const READY_PERIOD_MS = 50;
 const READY_CALL_TIMEOUT_MS = 1000;
+const READY = 200;
 
 /** Seeds of an agent; it learns of the other entries from these. */
 const MAX_SEEDS = 3;
 
-/** Returns the name of a program, as its settings and logs have it. */
-export function nameProgram({role, index}: ProgramId): string {
-  return `${role}-${index + 1}`;
-}
-
 /** Starts, connects and ends the processes and stand-ins of a deployment. */
 export class SoakFleet {
   /** The target beside each agent. */
   readonly targets: FleetTarget[] = [];
+  /** Hosts at which callers reach the entries. */
+  readonly entryHosts: readonly string[];
 
   private readonly store = DisposableStore.create();
   private readonly programs = new Map<string, SoakProgram>();
@@ -61,15 +60,20 @@
   private constructor(
     private readonly options: SoakFleetOptions,
     private readonly network: SoakNetwork,
-  ) {}
+  ) {
+    const length = options.size.entries;
+    this.entryHosts = Array.from({length}, (_, entry) =>
+      network.getHost(HostBlock.ENTRIES, entry),
+    );
+    this.store.add(network.release);
+  }
 
   /** Starts a deployment; resolves when all entries are ready. */
   static async create(options: SoakFleetOptions): Promise<SoakFleet> {
-    const fleet = new SoakFleet(options, await SoakNetwork.create(Math.random));
-    fleet.store.add(fleet.network.release);
+    const network = await SoakNetwork.create(Math.random);
+    const fleet = new SoakFleet(options, network);
     try {
       await fleet.start();
-      await fleet.awaitReady();
     } catch (failure) {
       await fleet.close();
       throw failure;
@@ -77,11 +81,6 @@
     return fleet;
   }
 
-  /** Hosts at which callers reach the entries. */
-  get entryHosts(): readonly string[] {
-    return this.listEntries().map(entry => this.network.getEntryHost(entry));
-  }
-
   /** Returns a program. */
   getProgram(id: ProgramId): SoakProgram {
     return this.programs.get(nameProgram(id))!;
@@ -100,54 +99,71 @@
   private async start(): Promise<void> {
     const {agents} = this.options.size;
     const store = await this.openStore();
-    store.put(`${OPERATORS_PREFIX}config`, formatConfiguration());
+    store.put(`${OPERATORS_PREFIX}config`, JSON.stringify(CONFIGURATION));
     for (let agent = 0; agent < agents; agent += 1) this.createRelays(agent);
-    for (const entry of this.listEntries()) {
+    for (const [index, host] of this.entryHosts.entries()) {
       this.startProgram(
-        {role: Role.ENTRY, index: entry},
-        {
-          host: this.network.getEntryHost(entry),
-          seedHosts: this.entryHosts,
-          storeAddress: store.address,
-        },
+        {role: Role.ENTRY, index},
+        {host, seedHosts: this.entryHosts, storeAddress: store.address},
       );
     }
     for (let agent = 0; agent < agents; agent += 1) {
       await this.startAgent(agent);
     }
+    const untilMs = readMonotonicMs() + READY_TIMEOUT_MS;
+    for (const host of this.entryHosts) {
+      const isReady = (status: number) => status === READY;
+      await this.awaitStatus(host, isReady, untilMs);
+      if (readMonotonicMs() < untilMs) continue;
+      throw new SoakError(
+        `Entry ${host} is not ready within ${READY_TIMEOUT_MS} ms.`,
+      );
+    }
   }
 
-  private async startAgent(agent: number): Promise<void> {
+  private createRelays(agent: number): void {
     const {network} = this;
-    const host = network.getAgentHost(agent);
+    const relays = this.entryHosts.map((host, entry) =>
+      AgentRelay.create(
+        {host: network.getRelayHost(agent, entry), port: SoakPort.LINK},
+        {host, port: SoakPort.LINK},
+        () => network.createConversion(agent),
+      ),
+    );
+    this.relays.push(relays);
+    for (const relay of relays) this.store.add(() => relay.close());
+  }
+
+  private async startAgent(index: number): Promise<void> {
+    const {network, entryHosts} = this;
+    const host = network.getHost(HostBlock.AGENTS, index);
     const target = await FleetTarget.create({
-      id: `target-${agent + 1}`,
+      id: `target-${index + 1}`,
       service: SERVICE,
-      dataCentre: this.nameDataCentre(agent),
-      host: network.getTargetHost(agent),
+      dataCentre: this.nameDataCentre(index),
+      host: network.getHost(HostBlock.TARGETS, index),
       cpuMilli: TARGET_CPU_MILLI,
       agentAddress: `${host}:${SoakPort.TARGET_HEARTBEAT}`,
       computeRunMs: readRunMs,
       computeDemandMilli: readDemandMilli,
-      reportRun: report => this.options.reportRun(agent, report),
+      reportRun: report => this.options.reportRun(index, report),
     });
     this.targets.push(target);
     this.store.add(() => target.close());
-    const entries = this.listEntries();
-    const hosts = entries.map(
-      entry => network.getRelayAddress(agent, entry).host,
-    );
-    const first = agent % entries.length;
-    const rotated = [...hosts.slice(first), ...hosts.slice(0, first)];
+    // A store of its own, since the addresses of the entries differ for each agent.
     const store = await this.openStore();
-    for (const [entry, relayHost] of hosts.entries()) {
-      const id = nameProgram({role: Role.ENTRY, index: entry});
+    const relayHosts = entryHosts.map((_, entry) => {
+      const relayHost = network.getRelayHost(index, entry);
       const address = `${relayHost}:${SoakPort.LINK}`;
-      const text = JSON.stringify({id, incarnation: id, address, lease: ''});
+      const id = nameProgram({role: Role.ENTRY, index: entry});
+      const text = JSON.stringify({id, incarnation: id, address});
       store.put(ENTRIES_PREFIX + id, text);
-    }
+      return relayHost;
+    });
+    const first = index % relayHosts.length;
+    const rotated = [...relayHosts.slice(first), ...relayHosts.slice(0, first)];
     this.startProgram(
-      {role: Role.AGENT, index: agent},
+      {role: Role.AGENT, index},
       {
         host,
         seedHosts: rotated.slice(0, MAX_SEEDS),
@@ -157,25 +173,13 @@
     );
   }
 
-  private createRelays(agent: number): void {
-    const {network} = this;
-    const translate = network.createTranslation(agent);
-    const relays = this.listEntries().map(entry => {
-      const address = network.getRelayAddress(agent, entry);
-      const to = network.getLinkAddress(entry);
-      return AgentRelay.create(address, to, translate);
-    });
-    this.relays.push(relays);
-    for (const relay of relays) this.store.add(() => relay.close());
-  }
-
   private startProgram(
     id: ProgramId,
     settings: Omit<ProgramSettings, 'name' | 'role' | 'dataCentre'>,
   ): void {
     const {folder, reportOwnEnd} = this.options;
-    const name = nameProgram(id);
     const {role, index} = id;
+    const name = nameProgram(id);
     const dataCentre = this.nameDataCentre(index);
     const settingsFile = join(folder, `${name}.json`);
     const text = formatSettings({...settings, name, role, dataCentre});
@@ -185,13 +189,9 @@
       command: readCommand(role),
       settingsFile,
       logFile: join(folder, `${name}.log`),
-      reportStart: () => {
-        if (isEntry) void this.openRelays(index);
-      },
-      reportEnd: () => {
-        if (isEntry) this.setEntryUp(index, false);
-      },
-      reportOwnEnd: detail => reportOwnEnd(name, detail),
+      reportStart: () => void (isEntry && this.openRelays(index)),
+      reportEnd: () => void (isEntry && this.setEntryUp(index, false)),
+      reportOwnEnd: detail => reportOwnEnd(`${name}: ${detail}`),
     });
     this.programs.set(name, program);
     this.store.add(() => program.close());
@@ -199,11 +199,8 @@
 
   /** Lets agents connect to an entry once it answers. */
   private async openRelays(entry: number): Promise<void> {
-    const host = this.network.getEntryHost(entry);
-    while (!this.store.isDisposed) {
-      if ((await askReadiness(host)) !== 0) break;
-      await pause(READY_PERIOD_MS);
-    }
+    const isUp = (status: number) => status !== 0;
+    await this.awaitStatus(this.entryHosts[entry], isUp, Infinity);
     if (!this.store.isDisposed) this.setEntryUp(entry, true);
   }
 
@@ -211,16 +208,15 @@
     for (const relays of this.relays) relays[entry].setEntryUp(isUp);
   }
 
-  private async awaitReady(): Promise<void> {
-    const untilMs = performance.now() + READY_TIMEOUT_MS;
-    for (const host of this.entryHosts) {
-      while ((await askReadiness(host)) !== 200) {
-        if (performance.now() > untilMs) {
-          const text = `Entry ${host} is not ready after ${READY_TIMEOUT_MS} ms.`;
-          throw new SoakError(`${text} See ${this.options.folder}.`);
-        }
-        await pause(READY_PERIOD_MS);
-      }
+  /** Waits until an entry's readiness fits, the time is over or the soak ends. */
+  private async awaitStatus(
+    host: string,
+    isFit: (status: number) => boolean,
+    untilMs: number,
+  ): Promise<void> {
+    while (!this.store.isDisposed && readMonotonicMs() < untilMs) {
+      if (isFit(await askReadiness(host))) return;
+      await new Promise<void>(resolve => startTimer(READY_PERIOD_MS, resolve));
     }
   }
 
@@ -230,10 +226,6 @@
     return store;
   }
 
-  private listEntries(): readonly number[] {
-    return Array.from({length: this.options.size.entries}, (_, index) => index);
-  }
-
   private nameDataCentre(index: number): string {
     return `zone-${locateProgram(index, this.options.size) + 1}`;
   }
@@ -251,14 +243,10 @@
   request.on('timeout', () => request.destroy());
   request.end();
   try {
-    const [response] = await once(request, 'response');
+    const [response] = (await once(request, 'response')) as [IncomingMessage];
     response.resume();
-    return response.statusCode;
+    return response.statusCode ?? 0;
   } catch {
     return 0;
   }
 }
-
-function pause(durationMs: number): Promise<void> {
-  return new Promise(resolve => startTimer(durationMs, resolve));
-}
--- a/tools/soak/soak_program.ts
+++ b/tools/soak/soak_program.ts
@@ -4,7 +4,7 @@
 import {closeSync, openSync} from 'node:fs';
 import {startTimer} from '../../src/lib/core/clock.js';
 import {DisposableStore} from '../../src/lib/core/disposable_store.js';
-import {ROOT, STOP_WITHIN_MS} from './deploy_programs.js';
+import {ROOT, STOP_WITHIN_S} from './deploy_programs.js';
 
 /** Command, files and callbacks of a program. */
 export interface SoakProgramOptions {
@@ -21,6 +21,7 @@
 /** Time in milliseconds after which a process that ended by itself starts again. */
 const RESTART_DELAY_MS = 500;
 
+const MS_PER_S = 1000;
 const SETTINGS_VARIABLE = 'FOXTAILBAY_BOOT';
 
 /** Children of this process, which end with it. */
@@ -58,7 +59,9 @@
     this.restartDelayMs ??= delayMs;
     child.kill(name);
     if (name === 'SIGKILL') return;
-    this.store.add(startTimer(STOP_WITHIN_MS, () => child.kill('SIGKILL')));
+    this.store.add(
+      startTimer(STOP_WITHIN_S * MS_PER_S, () => child.kill('SIGKILL')),
+    );
   }
 
   /** Kills the process and waits for its end; it does not start again. */
