--- a/src/lib/core/work_frames.ts
+++ b/src/lib/core/work_frames.ts
@@ -125,6 +125,11 @@
   readonly life: string;
   readonly labels: readonly string[];
   readonly capacity: Resources;
+  /**
+   * Fencing token of the agent, which orders its lives; 0 until it is known, and
+   * not sent by earlier versions.
+   */
+  readonly token?: number;
 }
 
 /** Load of a target, as reported by its agent. */
@@ -228,6 +233,11 @@
       readonly ends: readonly RunEndReport[];
       /** Highest sequence accepted from the receiving entry's incarnation. */
       readonly through: number;
+      /**
+       * Number of the link, which rises with each link of one life of the agent;
+       * not sent by earlier versions.
+       */
+      readonly link?: number;
       /** Recent crashes of its target; not sent by earlier versions. */
       readonly crashes?: readonly TargetCrash[];
     }
