--- a/tools/soak/draw_faults.ts
+++ b/tools/soak/draw_faults.ts
@@ -49,7 +49,7 @@
 ];
 
 const SCOPES: Weights<ControlScope> = [
-  [ControlScope.FORWARD, 3],
+  [ControlScope.FORWARD, 4],
   [ControlScope.BACKWARD, 2],
   [ControlScope.BOTH, 1],
 ];
@@ -66,7 +66,7 @@
 /** Share of the silent links that are also reset again and again. */
 const RESETS_WHILE_SILENT = 0.5;
 
-const DURATION_MS = {least: 300, most: 5000};
+const DURATION_MS = {least: 500, most: 5000};
 const RESTART_MS = {least: 100, most: 1500};
 const DELAY_MS = {least: 20, most: 700};
 const RESET_PERIOD_MS = {least: 80, most: 500};
--- a/tools/soak/run_soak.ts
+++ b/tools/soak/run_soak.ts
@@ -68,7 +68,7 @@
 /** Time in milliseconds with callers after the faults. */
 const SETTLE_MS = 2500;
 
-const CALLERS_PER_AGENT = 1;
+const CALLERS_PER_AGENT = 0.75;
 const OK = 200;
 const NS_PER_MS = 1e6;
 const DELAY_RESOLUTION_MS = 10;
