--- a/test/stand_ins/delay_line_test.ts
+++ b/test/stand_ins/delay_line_test.ts
@@ -57,6 +57,16 @@
     expect(delivered).to.have.length(1);
   });
 
+  it('drops items while lossy and reports the gap', () => {
+    const {line, advance, delivered} = createLine(1);
+    line.setRule({delayMs: 1, isHeld: false, isLossy: true});
+    line.push(Buffer.from('tea'));
+    line.setRule({delayMs: 1, isHeld: false});
+    advance(1000);
+    expect(delivered).to.deep.equal([]);
+    expect(line.hasGap).to.equal(true);
+  });
+
   it('averages a fractional delay although timers count whole milliseconds', () => {
     const {line, advance, delivered, clock} = createLine(1.5, 0.25);
     for (let i = 0; i < 200; i += 1) {
--- a/tools/soak/agent_relay.ts
+++ b/tools/soak/agent_relay.ts
@@ -4,10 +4,10 @@
 import {RelayConnection} from '../../stand_ins/relay_connection.js';
 import type {
   ConvertBytes,
-  RelayAddress,
   RelayRules,
 } from '../../stand_ins/relay_connection.js';
 import {composeRules} from './fault.js';
+import type {RelayPlan} from './relay_messages.js';
 import {SoakError} from './soak_error.js';
 
 /** Accepts the connections of one agent to one entry while both may connect. */
@@ -18,19 +18,11 @@
   private isEntryUp = false;
   private server: Server | undefined;
 
-  private constructor(
-    private readonly address: RelayAddress,
-    private readonly entry: RelayAddress,
-    private readonly createConversion: () => ConvertBytes,
-  ) {}
+  private constructor(private readonly plan: RelayPlan) {}
 
   /** Creates a relay that refuses connections until its entry is up. */
-  static create(
-    address: RelayAddress,
-    entry: RelayAddress,
-    createConversion: () => ConvertBytes,
-  ): AgentRelay {
-    return new AgentRelay(address, entry, createConversion);
+  static create(plan: RelayPlan): AgentRelay {
+    return new AgentRelay(plan);
   }
 
   /** Sets whether the entry accepts connections. */
@@ -53,12 +45,6 @@
     for (const connection of this.connections) connection.reset();
   }
 
-  /** Stops listening and closes all connections. */
-  async close(): Promise<void> {
-    this.server?.close();
-    await Promise.all([...this.connections].map(link => link.stop()));
-  }
-
   private applyState(): void {
     const isWanted = this.isEntryUp && !this.isRefusing;
     if (isWanted === (this.server !== undefined)) return;
@@ -68,20 +54,39 @@
     const options = {allowHalfOpen: true};
     this.server = createServer(options, socket => this.accept(socket));
     this.server.on('error', cause => {
-      const {host, port} = this.address;
+      const {host, port} = this.plan.address;
       throw new SoakError(`Cannot listen on ${host}:${port}.`, {cause});
     });
-    this.server.listen(this.address);
+    this.server.listen(this.plan.address);
   }
 
   private accept(socket: Socket): void {
     const connection = RelayConnection.create(
       socket,
-      this.entry,
+      this.plan.to,
       this.rules,
       ended => this.connections.delete(ended),
-      this.createConversion(),
+      createConversion(this.plan),
     );
     this.connections.add(connection);
   }
 }
+
+/**
+ * Creates the function that replaces entries' hosts by an agent's relays in the
+ * lines of one connection; it keeps an incomplete line until the rest arrives.
+ */
+function createConversion({
+  entriesPrefix,
+  relaysPrefix,
+}: RelayPlan): ConvertBytes {
+  let remainder = '';
+  return bytes => {
+    // Latin 1 keeps each byte, also those of a character that is cut in two.
+    const text = remainder + bytes.toString('latin1');
+    const end = text.lastIndexOf('\n') + 1;
+    remainder = text.slice(end);
+    const lines = text.slice(0, end).replaceAll(entriesPrefix, relaysPrefix);
+    return Buffer.from(lines, 'latin1');
+  };
+}
--- a/tools/soak/draw_faults.ts
+++ b/tools/soak/draw_faults.ts
@@ -78,7 +78,7 @@
   drawRandom: DrawRandom,
 ): readonly Fault[] {
   const faults: Fault[] = [];
-  const share = Math.min(1, AGENTS_PER_INCIDENT / size.agents);
+  const share = Math.min(1, Math.sqrt(AGENTS_PER_INCIDENT / size.agents));
   let atMs = 0;
   while (atMs < durationMs) {
     const place = drawPlace(size, drawRandom);
--- a/tools/soak/fault_player.ts
+++ b/tools/soak/fault_player.ts
@@ -1,9 +1,9 @@
 /** Applies the faults of a soak to its deployment at their times. */
 import {repeatTimer, startTimer} from '../../src/lib/core/clock.js';
 import {DisposableStore} from '../../src/lib/core/disposable_store.js';
-import type {AgentRelay} from './agent_relay.js';
 import {composeRules, FaultKind, nameProgram} from './fault.js';
 import type {Fault, ProgramId} from './fault.js';
+import {RelayMessageKind} from './relay_messages.js';
 import type {SoakFleet} from './soak_fleet.js';
 
 /** Plays faults; those that would last longer than the soak end with it. */
@@ -90,27 +90,31 @@
   }
 
   private resetLinks(fault: Fault): void {
-    this.visitLinks(fault, relay => relay.reset());
+    this.visitLinks(fault, (agent, entry) =>
+      this.fleet.sendToRelay({kind: RelayMessageKind.RESET, agent, entry}),
+    );
   }
 
   private applyRules(changed: Fault): void {
     const active = [...this.linkFaults];
-    this.visitLinks(changed, (relay, agent, entry) => {
+    this.visitLinks(changed, (agent, entry) => {
       const applied = active.filter(
         fault => fault.agents.includes(agent) && fault.entries.includes(entry),
       );
       const isRefusing = applied.some(({kind}) => kind === FaultKind.REFUSE);
-      relay.setRules(composeRules(applied), isRefusing);
+      const rules = composeRules(applied);
+      const kind = RelayMessageKind.RULES;
+      this.fleet.sendToRelay({kind, agent, entry, rules, isRefusing});
     });
   }
 
   private visitLinks(
     {agents, entries}: Fault,
-    visit: (relay: AgentRelay, agent: number, entry: number) => void,
+    visit: (agent: number, entry: number) => void,
   ): void {
     for (const agent of agents) {
       for (const entry of entries) {
-        visit(this.fleet.getRelay(agent, entry), agent, entry);
+        visit(agent, entry);
       }
     }
   }
--- a/tools/soak/run_soak.ts
+++ b/tools/soak/run_soak.ts
@@ -65,6 +65,9 @@
 /** Time in milliseconds for agents to link to the entries before the faults. */
 const LEAD_MS = 2000;
 
+/** Further time in milliseconds for each agent, since all programs start at once. */
+const LEAD_PER_AGENT_MS = 150;
+
 /** Time in milliseconds with callers after the faults. */
 const SETTLE_MS = 2500;
 
@@ -81,7 +84,12 @@
   const {size, seed, durationMs, isKept} = options;
   const folder = mkdtempSync(join(tmpdir(), `foxtailbay-soak-${seed}-`));
   const store = DisposableStore.create();
-  if (!isKept) store.add(() => rmSync(folder, {recursive: true, force: true}));
+  const removeFolder = () => rmSync(folder, {recursive: true, force: true});
+  if (!isKept) {
+    store.add(removeFolder);
+    process.once('exit', removeFolder);
+    store.add(() => void process.off('exit', removeFolder));
+  }
   const history = RunHistory.create();
   const ownEnds: string[] = [];
   const statuses = new Map<number, number>();
@@ -96,7 +104,7 @@
       reportOwnEnd: detail => ownEnds.push(detail),
     });
     store.add(() => fleet.close());
-    await pause(LEAD_MS);
+    await pause(LEAD_MS + LEAD_PER_AGENT_MS * size.agents);
     // No run has started yet, so that all times count from here.
     startMs = readMonotonicMs();
     const startWallMs = readWallMs();
@@ -117,32 +125,20 @@
     store.add(() => player.close());
     await pause(durationMs + SETTLE_MS);
     const nowMs = readMonotonicMs() - startMs;
-    const violations: SoakViolation[] = [
-      ...history
-        .findOverlaps(nowMs)
-        .map(overlap => reportOverlap(overlap, folder, startWallMs)),
-      ...fleet.targets.flatMap(({violations: {overCapacity}}, agent) =>
-        overCapacity > 0
-          ? [
-              {
-                rule: SoakRule.CAPACITY,
-                detail: `target ${agent + 1}: ${overCapacity} starts`,
-                logLines: [],
-              },
-            ]
-          : [],
-      ),
-      ...ownEnds.map(detail => ({
-        rule: SoakRule.OWN_END,
-        detail,
-        logLines: [],
-      })),
-    ];
+    const violations = history
+      .findOverlaps(nowMs)
+      .map(overlap => reportOverlap(overlap, folder, startWallMs));
+    const add = (rule: SoakRule, detail: string) =>
+      void violations.push({rule, detail, logLines: []});
+    for (const detail of ownEnds) add(SoakRule.OWN_END, detail);
+    for (const [agent, target] of fleet.targets.entries()) {
+      const {overCapacity} = target.violations;
+      if (overCapacity === 0) continue;
+      add(SoakRule.CAPACITY, `target ${agent + 1}: ${overCapacity} starts`);
+    }
     const jobsServed = statuses.get(OK) ?? 0;
     if (jobsServed === 0) {
-      const answers = JSON.stringify([...statuses]);
-      const detail = `answers by status: ${answers}`;
-      violations.push({rule: SoakRule.NO_SERVICE, detail, logLines: []});
+      add(SoakRule.NO_SERVICE, `statuses: ${JSON.stringify([...statuses])}`);
     }
     const answers = [...statuses.values()].reduce((sum, part) => sum + part, 0);
     return {
--- a/tools/soak/soak_fleet.ts
+++ b/tools/soak/soak_fleet.ts
@@ -11,7 +11,6 @@
 import {FleetStore} from '../../stand_ins/fleet_store.js';
 import {FleetTarget} from '../../stand_ins/fleet_target.js';
 import type {RunReport} from '../../stand_ins/fleet_target_run.js';
-import {AgentRelay} from './agent_relay.js';
 import {readDemandMilli, readRunMs} from './caller.js';
 import {
   CONFIGURATION,
@@ -22,6 +21,9 @@
 import type {ProgramSettings} from './deploy_programs.js';
 import {locateProgram, nameProgram, Role} from './fault.js';
 import type {ProgramId, SoakSize} from './fault.js';
+import {RelayMessageKind} from './relay_messages.js';
+import type {RelayMessage} from './relay_messages.js';
+import {RelayThreads} from './relay_threads.js';
 import {SoakError} from './soak_error.js';
 import {HostBlock, SoakNetwork, SoakPort} from './soak_network.js';
 import {SoakProgram} from './soak_program.js';
@@ -54,8 +56,7 @@
 
   private readonly store = DisposableStore.create();
   private readonly programs = new Map<string, SoakProgram>();
-  /** The relays of each agent, by entry. */
-  private readonly relays: AgentRelay[][] = [];
+  private readonly relays: RelayThreads;
 
   private constructor(
     private readonly options: SoakFleetOptions,
@@ -66,6 +67,11 @@
       network.getHost(HostBlock.ENTRIES, entry),
     );
     this.store.add(network.release);
+    const plans = Array.from({length: options.size.agents}, (_, agent) =>
+      this.entryHosts.map((_host, entry) => network.planRelay(agent, entry)),
+    );
+    this.relays = RelayThreads.create(plans.flat());
+    this.store.add(() => this.relays.close());
   }
 
   /** Starts a deployment; resolves when all entries are ready. */
@@ -86,9 +92,9 @@
     return this.programs.get(nameProgram(id))!;
   }
 
-  /** Returns the relay between an agent and an entry. */
-  getRelay(agent: number, entry: number): AgentRelay {
-    return this.relays[agent][entry];
+  /** Sends a message to the relay between an agent and an entry. */
+  sendToRelay(message: RelayMessage): void {
+    this.relays.send(message);
   }
 
   /** Ends all processes by their ids, and all stand-ins. */
@@ -100,7 +106,6 @@
     const {agents} = this.options.size;
     const store = await this.openStore();
     store.put(`${OPERATORS_PREFIX}config`, JSON.stringify(CONFIGURATION));
-    for (let agent = 0; agent < agents; agent += 1) this.createRelays(agent);
     for (const [index, host] of this.entryHosts.entries()) {
       this.startProgram(
         {role: Role.ENTRY, index},
@@ -121,19 +126,6 @@
     }
   }
 
-  private createRelays(agent: number): void {
-    const {network} = this;
-    const relays = this.entryHosts.map((host, entry) =>
-      AgentRelay.create(
-        {host: network.getRelayHost(agent, entry), port: SoakPort.LINK},
-        {host, port: SoakPort.LINK},
-        () => network.createConversion(agent),
-      ),
-    );
-    this.relays.push(relays);
-    for (const relay of relays) this.store.add(() => relay.close());
-  }
-
   private async startAgent(index: number): Promise<void> {
     const {network, entryHosts} = this;
     const host = network.getHost(HostBlock.AGENTS, index);
@@ -205,7 +197,9 @@
   }
 
   private setEntryUp(entry: number, isUp: boolean): void {
-    for (const relays of this.relays) relays[entry].setEntryUp(isUp);
+    for (let agent = 0; agent < this.options.size.agents; agent += 1) {
+      this.relays.send({kind: RelayMessageKind.ENTRY_UP, agent, entry, isUp});
+    }
   }
 
   /** Waits until an entry's readiness fits, the time is over or the soak ends. */
--- a/tools/soak/soak_network.ts
+++ b/tools/soak/soak_network.ts
@@ -1,7 +1,7 @@
 /** Addresses of a soak on a loopback network that it holds for itself. */
 import {createServer} from 'node:net';
 import type {DrawRandom} from '../../src/lib/core/clock.js';
-import type {ConvertBytes} from '../../stand_ins/relay_connection.js';
+import type {RelayPlan} from './relay_messages.js';
 import {SoakError} from './soak_error.js';
 
 /** Ports of the programs; below the range from which outgoing connections draw. */
@@ -53,21 +53,17 @@
     return this.getHost(HostBlock.RELAYS + agent, entry);
   }
 
-  /**
-   * Creates the function that replaces entries' hosts by an agent's relays in the
-   * lines of one connection; it keeps an incomplete line until the rest arrives.
-   */
-  createConversion(agent: number): ConvertBytes {
-    const entries = `"${this.prefix}.${HostBlock.ENTRIES}.`;
-    const relays = `"${this.prefix}.${HostBlock.RELAYS + agent}.`;
-    let remainder = '';
-    return bytes => {
-      // Latin 1 keeps each byte, also those of a character that is cut in two.
-      const text = remainder + bytes.toString('latin1');
-      const end = text.lastIndexOf('\n') + 1;
-      remainder = text.slice(end);
-      const lines = text.slice(0, end).replaceAll(entries, relays);
-      return Buffer.from(lines, 'latin1');
+  /** Plans the relay between an agent and an entry. */
+  planRelay(agent: number, entry: number): RelayPlan {
+    const port = SoakPort.LINK;
+    const block = HostBlock.RELAYS + agent;
+    return {
+      agent,
+      entry,
+      address: {host: this.getRelayHost(agent, entry), port},
+      to: {host: this.getHost(HostBlock.ENTRIES, entry), port},
+      entriesPrefix: `"${this.prefix}.${HostBlock.ENTRIES}.`,
+      relaysPrefix: `"${this.prefix}.${block}.`,
     };
   }
 }
