--- a/tools/soak/main.ts
+++ b/tools/soak/main.ts
@@ -15,7 +15,7 @@
 const MS_PER_S = 1000;
 
 /** Log lines that a failed seed prints for each violation. */
-const MAX_LOG_LINES = 80;
+const MAX_LOG_LINES = 200;
 
 /** Violations that a failed seed prints in full. */
 const MAX_VIOLATIONS = 3;
