--- a/src/lib/work/entry/agent_session.ts
+++ b/src/lib/work/entry/agent_session.ts
@@ -65,10 +65,10 @@
   /** Free capacity of its target, less the orders in flight. */
   free: Resources = NO_RESOURCES;
 
-  /** Highest number of the agent's links whose hello was accepted. */
-  private latestLink: number;
+  /** Highest number of the agent's hellos that were accepted. */
+  private latestHello: number;
   private current: AgentState = AGENT_CHART.initial;
-  private lastSequence = 0;
+  private lastSequence: number;
   private inFlightOrders: InFlightOrder[] = [];
   private latestReport = INITIAL_REPORT;
   private outbox: EntryFrame[] = [];
@@ -80,7 +80,9 @@
     private readonly requestFlush: (session: AgentSession) => void,
   ) {
     this.lastReceivedAtMs = nowMs;
-    this.latestLink = hello.link ?? 0;
+    this.latestHello = hello.number ?? 0;
+    // The agent ignores an order that is not above those it knows of.
+    this.lastSequence = hello.through;
   }
 
   /**
@@ -121,13 +123,14 @@
    * Returns whether a hello was written before the latest accepted one: its runs
    * are those of a moment before orders that the agent may have received since.
    */
-  isOutdated({link = this.latestLink + 1}: AgentHello): boolean {
-    return link <= this.latestLink;
+  isOutdated({number}: AgentHello): boolean {
+    return number !== undefined && number <= this.latestHello;
   }
 
   /** Switches to a new stream; frames queued for the old one are dropped. */
   replaceStream(stream: FrameStream<EntryFrame>, hello: AgentHello): void {
-    this.latestLink = hello.link ?? this.latestLink;
+    this.latestHello = hello.number ?? this.latestHello;
+    this.lastSequence = Math.max(this.lastSequence, hello.through);
     if (this.stream !== stream) this.stream.close();
     this.stream = stream;
     this.outbox = [];
