review: a foreign entry in the store stops the links of all agents

Order of events: an entry of another writer, whose address lacks the port, lies beside the registrations of the fronts; these tell it to the agents; the first attempt to connect throws, before the timer of the next check is started, and the agent never pings or connects again.

--- a/review/stand_ins_2/fleet.mjs
+++ b/review/stand_ins_2/fleet.mjs
@@ -190,6 +190,7 @@
   const store = await openStore(`${net}.250`);
   const configuration = options.configuration ?? CONFIGURATION;
   store.put('op/config', JSON.stringify(configuration));
+  options.prepareStore?.(store);
   const processes = [];
   const runnersOpen = [];
   const openRunnerAt = [];
