List a failing test of LOST: an order that reached no target counts as a crash

A job is answered 200 `failed` though no task of it has failed so often. The test plays two agents: the target of the first crashes under a task, that of the second refuses all connections while the order of the same task is in flight.

--- /dev/null
+++ b/test/work/crash_evidence_test.ts
@@ -0,0 +1,67 @@
+import {expect} from 'chai';
+import {BlameVerdict, CrashBlame} from '../../src/lib/decisions/crash_blame.js';
+import type {TargetCrash} from '../../src/lib/core/work_frames.js';
+import {OrderOutcome} from '../../src/lib/work/agent/target_api.js';
+import {CallKind, RunnerFixture} from './runner_fixture.js';
+
+/** Refused connections that prove that an incarnation has ended. */
+const REFUSALS = 2;
+
+/** Time in milliseconds after which a run list is requested again. */
+const RENEW_PERIOD_MS = 150;
+
+// Guards against a job that is answered as failed (LOST) though one target only has
+// crashed under its task: the targets of a rack crash at once, the task is placed on
+// another of them, and the order that reached nobody counts as the second crash.
+describe('The crash of a target under an order in flight', () => {
+  const fixtures: RunnerFixture[] = [];
+
+  afterEach(async () => {
+    for (const {runner} of fixtures.splice(0)) await runner.stop();
+  });
+
+  /** Crashes the target of an agent that has sent it the order of a task. */
+  async function loseTarget(
+    life: string,
+    isStartAnswered: boolean,
+  ): Promise<TargetCrash> {
+    const fixture = await RunnerFixture.create();
+    fixtures.push(fixture);
+    fixture.isStartAnswered = isStartAnswered;
+    fixture.running = isStartAnswered ? undefined : [];
+    fixture.sendOrder('task');
+    await fixture.settle();
+    fixture.outcomes[CallKind.HOLD] = OrderOutcome.NOT_LISTENING;
+    for (let refusal = 0; refusal < REFUSALS; refusal += 1) {
+      fixture.nowMs += RENEW_PERIOD_MS / 10;
+      await fixture.runTimers();
+    }
+    fixture.nowMs += RENEW_PERIOD_MS;
+    await fixture.runTimers();
+    expect(fixture.crashes, life).not.to.deep.equal([]);
+    return {...fixture.crashes[0], life};
+  }
+
+  function judge(crashes: readonly TargetCrash[]): BlameVerdict {
+    const blame = CrashBlame.create();
+    for (const crash of crashes) blame.recordCrash(crash, 0);
+    return blame.judge('task');
+  }
+
+  it('does not prove that the task crashes targets', async () => {
+    const first = await loseTarget('t1', true);
+    const second = await loseTarget('t2', false);
+    expect(judge([first, second])).not.to.equal(BlameVerdict.DEADLY);
+  });
+
+  it('leads to an isolated run of the task', async () => {
+    const crash = await loseTarget('t1', false);
+    expect(judge([crash])).to.equal(BlameVerdict.SUSPECT);
+  });
+
+  it('is told from two crashes under the task, which prove it', async () => {
+    const first = await loseTarget('t1', true);
+    const second = await loseTarget('t2', true);
+    expect(judge([first, second])).to.equal(BlameVerdict.DEADLY);
+  });
+});
--- a/test/work/runner_fixture.ts
+++ b/test/work/runner_fixture.ts
@@ -64,6 +64,8 @@
     [CallKind.STOP]: OrderOutcome.ACCEPTED,
     [CallKind.HOLD]: OrderOutcome.ACCEPTED,
   };
+  /** Whether the target answers start orders. */
+  isStartAnswered = true;
   /** The target's reason for its refusals. */
   reason = '';
   /** Tasks in the target's list; without, all that were started. */
@@ -92,6 +94,7 @@
     const connect = ({incarnation}: TargetHeartbeat): TargetConnection => ({
       start: call => {
         this.starts.push(call);
+        if (!this.isStartAnswered) return new Promise(() => undefined);
         return Promise.resolve(answer(CallKind.START, incarnation));
       },
       stop: ({task}) => {
