Log the evidence of a crash at the agent and the entry

A job shown as failed with `targets-crashed` left no line that told an accepted run from an order without an answer, or named the crashes that counted.

The logic is unchanged.

--- a/src/lib/decisions/crash_blame.ts
+++ b/src/lib/decisions/crash_blame.ts
@@ -38,8 +38,20 @@
 /** Maximum number of tasks that are remembered; the oldest are removed. */
 const MAX_TASKS = 2000;
 
+/** Maximum number of incarnations that are kept for a task. */
+const MAX_LIVES = 4;
+
+/** What the crashes say of a task. */
+export interface BlameReport {
+  readonly crashes: number;
+  readonly blame: number;
+  /** The latest incarnations whose crashes were recorded here. */
+  readonly lives: readonly string[];
+}
+
 interface TaskBlame {
   readonly job: string;
+  readonly lives: readonly string[];
   crashes: number;
   /** Probability that the task is deadly. */
   blame: number;
@@ -88,6 +100,7 @@
         job,
         crashes: before + 1,
         blame: weights[index] / total,
+        lives: [...(known?.lives ?? []), life].slice(-MAX_LIVES),
         changedAtMs: nowMs,
       });
     }
@@ -114,6 +127,14 @@
     return {crashes, blame};
   }
 
+  /** Finds what is known of a task; undefined if nothing is. */
+  findReport(task: string): BlameReport | undefined {
+    const known = this.tasks.get(task);
+    if (known === undefined) return undefined;
+    const {crashes, blame, lives} = known;
+    return {crashes, blame, lives};
+  }
+
   /** Returns whether a task of the job is deadly. */
   hasDeadlyTask(job: string): boolean {
     for (const known of this.tasks.values()) {
--- a/src/lib/observe/fleet_log.ts
+++ b/src/lib/observe/fleet_log.ts
@@ -28,6 +28,8 @@
   TARGET_DRAINING = 'target-draining',
   TARGET_LOST = 'target-lost',
   TARGET_CRASHED = 'target-crashed',
+  /** What an agent held when its target crashed. */
+  CRASH_RECORDED = 'crash-recorded',
   TARGET_TRUST_CHANGED = 'target-trust',
   HEARTBEAT_REJECTED = 'beat-rejected',
   REQUEST_REJECTED = 'request-rejected',
@@ -61,4 +63,5 @@
     [FleetEvent.AGENT_DISCONNECTED]: LogLevel.WARN,
     [FleetEvent.TARGET_LOST]: LogLevel.WARN,
     [FleetEvent.TARGET_CRASHED]: LogLevel.WARN,
+    [FleetEvent.CRASH_RECORDED]: LogLevel.WARN,
   };
--- a/src/lib/work/agent/lease_renewer.ts
+++ b/src/lib/work/agent/lease_renewer.ts
@@ -1,6 +1,7 @@
 /** Requests the target's run lists, which renews the lease of its runs. */
 import {isOutlivingOwner, RunState} from '../../decisions/held_run.js';
 import type {RunRegistry} from '../../decisions/run_registry.js';
+import type {LineFields} from '../../observe/request_log.js';
 import type {TargetClient} from './target_client.js';
 
 /** Time in milliseconds without a run list after which a long poll's counts as lost. */
@@ -66,6 +67,15 @@
     api.list(runs.lastEndNumber, this.allowExtension(nowMs));
   }
 
+  /** Describes the lease for the log. */
+  describe(nowMs: number): LineFields {
+    const {leaseExpiresAtMs} = this.options.api;
+    return {
+      listedAgoMs: Math.round(nowMs - this.listedAtMs),
+      leaseLeftMs: Math.round(leaseExpiresAtMs - nowMs),
+    };
+  }
+
   /** Renews the lease when due; returns whether it has certainly ended instead. */
   advance(nowMs: number): boolean {
     const {api, runs, isControlled} = this.options;
--- a/src/lib/work/agent/target_controller.ts
+++ b/src/lib/work/agent/target_controller.ts
@@ -62,7 +62,6 @@
       runs: this.runs,
       getTarget: () => this.heartbeat?.id ?? '',
     });
-    this.crashes = CrashReporter.create(options);
     const {runs, api} = this;
     this.lease = LeaseRenewer.create({
       ...options,
@@ -71,6 +70,7 @@
       isControlled: () => this.takeover.isComplete,
     });
     const {lease, health} = this;
+    this.crashes = CrashReporter.create({...options, lease});
     this.commands = RunCommands.create({...options, api, health, lease});
     this.takeover = TargetTakeover.create({
       ...options,
@@ -222,8 +222,8 @@
   private adopt(confirmed: ConfirmedIncarnation, nowMs: number): void {
     const previousId = this.heartbeat?.id;
     const {heartbeat} = confirmed;
-    this.api.beginIncarnation(confirmed);
     this.crashes.endIncarnation(this.runs.listRuns(), nowMs);
+    this.api.beginIncarnation(confirmed);
     this.runs.loseAll(nowMs);
     this.runs.resetEnds();
     this.api.endLongPoll();
--- a/src/lib/work/entry/active_job.ts
+++ b/src/lib/work/entry/active_job.ts
@@ -39,6 +39,8 @@
   sequence: number;
   /** Incarnations of targets on which a run failed or from which it was recalled. */
   readonly excluded: Set<string>;
+  /** Incarnations of targets whose crashes were counted when its job was given up. */
+  crashedLives: readonly string[];
 }
 
 /** A completed run. */
@@ -108,6 +110,7 @@
         placedAtMs: 0,
         sequence: 0,
         excluded: new Set(),
+        crashedLives: [],
       });
     }
   });
@@ -129,6 +132,28 @@
   );
 }
 
+/** Maximum number of tasks that the log names as the cause of a failed job. */
+const MAX_NAMED_TASKS = 4;
+
+function describeFailure({state, tasks, rule}: ActiveJob): LineFields {
+  if (state !== JobState.FAILED) return {};
+  const causes = tasks.filter(
+    ({failures, crashedLives}) => failures > 0 || crashedLives.length > 0,
+  );
+  causes.sort((a, b) => b.failures - a.failures);
+  return {
+    attemptsAtMost: rule.attemptsAtMost,
+    failedTasks: causes
+      .slice(0, MAX_NAMED_TASKS)
+      .map(({name, run, failures, crashedLives}) => ({
+        task: name,
+        run,
+        failures,
+        crashedLives,
+      })),
+  };
+}
+
 /** Builds the log fields for the end of a job. */
 export function describeEnd(
   job: ActiveJob,
@@ -144,6 +169,7 @@
     lastTask: lastRun?.task,
     lastAgent: lastRun?.agent,
     lastRunMs: lastRun?.durationMs,
+    ...describeFailure(job),
   };
 }
 
--- a/src/lib/work/entry/agent_fleet_options.ts
+++ b/src/lib/work/entry/agent_fleet_options.ts
@@ -14,7 +14,8 @@
   readonly dataCentre: string;
   readonly log: FleetLog;
   readonly handleRunEnd: (session: AgentSession, report: RunEndReport) => void;
-  readonly handleCrash: (crash: TargetCrash) => void;
+  /** Called with a crash and the incarnation of the agent that reports it. */
+  readonly handleCrash: (crash: TargetCrash, agentLife: string) => void;
   readonly handleRunStatus: (task: ActiveTask, change: RunStatusChange) => void;
   readonly handleConfiguration: (configuration: FleetConfiguration) => void;
   readonly getConfiguration: () => FleetConfiguration | undefined;
--- a/src/lib/work/entry/agent_frame_handler.ts
+++ b/src/lib/work/entry/agent_frame_handler.ts
@@ -90,7 +90,7 @@
         break;
       }
       case AgentFrameKind.CRASH:
-        this.options.handleCrash(frame.crash);
+        this.options.handleCrash(frame.crash, session.hello.life);
         break;
       case AgentFrameKind.CONFIGURATION_REQUEST: {
         const configuration = this.options.getConfiguration();
@@ -217,7 +217,9 @@
       through: hello.through,
       hello: hello.number,
     });
-    for (const crash of hello.crashes ?? []) this.options.handleCrash(crash);
+    for (const crash of hello.crashes ?? []) {
+      this.options.handleCrash(crash, hello.life);
+    }
     this.resolveTasks(session, hello, nowMs);
     if (existing !== undefined && existing.state !== AgentState.CONNECTED) {
       this.options.applyEvent(existing, AgentEvent.RECONNECT, nowMs);
--- a/src/lib/work/entry/deadly_tasks.ts
+++ b/src/lib/work/entry/deadly_tasks.ts
@@ -9,11 +9,15 @@
 import type {QueueRule} from '../../core/fleet_configuration.js';
 import type {CrashSuspicion, TargetCrash} from '../../core/work_frames.js';
 import {JobReason} from '../../core/work_job.js';
-import type {ActiveTask} from './active_job.js';
+import type {LineFields} from '../../observe/request_log.js';
+import type {ActiveJob, ActiveTask} from './active_job.js';
 import type {AgentFleet} from './agent_fleet.js';
 import type {JobRegistry} from './job_registry.js';
 import {TaskState} from './work_charts.js';
 
+/** Maximum number of tasks whose evidence is logged with a crash. */
+const MAX_LOGGED_TASKS = 12;
+
 /** Dependencies of the record of deadly tasks. */
 export interface DeadlyTasksOptions {
   readonly jobs: JobRegistry;
@@ -36,16 +40,19 @@
   }
 
   /** Records a crash, and gives up the jobs that it proves to be deadly. */
-  handleCrash(crash: TargetCrash, nowMs: number): void {
+  handleCrash(crash: TargetCrash, agentLife: string, nowMs: number): void {
     const {jobs, log} = this.options;
     if (!this.blame.recordCrash(crash, nowMs - crash.ageMs)) return;
     const suspects = this.listTasks(crash, BlameVerdict.SUSPECT);
     const deadly = this.listTasks(crash, BlameVerdict.DEADLY);
     log(FleetEvent.TARGET_CRASHED, 'A target crashed under these tasks.', {
       targetLife: crash.life,
+      agentLife,
+      ageMs: crash.ageMs,
       runs: crash.runs.length,
       suspects,
       deadly,
+      tasks: this.describeTasks(crash, [...deadly, ...suspects]),
     });
     for (const {job, task, suspicion} of crash.runs) {
       if (suspicion?.queue !== undefined && deadly.includes(task)) {
@@ -53,8 +60,16 @@
       }
       const active = jobs.find(job);
       if (active === undefined || !deadly.includes(task)) continue;
-      jobs.fail(active, nowMs, JobReason.TARGETS_CRASHED);
+      this.fail(active, nowMs);
+    }
+  }
+
+  /** Ends a job whose tasks crash targets as failed. */
+  fail(job: ActiveJob, nowMs: number): void {
+    for (const task of job.tasks) {
+      task.crashedLives = this.blame.findReport(task.name)?.lives ?? [];
     }
+    this.options.jobs.fail(job, nowMs, JobReason.TARGETS_CRASHED);
   }
 
   /** Clears a task that has ended with success. */
@@ -96,6 +111,24 @@
     this.trial = {task, run: task.run};
   }
 
+  private describeTasks(
+    {runs}: TargetCrash,
+    tasks: readonly string[],
+  ): LineFields[] {
+    return tasks.slice(0, MAX_LOGGED_TASKS).map(task => {
+      const run = runs.find(each => each.task === task);
+      const {crashes, blame, lives} = this.blame.findReport(task) ?? {};
+      return {
+        task,
+        ranMs: run?.ranMs,
+        toldCrashes: run?.suspicion?.crashes ?? 0,
+        crashes,
+        blame: Number(blame?.toFixed(3)),
+        lives,
+      };
+    });
+  }
+
   private listTasks({runs}: TargetCrash, verdict: BlameVerdict): string[] {
     return runs
       .map(({task}) => task)
--- a/src/lib/work/entry/scheduler.ts
+++ b/src/lib/work/entry/scheduler.ts
@@ -7,7 +7,6 @@
 import {FleetEvent} from '../../observe/fleet_log.js';
 import {RequestLog} from '../../observe/request_log.js';
 import type {FleetConfiguration} from '../../core/fleet_configuration.js';
-import {JobReason} from '../../core/work_job.js';
 import {EntryFrameKind, RunEnd} from '../../core/work_frames.js';
 import type {EntryFrame} from '../../core/work_frames.js';
 import type {FrameStream} from '../link/frame_stream.js';
@@ -85,7 +84,7 @@
         if (report.end === RunEnd.DONE) this.deadly.recordSuccess(report.task);
         this.jobs.endRun(session, report, this.nowMs);
       },
-      handleCrash: crash => this.deadly.handleCrash(crash, this.nowMs),
+      handleCrash: (...crash) => this.deadly.handleCrash(...crash, this.nowMs),
       handleRunStatus: (task, change) =>
         this.jobs.handleRunStatus(task, change),
       handleConfiguration: configuration =>
@@ -226,7 +225,7 @@
     );
     if (this.deadly.isDeadly(request.job)) {
       jobs.add(job, caller, answer);
-      jobs.fail(job, nowMs, JobReason.TARGETS_CRASHED);
+      this.deadly.fail(job, nowMs);
       return;
     }
     const isWarmingUp = nowMs - this.createdAtMs < WARM_UP_MS;
--- a/test/work/entry_fleet_fixture.ts
+++ b/test/work/entry_fleet_fixture.ts
@@ -12,7 +12,7 @@
 
 const CAPACITY = {cpuMilli: 4000, memoryMb: 1000, accelerators: 0};
 
-/** A log line of the entry. */
+/** A log line of an entry or an agent. */
 export interface EntryLine {
   readonly event: FleetEvent;
   readonly fields: Readonly<Record<string, unknown>>;
--- a/test/work/runner_fixture.ts
+++ b/test/work/runner_fixture.ts
@@ -24,6 +24,7 @@
   TargetHeartbeat,
 } from '../../src/lib/work/agent/target_api.js';
 import {WorkRunner} from '../../src/lib/work/agent/work_runner.js';
+import type {EntryLine} from './entry_fleet_fixture.js';
 import {HEARTBEAT} from './first_heartbeat.js';
 
 /** Entries that the runner is linked to. */
@@ -48,6 +49,8 @@
   /** Crashes as reported in frames of their own and in the latest hello. */
   readonly crashes: TargetCrash[] = [];
   greeted: readonly TargetCrash[] = [];
+  /** Lines of the agent's log. */
+  readonly lines: EntryLine[] = [];
   /** Numbers of the hellos, in the order in which they were written. */
   readonly hellos: Array<number | undefined> = [];
   nowMs = 10_000;
@@ -124,7 +127,8 @@
         this.timers.add(fire);
         return () => void this.timers.delete(fire);
       },
-      log: () => undefined,
+      log: (event, _message, fields = {}) =>
+        void this.lines.push({event, fields}),
       metrics: NO_OP_FLEET_METRICS,
       reportIdle: () => undefined,
       reportFailure: failure => {
