Give a task up only after crashes under which it is known to have run

Cause: a verdict for good from a belief. The agent reported each run that occupied capacity as one that the crash had hit, also one whose order was in flight to a target that refused all connections. When a rack crashes, a lost task is placed on another target of it; the newest order gets nearly all blame, and two such reports made the task deadly. Ruled out for these: a planned end (each proof was `nobody`), a crash that counts twice (two lives).

Now each run in a report carries its evidence: `ran` only if the target had accepted it and neither the run nor its lease can have ended before the first sign of the crash. Only two such crashes give a task up. Three that do not prove it hold the task back, which keeps BUDGET; its job is answered 504 with retry-after and not as failed. A suspicion names the lives that count, so that one crash counts once by whichever way it is heard of, and a life is known for ten minutes, as a report may be read late.

--- a/src/lib/core/work_job.ts
+++ b/src/lib/core/work_job.ts
@@ -68,6 +68,8 @@
   ATTEMPTS_EXHAUSTED = 'attempts-used',
   /** A task of the job crashes the targets on which it starts. */
   TARGETS_CRASHED = 'targets-crashed',
+  /** Targets crashed while a task of the job may have run there; nothing is proven. */
+  CRASHES_SUSPECTED = 'crashes-suspected',
   /** The job's deadline has passed. */
   DEADLINE_EXCEEDED = 'deadline',
 }
--- a/src/lib/decisions/crash_blame.ts
+++ b/src/lib/decisions/crash_blame.ts
@@ -2,7 +2,13 @@
  * Decides which task crashed a target, from the runs that were on it. Answers the
  * poison message: a request that takes down every server that handles it.
  */
-import type {CrashSuspicion, TargetCrash} from '../core/work_frames.js';
+import {RunEvidence} from '../core/work_frames.js';
+import type {
+  CountedCrash,
+  CrashedRun,
+  CrashSuspicion,
+  TargetCrash,
+} from '../core/work_frames.js';
 
 /** What follows for a task from the crashes under it. */
 export enum BlameVerdict {
@@ -10,6 +16,8 @@
   NONE = 'none',
   /** Its next run has to show by itself whether it crashes a target. */
   SUSPECT = 'suspect',
+  /** It gets no further run while it is remembered, though nothing is proven. */
+  HELD = 'held',
   /** It crashes targets and gets no further run. */
   DEADLY = 'deadly',
 }
@@ -26,33 +34,35 @@
 /** Blame from which two crashes suffice to give a task up. */
 const DEADLY_BLAME = 0.9;
 
-/** Number of crashes without which no task is given up. */
+/** Number of crashes under a task that is known to have run without which none is given up. */
 const MIN_CRASHES = 2;
 
-/** Number of crashes after which a task gets no run, whatever explains them. */
+/** Number of crashes after which a task gets no run, whatever is known of them. */
 const MAX_CRASHES = 3;
 
-/** Time in milliseconds for which crashes are remembered. */
+/** Time in milliseconds for which the crashes under a task are remembered. */
 const RETENTION_MS = 30_000;
 
-/** Maximum number of tasks that are remembered; the oldest are removed. */
-const MAX_TASKS = 2000;
+/**
+ * Time in milliseconds for which a crash is known by its target's incarnation: a
+ * report may be read long after it was written.
+ */
+const LIFE_RETENTION_MS = 600_000;
 
-/** Maximum number of incarnations that are kept for a task. */
-const MAX_LIVES = 4;
+/** Maximum numbers that are remembered; the oldest are removed. */
+const MAX_TASKS = 2000;
+const MAX_LIVES = 4000;
 
 /** What the crashes say of a task. */
 export interface BlameReport {
-  readonly crashes: number;
   readonly blame: number;
-  /** The latest incarnations whose crashes were recorded here. */
-  readonly lives: readonly string[];
+  readonly counted: readonly CountedCrash[];
 }
 
 interface TaskBlame {
   readonly job: string;
-  readonly lives: readonly string[];
-  crashes: number;
+  /** What is known of its runs, by the incarnation of the target that crashed. */
+  readonly counted: ReadonlyMap<string, RunEvidence>;
   /** Probability that the task is deadly. */
   blame: number;
   changedAtMs: number;
@@ -80,7 +90,7 @@
   /** Records a crash; returns whether it was not known. */
   recordCrash({life, runs}: TargetCrash, nowMs: number): boolean {
     if (this.crashes.has(life)) return false;
-    this.removeExpired(nowMs);
+    this.expire(nowMs);
     this.crashes.set(life, nowMs);
     const weights = runs.map(({task, ranMs, suspicion}) => {
       const known = this.tasks.get(task);
@@ -92,15 +102,14 @@
       return blame * computeHazard(ranMs);
     });
     const total = weights.reduce((sum, weight) => sum + weight, 0);
-    for (const [index, {task, job, suspicion}] of runs.entries()) {
-      const known = this.tasks.get(task);
-      const before = Math.max(known?.crashes ?? 0, suspicion?.crashes ?? 0);
+    for (const [index, run] of runs.entries()) {
+      const {task, job} = run;
+      const counted = mergeCrashes(this.tasks.get(task), run, life);
       this.tasks.delete(task);
       this.tasks.set(task, {
         job,
-        crashes: before + 1,
+        counted,
         blame: weights[index] / total,
-        lives: [...(known?.lives ?? []), life].slice(-MAX_LIVES),
         changedAtMs: nowMs,
       });
     }
@@ -118,36 +127,48 @@
     return known === undefined ? BlameVerdict.NONE : judgeBlame(known);
   }
 
+  /** Judges a job by its most suspicious task. */
+  judgeJob(job: string): BlameVerdict {
+    const verdicts = [...this.tasks.values()]
+      .filter(known => known.job === job)
+      .map(judgeBlame);
+    const byRank = Object.values(BlameVerdict).reverse();
+    return (
+      byRank.find(verdict => verdicts.includes(verdict)) ?? BlameVerdict.NONE
+    );
+  }
+
   /** Returns what an order tells the agent of a suspect task; undefined for others. */
   describe(task: string): CrashSuspicion | undefined {
-    const known = this.tasks.get(task);
-    if (known === undefined) return undefined;
-    if (judgeBlame(known) === BlameVerdict.NONE) return undefined;
-    const {crashes, blame} = known;
-    return {crashes, blame};
+    if (this.judge(task) === BlameVerdict.NONE) return undefined;
+    const report = this.findReport(task);
+    return report && {crashes: report.counted.length, ...report};
   }
 
   /** Finds what is known of a task; undefined if nothing is. */
   findReport(task: string): BlameReport | undefined {
     const known = this.tasks.get(task);
     if (known === undefined) return undefined;
-    const {crashes, blame, lives} = known;
-    return {crashes, blame, lives};
+    const counted = [...known.counted].map(([life, evidence]) => ({
+      life,
+      evidence,
+    }));
+    return {blame: known.blame, counted};
   }
 
-  /** Returns whether a task of the job is deadly. */
-  hasDeadlyTask(job: string): boolean {
-    for (const known of this.tasks.values()) {
-      if (known.job === job && judgeBlame(known) === BlameVerdict.DEADLY) {
-        return true;
-      }
-    }
-    return false;
+  /** Returns the time in milliseconds until the crashes under a job are forgotten. */
+  computeRetention(job: string, nowMs: number): number {
+    const times = [...this.tasks.values()]
+      .filter(known => known.job === job)
+      .map(({changedAtMs}) => changedAtMs + RETENTION_MS - nowMs);
+    return Math.max(0, ...times);
   }
 
-  private removeExpired(nowMs: number): void {
+  /** Forgets what is older than the retention time, and the oldest beyond the limits. */
+  expire(nowMs: number): void {
     for (const [life, atMs] of this.crashes) {
-      if (nowMs - atMs < RETENTION_MS) break;
+      const isExpired = nowMs - atMs >= LIFE_RETENTION_MS;
+      if (!isExpired && this.crashes.size <= MAX_LIVES) break;
       this.crashes.delete(life);
     }
     for (const [task, {changedAtMs}] of this.tasks) {
@@ -158,9 +179,42 @@
   }
 }
 
-function judgeBlame({crashes, blame}: TaskBlame): BlameVerdict {
-  const isProven = crashes >= MIN_CRASHES && blame >= DEADLY_BLAME;
-  if (isProven || crashes >= MAX_CRASHES) return BlameVerdict.DEADLY;
+/** Joins the crashes known here, those that the order told of, and the present one. */
+function mergeCrashes(
+  known: TaskBlame | undefined,
+  {suspicion, evidence = RunEvidence.UNKNOWN}: CrashedRun,
+  life: string,
+): ReadonlyMap<string, RunEvidence> {
+  const counted = new Map(known?.counted);
+  for (const crash of listCounted(suspicion)) {
+    if (counted.get(crash.life) === RunEvidence.RAN) continue;
+    counted.set(crash.life, crash.evidence);
+  }
+  return counted.set(life, evidence);
+}
+
+function listCounted(
+  suspicion: CrashSuspicion | undefined,
+): readonly CountedCrash[] {
+  if (suspicion === undefined) return [];
+  // Earlier versions only count.
+  return (
+    suspicion.counted ??
+    Array.from({length: suspicion.crashes}, (_, index) => ({
+      life: `#${index}`,
+      evidence: RunEvidence.UNKNOWN,
+    }))
+  );
+}
+
+function judgeBlame({counted, blame}: TaskBlame): BlameVerdict {
+  const crashes = counted.size;
+  const ran = [...counted.values()].filter(
+    evidence => evidence === RunEvidence.RAN,
+  ).length;
+  const isExplained = blame >= DEADLY_BLAME || crashes >= MAX_CRASHES;
+  if (ran >= MIN_CRASHES && isExplained) return BlameVerdict.DEADLY;
+  if (crashes >= MAX_CRASHES) return BlameVerdict.HELD;
   const isSuspect = crashes >= MIN_CRASHES || blame >= SUSPECT_BLAME;
   return isSuspect ? BlameVerdict.SUSPECT : BlameVerdict.NONE;
 }
--- a/src/lib/work/agent/controller_options.ts
+++ b/src/lib/work/agent/controller_options.ts
@@ -4,7 +4,7 @@
 import type {FleetLog} from '../../observe/fleet_log.js';
 import type {FleetMetrics} from '../../observe/fleet_metrics.js';
 import type {RequestLog} from '../../observe/request_log.js';
-import type {HeldRun} from '../../decisions/held_run.js';
+import type {ObservedCrash} from '../../decisions/crash_evidence.js';
 import type {RunEndReport} from '../../core/work_frames.js';
 import type {RunnerMessage} from './runner_messages.js';
 import type {ConnectTarget} from './target_api.js';
@@ -23,11 +23,7 @@
   /** Called with the end of each run. */
   readonly deliverEnd: (owner: string, report: RunEndReport) => void;
   /** Called with the runs of a target that crashed, before their ends. */
-  readonly publishCrash: (
-    life: string,
-    runs: readonly HeldRun[],
-    nowMs: number,
-  ) => void;
+  readonly publishCrash: (crash: ObservedCrash, nowMs: number) => void;
 }
 
 /** Identifies the run that an answer belongs to. */
--- a/src/lib/work/agent/crash_log.ts
+++ b/src/lib/work/agent/crash_log.ts
@@ -1,7 +1,7 @@
 /** The recent crashes of an agent's target, for the entries. */
-import {isOccupying} from '../../decisions/held_run.js';
-import type {HeldRun} from '../../decisions/held_run.js';
-import type {TargetCrash} from '../../core/work_frames.js';
+import {judgeEvidence} from '../../decisions/crash_evidence.js';
+import type {ObservedCrash} from '../../decisions/crash_evidence.js';
+import type {CrashedRun, TargetCrash} from '../../core/work_frames.js';
 
 /** Maximum number of crashes that are kept. */
 const MAX_CRASHES = 8;
@@ -25,25 +25,13 @@
     return new CrashLog();
   }
 
-  /** Records a crash; undefined if nothing ran there. */
-  record(
-    life: string,
-    runs: readonly HeldRun[],
-    nowMs: number,
-  ): TargetCrash | undefined {
-    const crashed = runs.filter(isOccupying);
-    if (crashed.length === 0) return undefined;
-    const crash = {
-      life,
-      ageMs: 0,
-      runs: crashed.map(({order, startSentAtMs}) => ({
-        task: order.task,
-        job: order.job,
-        ranMs: Math.round(nowMs - startSentAtMs),
-        suspicion: order.suspicion,
-      })),
-    };
-    const logged = {crash, recordedAtMs: nowMs};
+  /** Records a crash; undefined if nothing can have run there. */
+  record(observed: ObservedCrash, nowMs: number): TargetCrash | undefined {
+    const runs = listCrashedRuns(observed);
+    if (runs.length === 0) return undefined;
+    const ageMs = Math.round(nowMs - observed.signAtMs);
+    const crash = {life: observed.life, ageMs, runs};
+    const logged = {crash, recordedAtMs: observed.signAtMs};
     this.crashes = [...this.crashes, logged].slice(-MAX_CRASHES);
     return crash;
   }
@@ -59,3 +47,13 @@
     }));
   }
 }
+
+function listCrashedRuns(observed: ObservedCrash): CrashedRun[] {
+  return observed.runs.flatMap(run => {
+    const evidence = judgeEvidence(run, observed);
+    if (evidence === undefined) return [];
+    const {task, job, suspicion} = run.order;
+    const ranMs = Math.max(0, observed.signAtMs - run.startSentAtMs);
+    return [{task, job, ranMs: Math.round(ranMs), evidence, suspicion}];
+  });
+}
--- a/src/lib/work/agent/entry_reporter.ts
+++ b/src/lib/work/agent/entry_reporter.ts
@@ -1,6 +1,7 @@
 /** Sends hello, run ends, target reports and configuration to the entries. */
 import type {ReadMonotonicMs} from '../../core/clock.js';
 import type {Post} from '../../core/task.js';
+import type {ObservedCrash} from '../../decisions/crash_evidence.js';
 import type {HeldRun} from '../../decisions/held_run.js';
 import {AgentFrameKind} from '../../core/work_frames.js';
 import type {
@@ -142,8 +143,8 @@
   }
 
   /** Tells the linked entries what ran on a target that crashed. */
-  publishCrash(life: string, runs: readonly HeldRun[], nowMs: number): void {
-    const crash = this.crashes.record(life, runs, nowMs);
+  publishCrash(observed: ObservedCrash, nowMs: number): void {
+    const crash = this.crashes.record(observed, nowMs);
     if (crash === undefined) return;
     for (const entry of this.entries.listEntries()) {
       this.send(entry, {kind: AgentFrameKind.CRASH, crash});
--- a/src/lib/work/agent/lease_renewer.ts
+++ b/src/lib/work/agent/lease_renewer.ts
@@ -37,6 +37,11 @@
     return this.listedAtMs;
   }
 
+  /** Time from which no run of the lease can exist. */
+  get expiresAtMs(): number {
+    return this.options.api.leaseExpiresAtMs;
+  }
+
   /** Records that a run list has arrived. */
   recordList(nowMs: number): void {
     this.listedAtMs = nowMs;
@@ -69,10 +74,9 @@
 
   /** Describes the lease for the log. */
   describe(nowMs: number): LineFields {
-    const {leaseExpiresAtMs} = this.options.api;
     return {
       listedAgoMs: Math.round(nowMs - this.listedAtMs),
-      leaseLeftMs: Math.round(leaseExpiresAtMs - nowMs),
+      leaseLeftMs: Math.round(this.expiresAtMs - nowMs),
     };
   }
 
--- a/src/lib/work/agent/target_controller.ts
+++ b/src/lib/work/agent/target_controller.ts
@@ -284,6 +284,7 @@
 
   private recordAnswer(answer: OrderAnswer, nowMs: number): void {
     this.api.recordAnswer(answer);
+    this.crashes.recordCall(answer.outcome, nowMs);
     // Carried out late, a call would renew the lease of runs that count as over.
     if (isUncertain(answer.outcome)) this.api.token.raiseFence();
     this.health.recordCall(answer.outcome === OrderOutcome.BROKEN, nowMs);
--- a/src/lib/work/entry/active_job.ts
+++ b/src/lib/work/entry/active_job.ts
@@ -7,7 +7,8 @@
 import type {ExpectedWork} from '../../decisions/work_forecast.js';
 import type {QueueRule} from '../../core/fleet_configuration.js';
 import type {LineFields} from '../../observe/request_log.js';
-import {formatTaskName} from '../../core/work_job.js';
+import type {RunEndReport} from '../../core/work_frames.js';
+import {formatTaskName, JobEnd} from '../../core/work_job.js';
 import type {
   JobAnswer,
   JobReason,
@@ -154,6 +155,28 @@
   };
 }
 
+/** Records the run of a task that is done; `scaledMs` is its time on a typical target. */
+export function recordRun(
+  job: ActiveJob,
+  agent: string,
+  {task, durationMs}: RunEndReport,
+  scaledMs: number,
+): void {
+  job.longestRunMs = Math.max(job.longestRunMs, scaledMs);
+  job.lastRun = {task, agent, durationMs};
+}
+
+/** Creates the answer to an unfinished job: refused only if no part of it can have run. */
+export function createUnfinishedAnswer(
+  {state, expected}: ActiveJob,
+  reason: JobReason,
+  retryAfterMs: number,
+): JobAnswer {
+  const isUnstarted = state === JobState.WAITING && expected.elapsedMs === 0;
+  const end = isUnstarted ? JobEnd.REFUSED : JobEnd.ABANDONED;
+  return {end, reason, retryAfterMs};
+}
+
 /** Builds the log fields for the end of a job. */
 export function describeEnd(
   job: ActiveJob,
--- a/src/lib/work/entry/deadly_tasks.ts
+++ b/src/lib/work/entry/deadly_tasks.ts
@@ -1,4 +1,4 @@
-/** Gives up the jobs whose tasks crash targets, as the agents' reports show. */
+/** Ends the jobs whose tasks crash targets, or seem to, as the agents' reports show. */
 import {BlameVerdict, CrashBlame} from '../../decisions/crash_blame.js';
 import {
   listConfined,
@@ -7,13 +7,14 @@
 import {FleetEvent} from '../../observe/fleet_log.js';
 import type {FleetLog} from '../../observe/fleet_log.js';
 import type {QueueRule} from '../../core/fleet_configuration.js';
+import {RunEvidence} from '../../core/work_frames.js';
 import type {CrashSuspicion, TargetCrash} from '../../core/work_frames.js';
-import {JobReason} from '../../core/work_job.js';
+import {JobEnd, JobReason} from '../../core/work_job.js';
 import type {LineFields} from '../../observe/request_log.js';
 import type {ActiveJob, ActiveTask} from './active_job.js';
 import type {AgentFleet} from './agent_fleet.js';
 import type {JobRegistry} from './job_registry.js';
-import {TaskState} from './work_charts.js';
+import {JobEvent, TaskState} from './work_charts.js';
 
 /** Maximum number of tasks whose evidence is logged with a crash. */
 const MAX_LOGGED_TASKS = 12;
@@ -39,11 +40,12 @@
     return new DeadlyTasks(options);
   }
 
-  /** Records a crash, and gives up the jobs that it proves to be deadly. */
+  /** Records a crash, and ends the jobs of which a task gets no further run. */
   handleCrash(crash: TargetCrash, agentLife: string, nowMs: number): void {
     const {jobs, log} = this.options;
     if (!this.blame.recordCrash(crash, nowMs - crash.ageMs)) return;
     const suspects = this.listTasks(crash, BlameVerdict.SUSPECT);
+    const held = this.listTasks(crash, BlameVerdict.HELD);
     const deadly = this.listTasks(crash, BlameVerdict.DEADLY);
     log(FleetEvent.TARGET_CRASHED, 'A target crashed under these tasks.', {
       targetLife: crash.life,
@@ -51,25 +53,49 @@
       ageMs: crash.ageMs,
       runs: crash.runs.length,
       suspects,
+      held,
       deadly,
-      tasks: this.describeTasks(crash, [...deadly, ...suspects]),
+      tasks: this.describeTasks(crash, [...deadly, ...held, ...suspects]),
     });
     for (const {job, task, suspicion} of crash.runs) {
       if (suspicion?.queue !== undefined && deadly.includes(task)) {
         this.containment.recordDeadly(suspicion.queue, nowMs);
       }
       const active = jobs.find(job);
-      if (active === undefined || !deadly.includes(task)) continue;
-      this.fail(active, nowMs);
+      if (active !== undefined) this.endIfBarred(active, nowMs);
     }
   }
 
-  /** Ends a job whose tasks crash targets as failed. */
-  fail(job: ActiveJob, nowMs: number): void {
-    for (const task of job.tasks) {
-      task.crashedLives = this.blame.findReport(task.name)?.lives ?? [];
+  /** Ends a job of which a task gets no further run; returns whether it did. */
+  endIfBarred(job: ActiveJob, nowMs: number): boolean {
+    const {jobs} = this.options;
+    const name = job.request.job;
+    switch (this.blame.judgeJob(name)) {
+      case BlameVerdict.DEADLY:
+        for (const task of job.tasks) {
+          const {counted = []} = this.blame.findReport(task.name) ?? {};
+          task.crashedLives = counted.map(({life}) => life);
+        }
+        jobs.fail(job, nowMs, JobReason.TARGETS_CRASHED);
+        return true;
+      case BlameVerdict.HELD: {
+        // A task of it was ordered, here or at another entry, so it may have run.
+        const end = JobEnd.ABANDONED;
+        const reason = JobReason.CRASHES_SUSPECTED;
+        const retryAfterMs = this.blame.computeRetention(name, nowMs);
+        const answer = {end, reason, retryAfterMs};
+        jobs.end(job, JobEvent.ABANDON, answer, nowMs);
+        return true;
+      }
+      case BlameVerdict.SUSPECT:
+      case BlameVerdict.NONE:
+        return false;
     }
-    this.options.jobs.fail(job, nowMs, JobReason.TARGETS_CRASHED);
+  }
+
+  /** Forgets the crashes that are too old. */
+  expire(nowMs: number): void {
+    this.blame.expire(nowMs);
   }
 
   /** Clears a task that has ended with success. */
@@ -77,9 +103,10 @@
     this.blame.recordSuccess(task);
   }
 
-  /** Returns whether a task of the job is known to crash targets. */
-  isDeadly(job: string): boolean {
-    return this.blame.hasDeadlyTask(job);
+  /** Returns whether a task of the job gets no further run. */
+  isBarred(job: string): boolean {
+    const verdict = this.blame.judgeJob(job);
+    return verdict === BlameVerdict.DEADLY || verdict === BlameVerdict.HELD;
   }
 
   /** Returns what is known of a suspect task; undefined for others. */
@@ -117,14 +144,17 @@
   ): LineFields[] {
     return tasks.slice(0, MAX_LOGGED_TASKS).map(task => {
       const run = runs.find(each => each.task === task);
-      const {crashes, blame, lives} = this.blame.findReport(task) ?? {};
+      const {blame, counted = []} = this.blame.findReport(task) ?? {};
+      const ran = counted.filter(({evidence}) => evidence === RunEvidence.RAN);
       return {
         task,
         ranMs: run?.ranMs,
+        evidence: run?.evidence,
         toldCrashes: run?.suspicion?.crashes ?? 0,
-        crashes,
+        crashes: counted.length,
+        ran: ran.length,
         blame: Number(blame?.toFixed(3)),
-        lives,
+        lives: counted.map(({life}) => life),
       };
     });
   }
--- a/src/lib/work/entry/job_registry.ts
+++ b/src/lib/work/entry/job_registry.ts
@@ -6,10 +6,12 @@
 import {createAnswer, JobEnd, JobReason} from '../../core/work_job.js';
 import type {JobAnswer} from '../../core/work_job.js';
 import {
+  createUnfinishedAnswer,
   describeEnd,
   describeJob,
   describeReturn,
   listUnblocked,
+  recordRun,
 } from './active_job.js';
 import type {ActiveJob, ActiveTask, AnswerCaller} from './active_job.js';
 import type {AgentSession} from './agent_session.js';
@@ -114,18 +116,16 @@
     }
   }
 
-  /** Answers that the job is refused only if no part of it can have run. */
   private endUnfinished(
     job: ActiveJob,
     reason: JobReason,
     nowMs: number,
     retryAfterMs = 0,
   ): void {
-    const isUnstarted =
-      job.state === JobState.WAITING && job.expected.elapsedMs === 0;
-    const event = isUnstarted ? JobEvent.REFUSE : JobEvent.ABANDON;
-    const end = isUnstarted ? JobEnd.REFUSED : JobEnd.ABANDONED;
-    this.end(job, event, {end, reason, retryAfterMs}, nowMs);
+    const answer = createUnfinishedAnswer(job, reason, retryAfterMs);
+    const isRefused = answer.end === JobEnd.REFUSED;
+    const event = isRefused ? JobEvent.REFUSE : JobEvent.ABANDON;
+    this.end(job, event, answer, nowMs);
   }
 
   /** Ends unplaced jobs that can no longer be answered in time to be of use. */
@@ -160,12 +160,14 @@
     if (task === undefined || task.run !== report.run) return;
     this.options.releaseTask(task);
     switch (report.end) {
-      case RunEnd.DONE:
+      case RunEnd.DONE: {
+        const scaledMs = this.options.scaleRun(session, report.durationMs);
         this.applyEvent(task, TaskEvent.DONE);
-        this.recordRun(task.job, session, report);
+        recordRun(task.job, session.hello.agent, report, scaledMs);
         task.job.remainingTasks -= 1;
         this.advance(task.job, nowMs);
         break;
+      }
       case RunEnd.FAILED:
         task.failures += 1;
         task.excluded.add(session.report.life);
@@ -195,7 +197,12 @@
       case RunStatusChange.EXPIRED:
       case RunStatusChange.NOT_LISTED:
       case RunStatusChange.REPLACED:
-        this.logReturn(task, describeReturn(task, change));
+        this.logJob(
+          task.job,
+          FleetEvent.TASK_RETURNED,
+          'A run is over.',
+          describeReturn(task, change),
+        );
         this.options.releaseTask(task);
         this.applyEvent(task, TaskEvent.REQUEUE);
         this.enqueueIfWaiting(task);
@@ -203,10 +210,6 @@
     }
   }
 
-  private logReturn({job}: ActiveTask, fields: LineFields): void {
-    this.logJob(job, FleetEvent.TASK_RETURNED, 'A run is over.', fields);
-  }
-
   /** Adds a line to the log of a job. */
   logJob(
     job: ActiveJob,
@@ -218,16 +221,6 @@
     this.options.requests.add(job.request.job, event, message, line);
   }
 
-  private recordRun(
-    job: ActiveJob,
-    session: AgentSession,
-    {task, durationMs}: RunEndReport,
-  ): void {
-    const scaledMs = this.options.scaleRun(session, durationMs);
-    job.longestRunMs = Math.max(job.longestRunMs, scaledMs);
-    job.lastRun = {task, agent: session.hello.agent, durationMs};
-  }
-
   private advance(job: ActiveJob, nowMs: number): void {
     if (job.remainingTasks > 0) return this.unblock(job);
     const answer = createAnswer(JobEnd.COMPLETED, JobReason.NONE);
@@ -263,7 +256,8 @@
     }
   }
 
-  private end(
+  /** Ends a job with an event, and answers its callers unless they have gone. */
+  end(
     job: ActiveJob,
     event: JobEvent,
     answer: JobAnswer | undefined,
--- a/src/lib/work/entry/scheduler.ts
+++ b/src/lib/work/entry/scheduler.ts
@@ -223,9 +223,9 @@
       estimateWork(this.forecasts, request),
       nowMs,
     );
-    if (this.deadly.isDeadly(request.job)) {
+    if (this.deadly.isBarred(request.job)) {
       jobs.add(job, caller, answer);
-      this.deadly.fail(job, nowMs);
+      this.deadly.endIfBarred(job, nowMs);
       return;
     }
     const isWarmingUp = nowMs - this.createdAtMs < WARM_UP_MS;
@@ -269,6 +269,7 @@
     this.backlog = Math.round(this.admission.sumBacklog(this.nowMs));
     this.mover.move(this.nowMs);
     this.jobs.expire(this.nowMs);
+    this.deadly.expire(this.nowMs);
     this.jobs.endInfeasible(
       job => this.admission.isInfeasible(job, this.nowMs),
       () => this.admission.estimateRetryDelay(this.nowMs),
--- a/test/decisions/crash_blame_test.ts
+++ b/test/decisions/crash_blame_test.ts
@@ -1,5 +1,6 @@
 import {expect} from 'chai';
 import {BlameVerdict, CrashBlame} from '../../src/lib/decisions/crash_blame.js';
+import {RunEvidence} from '../../src/lib/core/work_frames.js';
 import type {CrashedRun} from '../../src/lib/core/work_frames.js';
 
 const RETENTION_MS = 30_000;
@@ -9,7 +10,8 @@
   ranMs: number,
   changes: Partial<CrashedRun> = {},
 ): CrashedRun {
-  return {task, job: `job-${task}`, ranMs, ...changes};
+  const evidence = RunEvidence.RAN;
+  return {task, job: `job-${task}`, ranMs, evidence, ...changes};
 }
 
 // Guards against a deadly task that is repeated without limit, and against the
@@ -42,7 +44,7 @@
     recordCrash([createRun('a', 5)]);
     recordCrash([createRun('a', 5)]);
     expect(blame.judge('a')).to.equal(BlameVerdict.DEADLY);
-    expect(blame.hasDeadlyTask('job-a')).to.equal(true);
+    expect(blame.judgeJob('job-a')).to.equal(BlameVerdict.DEADLY);
   });
 
   it('gives the only task up that two crashed targets had in common', () => {
@@ -106,14 +108,75 @@
   });
 
   it('adds to what another entry knew when it sent the order', () => {
-    const suspicion = {crashes: 1, blame: 0.5};
+    const counted = [{life: 'earlier', evidence: RunEvidence.RAN}];
+    const suspicion = {crashes: 1, blame: 0.5, counted};
     recordCrash([createRun('a', 5, {suspicion}), createRun('b', 40)]);
     expect(blame.judge('a')).to.equal(BlameVerdict.DEADLY);
   });
 
-  it('forgets crashes after the retention time', () => {
+  it('counts a crash once that an order has told of before its report', () => {
+    const counted = [{life: 't2', evidence: RunEvidence.RAN}];
+    const suspicion = {crashes: 1, blame: 0.5, counted};
+    recordCrash([createRun('a', 5, {suspicion}), createRun('b', 5)]);
+    // The report of the crash of t2, which comes late.
+    recordCrash([createRun('a', 5), createRun('b', 5)]);
+    expect(blame.describe('a')?.crashes).to.equal(2);
+  });
+
+  it('does not give a task up by crashes that an earlier version counted', () => {
+    const suspicion = {crashes: 1, blame: 0.9};
+    recordCrash([createRun('a', 5, {suspicion})]);
+    expect(blame.judge('a')).to.equal(BlameVerdict.SUSPECT);
+    expect(blame.describe('a')?.crashes).to.equal(2);
+  });
+
+  it('does not give a task up by a crash of which it is not known that it ran there', () => {
+    const evidence = RunEvidence.UNKNOWN;
+    recordCrash([createRun('a', 5)]);
+    recordCrash([createRun('a', 5, {evidence})]);
+    expect(blame.judge('a')).to.equal(BlameVerdict.SUSPECT);
+  });
+
+  it('takes what an earlier version reports as unknown', () => {
+    const evidence = undefined;
+    recordCrash([createRun('a', 5, {evidence})]);
+    recordCrash([createRun('a', 5, {evidence})]);
+    expect(blame.judge('a')).to.equal(BlameVerdict.SUSPECT);
+  });
+
+  it('holds a task back after three crashes that prove nothing', () => {
+    const evidence = RunEvidence.UNKNOWN;
     recordCrash([createRun('a', 5)]);
+    for (let count = 0; count < 2; count += 1) {
+      recordCrash([createRun('a', 5, {evidence})]);
+    }
+    expect(blame.judge('a')).to.equal(BlameVerdict.HELD);
+    expect(blame.judgeJob('job-a')).to.equal(BlameVerdict.HELD);
+    expect(blame.computeRetention('job-a', 1000)).to.equal(RETENTION_MS - 1000);
+  });
+
+  it('judges a job by its most suspicious task', () => {
+    const job = 'job';
+    recordCrash([createRun('a', 5, {job}), createRun('b', 5, {job})]);
+    expect(blame.judgeJob(job)).to.equal(BlameVerdict.SUSPECT);
+    recordCrash([createRun('a', 5, {job})]);
+    expect(blame.judgeJob(job)).to.equal(BlameVerdict.DEADLY);
+    expect(blame.judgeJob('job-of-others')).to.equal(BlameVerdict.NONE);
+  });
+
+  it('counts a crash once that is reported again after the retention time', () => {
+    const runs = [createRun('a', 5)];
+    blame.recordCrash({life: 't', ageMs: 0, runs}, 0);
     recordCrash([createRun('b', 5)], RETENTION_MS);
+    const isNew = blame.recordCrash({life: 't', ageMs: 0, runs}, RETENTION_MS);
+    expect(isNew).to.equal(false);
+  });
+
+  it('forgets crashes after the retention time', () => {
+    recordCrash([createRun('a', 5)]);
+    blame.expire(RETENTION_MS - 1);
+    expect(blame.judge('a')).to.equal(BlameVerdict.SUSPECT);
+    blame.expire(RETENTION_MS);
     expect(blame.judge('a')).to.equal(BlameVerdict.NONE);
   });
 
--- a/test/fleet/deadly_task_test.ts
+++ b/test/fleet/deadly_task_test.ts
@@ -10,7 +10,8 @@
 import type {Reply} from './fleet_fixture.js';
 
 const TARGETS = ['t1', 't2', 't3', 't4'];
-const DEADLY_BODY = {...createJobBody(1, 40), spec: '40/1000/deadly'};
+/** Long enough that no crash, noticed late by a busy process, may come after its end. */
+const DEADLY_BODY = {...createJobBody(1, 400), spec: '400/1000/deadly'};
 
 /** Longer than a target needs to start again. */
 const DEADLINE_MS = 8000;
--- a/test/work/crash_evidence_test.ts
+++ b/test/work/crash_evidence_test.ts
@@ -4,12 +4,12 @@
 import {OrderOutcome} from '../../src/lib/work/agent/target_api.js';
 import {CallKind, RunnerFixture} from './runner_fixture.js';
 
-/** Refused connections that prove that an incarnation has ended. */
-const REFUSALS = 2;
-
 /** Time in milliseconds after which a run list is requested again. */
 const RENEW_PERIOD_MS = 150;
 
+/** Time from a start order to the crash. */
+const CRASH_AFTER_MS = 10;
+
 // Guards against a job that is answered as failed (LOST) though one target only has
 // crashed under its task: the targets of a rack crash at once, the task is placed on
 // another of them, and the order that reached nobody counts as the second crash.
@@ -29,14 +29,12 @@
     fixtures.push(fixture);
     fixture.isStartAnswered = isStartAnswered;
     fixture.running = isStartAnswered ? undefined : [];
+    // The next check requests the run lists.
+    fixture.nowMs += RENEW_PERIOD_MS;
     fixture.sendOrder('task');
     await fixture.settle();
     fixture.outcomes[CallKind.HOLD] = OrderOutcome.NOT_LISTENING;
-    for (let refusal = 0; refusal < REFUSALS; refusal += 1) {
-      fixture.nowMs += RENEW_PERIOD_MS / 10;
-      await fixture.runTimers();
-    }
-    fixture.nowMs += RENEW_PERIOD_MS;
+    fixture.nowMs += CRASH_AFTER_MS;
     await fixture.runTimers();
     expect(fixture.crashes, life).not.to.deep.equal([]);
     return {...fixture.crashes[0], life};
--- a/test/work/deadly_task_line_test.ts
+++ b/test/work/deadly_task_line_test.ts
@@ -2,6 +2,7 @@
 import {FleetEvent} from '../../src/lib/observe/fleet_log.js';
 import {NO_OP_FLEET_METRICS} from '../../src/lib/observe/fleet_metrics.js';
 import {RequestLog} from '../../src/lib/observe/request_log.js';
+import {RunEvidence} from '../../src/lib/core/work_frames.js';
 import type {TargetCrash} from '../../src/lib/core/work_frames.js';
 import {createActiveJob} from '../../src/lib/work/entry/active_job.js';
 import type {ActiveJob} from '../../src/lib/work/entry/active_job.js';
@@ -73,7 +74,8 @@
 
   function recordCrash(life: string, changes: Partial<TargetCrash> = {}): void {
     const [{name}] = job.tasks;
-    const runs = [{task: name, job: 'job', ranMs: 5}];
+    const evidence = RunEvidence.RAN;
+    const runs = [{task: name, job: 'job', ranMs: 5, evidence}];
     const report = {life, ageMs: 20, runs, ...changes};
     deadly.handleCrash(report, 'agent-life', NOW_MS);
   }
@@ -92,13 +94,16 @@
         ageMs: 20,
         runs: 1,
         suspects: [name],
+        held: [],
         deadly: [],
         tasks: [
           {
             task: name,
             ranMs: 5,
+            evidence: RunEvidence.RAN,
             toldCrashes: 0,
             crashes: 1,
+            ran: 1,
             blame: 1,
             lives: ['t1'],
           },
@@ -109,14 +114,16 @@
 
   it('tell the crashes of which the order told', () => {
     const [{name}] = job.tasks;
-    const suspicion = {crashes: 1, blame: 0.5};
+    const counted = [{life: 't0', evidence: RunEvidence.UNKNOWN}];
+    const suspicion = {crashes: 1, blame: 0.5, counted};
     recordCrash('t1', {runs: [{task: name, job: 'job', ranMs: 5, suspicion}]});
     const [{tasks}] = listLines(FleetEvent.TARGET_CRASHED);
     expect(tasks).to.have.lengthOf(1);
     expect((tasks as object[])[0]).to.deep.include({
       toldCrashes: 1,
       crashes: 2,
-      lives: ['t1'],
+      ran: 0,
+      lives: ['t0', 't1'],
     });
   });
 
--- a/test/work/target_crash_test.ts
+++ b/test/work/target_crash_test.ts
@@ -36,7 +36,9 @@
     expect(fixture.crashes[0]).to.deep.equal({
       life: 't1-life',
       ageMs: 0,
-      runs: [{task: 'a', job: 'a', ranMs: 10, suspicion: SUSPICION}],
+      runs: [
+        {task: 'a', job: 'a', ranMs: 10, evidence: 'ran', suspicion: SUSPICION},
+      ],
     });
     expect(fixture.findEnd('a')).to.include({end: RunEnd.LOST});
   });
