Weigh that a target crashes by itself before a task gets the blame

Callers saw 200 `failed` for a job that could be done, after two crashes that had nothing to do with its task.

Cause: the runs of a crash shared all of its blame, so a task that was alone on its target, or beside one other, got nearly all of it however long it had run. The crash of a target by itself is now one of the explanations, so that only crashes soon after the start prove it. The test failed before (blame.judge gave deadly after two crashes, 400 ms into the runs).

--- a/src/lib/decisions/crash_blame.ts
+++ b/src/lib/decisions/crash_blame.ts
@@ -25,6 +25,9 @@
 /** Assumed probability that a task of which nothing is known is deadly. */
 const PRIOR_BLAME = 0.01;
 
+/** Weight of the explanation that a target crashed by itself, as that of a run. */
+const OTHER_CAUSE_WEIGHT = 0.002;
+
 /** Age in milliseconds of a run at which it is half as suspicious as a new one. */
 const RECENT_START_MS = 50;
 
@@ -70,10 +73,10 @@
 
 /**
  * Estimates for each task that was on a crashed target the probability that it is
- * deadly. The runs of one crash share its blame: one that started shortly before
- * the crash gets more of it than one that ran for long, and one under which
- * another target has crashed gets more than one without. A task that ends with
- * success is cleared.
+ * deadly. The runs of one crash share its blame with the explanation that the target
+ * crashed by itself: one that started shortly before the crash gets more of it than
+ * one that ran for long, and one under which another target has crashed gets more
+ * than one without. A task that ends with success is cleared.
  */
 export class CrashBlame {
   private readonly tasks = new Map<string, TaskBlame>();
@@ -101,7 +104,10 @@
       );
       return blame * computeHazard(ranMs);
     });
-    const total = weights.reduce((sum, weight) => sum + weight, 0);
+    const total = weights.reduce(
+      (sum, weight) => sum + weight,
+      OTHER_CAUSE_WEIGHT,
+    );
     for (const [index, run] of runs.entries()) {
       const {task, job} = run;
       const counted = mergeCrashes(this.tasks.get(task), run, life);
--- a/test/decisions/crash_blame_test.ts
+++ b/test/decisions/crash_blame_test.ts
@@ -155,6 +155,12 @@
     expect(blame.computeRetention('job-a', 1000)).to.equal(RETENTION_MS - 1000);
   });
 
+  it('does not give a task up that two targets crashed under late in its runs', () => {
+    recordCrash([createRun('a', 400)]);
+    recordCrash([createRun('a', 400)]);
+    expect(blame.judge('a')).to.equal(BlameVerdict.SUSPECT);
+  });
+
   it('judges a job by its most suspicious task', () => {
     const job = 'job';
     recordCrash([createRun('a', 5, {job}), createRun('b', 5, {job})]);
