--- a/test/work/crash_evidence_test.ts
+++ b/test/work/crash_evidence_test.ts
@@ -1,5 +1,6 @@
 import {expect} from 'chai';
 import {BlameVerdict, CrashBlame} from '../../src/lib/decisions/crash_blame.js';
+import {RunEnd} from '../../src/lib/core/work_frames.js';
 import type {TargetCrash} from '../../src/lib/core/work_frames.js';
 import {OrderOutcome} from '../../src/lib/work/agent/target_api.js';
 import {CallKind, RunnerFixture} from './runner_fixture.js';
@@ -62,4 +63,15 @@
     const second = await loseTarget('t2', true);
     expect(judge([first, second])).to.equal(BlameVerdict.DEADLY);
   });
+
+  // Guards against a task that waits for the next life of its target, though the
+  // refusal of its order shows that it has not run.
+  it('returns the task once the order is refused', async () => {
+    await loseTarget('t1', false);
+    const [fixture] = fixtures;
+    expect(fixture.findEnd('task')).to.equal(undefined);
+    fixture.answerStarts(OrderOutcome.NOT_LISTENING);
+    await fixture.settle();
+    expect(fixture.findEnd('task')).to.include({end: RunEnd.NOT_STARTED});
+  });
 });
--- a/test/work/runner_fixture.ts
+++ b/test/work/runner_fixture.ts
@@ -19,6 +19,7 @@
 import type {
   HoldAnswer,
   HoldCall,
+  OrderAnswer,
   StartCall,
   TargetConnection,
   TargetHeartbeat,
@@ -67,8 +68,9 @@
     [CallKind.STOP]: OrderOutcome.ACCEPTED,
     [CallKind.HOLD]: OrderOutcome.ACCEPTED,
   };
-  /** Whether the target answers start orders. */
+  /** Whether the target answers start orders at once. */
   isStartAnswered = true;
+  private readonly unanswered: Array<(answer: OrderAnswer) => void> = [];
   /** The target's reason for its refusals. */
   reason = '';
   /** Tasks in the target's list; without, all that were started. */
@@ -97,7 +99,9 @@
     const connect = ({incarnation}: TargetHeartbeat): TargetConnection => ({
       start: call => {
         this.starts.push(call);
-        if (!this.isStartAnswered) return new Promise(() => undefined);
+        if (!this.isStartAnswered) {
+          return new Promise(resolve => this.unanswered.push(resolve));
+        }
         return Promise.resolve(answer(CallKind.START, incarnation));
       },
       stop: ({task}) => {
@@ -240,6 +244,12 @@
     this.send({kind, sentAtMs, backlog: 0, revision: 0}, entry);
   }
 
+  /** Answers the start orders that have had no answer. */
+  answerStarts(outcome: OrderOutcome): void {
+    const answer = {outcome, reason: this.reason, clockMs: 0};
+    for (const resolve of this.unanswered.splice(0)) resolve(answer);
+  }
+
   /** Runs the timers that are due, then waits until all messages are handled. */
   async runTimers(): Promise<void> {
     const due = [...this.timers];
