Judge what can never run by the kinds of target, not by the capacity of the moment

Agents now report the kinds of target that they have seen, with the largest capacity of each (a new field of the target description, absent from earlier versions), and entries remember them for an hour after the last report. A job that fits a known kind but no target now is refused with 503 and Retry-After; one that fits no kind ever known still fails at once.

--- a/src/lib/core/work_frames.ts
+++ b/src/lib/core/work_frames.ts
@@ -117,6 +117,13 @@
   readonly durationMs: number;
 }
 
+/** A service and labels that targets have, with the largest capacity seen of these. */
+export interface TargetKind {
+  readonly service: string;
+  readonly labels: readonly string[];
+  readonly capacity: Resources;
+}
+
 /** What an agent reports of its target only when it changes. */
 export interface TargetDescription {
   readonly phase: TargetPhase;
@@ -130,6 +137,11 @@
    * not sent by earlier versions.
    */
   readonly token?: number;
+  /**
+   * Kinds of target that the agent has seen, with the largest capacity of each; not
+   * sent by earlier versions.
+   */
+  readonly kinds?: readonly TargetKind[];
 }
 
 /** Load of a target, as reported by its agent. */
--- a/src/lib/core/work_job.ts
+++ b/src/lib/core/work_job.ts
@@ -45,7 +45,7 @@
 export enum JobEnd {
   /** All tasks are done. */
   COMPLETED = 'completed',
-  /** A task used up its attempts, crashes its targets, or no target can run it. */
+  /** A task used up its attempts, crashes its targets, or no target can ever run it. */
   FAILED = 'failed',
   /** No task of the job has run; the caller may retry. */
   REFUSED = 'refused',
@@ -60,9 +60,9 @@
   OVERLOADED = 'overloaded',
   /** The process is stopping. */
   STOPPING = 'stopping',
-  /** No target serves the queue at the moment. */
+  /** No target that can run the job serves the queue at the moment. */
   NO_TARGET = 'no-target',
-  /** A task of the job needs more resources than any target has. */
+  /** A task of the job needs more resources than any kind of target has ever had. */
   TOO_LARGE = 'too-large',
   /** A task used up the attempts that the queue allows. */
   ATTEMPTS_EXHAUSTED = 'attempts-used',
--- a/src/lib/work/agent/target_client.ts
+++ b/src/lib/work/agent/target_client.ts
@@ -7,6 +7,7 @@
   isNewerHeartbeat,
   limitHeartbeatClock,
 } from '../../decisions/heartbeat_order.js';
+import {KnownTargetKinds} from '../../decisions/known_target_kinds.js';
 import {ResponseTimeout} from '../../decisions/response_timeout.js';
 import {LeaseClock} from '../../decisions/lease_clock.js';
 import type {HeldRun} from '../../decisions/held_run.js';
@@ -32,6 +33,9 @@
  */
 const LONG_POLL_WAIT_MS = 100;
 
+/** Maximum number of kinds of target that an agent reports. */
+const KINDS_PER_AGENT = 8;
+
 /** Dependencies of the client. */
 export interface TargetClientOptions {
   readonly post: Post<RunnerMessage>;
@@ -41,6 +45,8 @@
 /** Sends orders to the current incarnation of the target and posts the answers. */
 export class TargetClient {
   readonly token = FencingToken.create();
+  /** The kinds of target seen during the life of this process. */
+  readonly kinds = KnownTargetKinds.create(KINDS_PER_AGENT);
 
   private readonly clock = LeaseClock.create();
   private readonly responseTimeout = ResponseTimeout.create();
@@ -197,7 +203,9 @@
   }
 
   private setHeartbeat(heartbeat: TargetHeartbeat): void {
-    const targetClockMs = this.clock.estimate(this.options.readMonotonicMs());
+    const nowMs = this.options.readMonotonicMs();
+    const targetClockMs = this.clock.estimate(nowMs);
+    this.kinds.record(heartbeat, nowMs);
     this.latest = limitHeartbeatClock(heartbeat, targetClockMs);
   }
 
--- a/src/lib/work/agent/target_reporter.ts
+++ b/src/lib/work/agent/target_reporter.ts
@@ -71,7 +71,7 @@
   /** Describes the target anew and numbers what has changed. */
   private describe(): void {
     this.target = this.options.describeTarget();
-    const {phase, service, life, labels, capacity} = this.target;
+    const {phase, service, life, labels, capacity, kinds} = this.target;
     const {free, waiting, slowness, isSuspect} = this.target;
     const description = JSON.stringify([
       phase,
@@ -79,6 +79,7 @@
       life,
       labels,
       capacity,
+      kinds,
     ]);
     const load = JSON.stringify([free, waiting, slowness, isSuspect]);
     if (description !== this.description) this.descriptionNumber += 1;
@@ -119,11 +120,11 @@
   }
 
   private describeTo({releasedAtMs}: KnownEntry): TargetDescription {
-    const {service, life, labels, capacity, token} = this.target;
+    const {service, life, labels, capacity, token, kinds} = this.target;
     // An entry whose link is to be closed must place nothing more here.
     const isReleased =
       releasedAtMs > 0 && this.target.phase === TargetPhase.READY;
     const phase = isReleased ? TargetPhase.DRAINING : this.target.phase;
-    return {phase, service, life, labels, capacity, token};
+    return {phase, service, life, labels, capacity, token, kinds};
   }
 }
--- a/src/lib/work/agent/target_status.ts
+++ b/src/lib/work/agent/target_status.ts
@@ -25,6 +25,7 @@
     labels: heartbeat?.labels ?? [],
     capacity: runs.totalCapacity,
     token: api.token.value,
+    kinds: api.kinds.list(),
     free: health.computeFreeCapacity(),
     waiting: runs.countQueued(),
     slowness: Math.round(health.slowness * 1000) / 1000,
--- a/src/lib/work/entry/admission_controller.ts
+++ b/src/lib/work/entry/admission_controller.ts
@@ -1,6 +1,7 @@
 /** Decides whether an entry admits a job, given its backlog and its targets. */
-import {judgeAdmission} from '../../decisions/admit_work.js';
+import {CapacityFit, judgeAdmission} from '../../decisions/admit_work.js';
 import {computeSlack} from '../../decisions/job_timing.js';
+import {KnownTargetKinds} from '../../decisions/known_target_kinds.js';
 import {isEligible} from '../../decisions/place_task.js';
 import {judgeFeasibility, Feasibility} from '../../decisions/rank_work.js';
 import {SlackShare} from '../../decisions/slack_share.js';
@@ -26,6 +27,12 @@
 /** Minimum time in milliseconds after which a refused caller is asked to retry. */
 const MIN_RETRY_DELAY_MS = 1000;
 
+/** Maximum number of kinds of target that an entry remembers. */
+const KINDS_PER_ENTRY = 1000;
+
+/** Time in milliseconds for which a kind of target is remembered that no agent reports. */
+const KIND_RETENTION_MS = 3_600_000;
+
 /** Share of the peers' backlog assumed to be ahead while this entry has none. */
 const PEER_BACKLOG_SHARE = 0.5;
 
@@ -34,6 +41,8 @@
   /** Share of its slack that a job may be expected to wait. */
   readonly slackShare = SlackShare.create();
 
+  private readonly kinds = KnownTargetKinds.create(KINDS_PER_ENTRY);
+
   private constructor(private readonly options: AdmissionControllerOptions) {}
 
   /** Creates a controller with the initial share of slack. */
@@ -63,7 +72,7 @@
       freeCores: sumCores(sessions.map(({free}) => free.cpuMilli)),
       slackMs: computeSlack(timing, TYPICAL_SLOWNESS) * this.slackShare.value,
       hasTargets: sessions.length > 0,
-      isPlaceable: this.isPlaceable(job, sessions),
+      fit: this.judgeFit(job, sessions, nowMs),
     });
     const {reason, retryAfterMs} = verdict;
     if (reason === JobReason.NONE) return undefined;
@@ -71,23 +80,39 @@
     return {end, reason, retryAfterMs};
   }
 
+  /** Records the kinds of target that the agents report. */
+  recordKinds(nowMs: number): void {
+    for (const {report} of this.options.fleet.listSessions()) {
+      this.kinds.record(report, nowMs);
+      for (const kind of report.kinds ?? []) this.kinds.record(kind, nowMs);
+    }
+    this.kinds.forgetBefore(nowMs - KIND_RETENTION_MS);
+  }
+
   /**
-   * Returns whether each step fits some target that serves the queue now or did
+   * Judges whether each step fits some target that serves the queue now or did
    * recently: the only one that fits may be disconnected, or in a data centre
-   * that is out of service for a while.
+   * that is out of service for a while. Only the kinds of target tell what can
+   * never run, since a target may report less capacity for a while.
    */
-  private isPlaceable(
-    job: ActiveJob,
+  private judgeFit(
+    {request, rule: {service}}: ActiveJob,
     usable: readonly AgentSession[],
-  ): boolean {
+    nowMs: number,
+  ): CapacityFit {
+    const {steps} = request;
     const isFitFor = (step: StepSpec) => (session: AgentSession) =>
-      session.report.service === job.rule.service &&
-      isEligible(step, session.report);
-    return job.request.steps.every(
+      session.report.service === service && isEligible(step, session.report);
+    const fitsNow = steps.every(
       step =>
         usable.some(isFitFor(step)) ||
         this.options.fleet.listSessions().some(isFitFor(step)),
     );
+    if (fitsNow) return CapacityFit.NOW;
+    this.recordKinds(nowMs);
+    return steps.every(step => this.kinds.hasCapacityFor(service, step))
+      ? CapacityFit.LATER
+      : CapacityFit.NEVER;
   }
 
   /** Sums the waiting work that can be in time, in core-milliseconds. */
--- a/src/lib/work/entry/scheduler.ts
+++ b/src/lib/work/entry/scheduler.ts
@@ -218,12 +218,8 @@
       return;
     }
     const {nowMs, jobs} = this;
-    const job = createActiveJob(
-      request,
-      rule,
-      estimateWork(this.forecasts, request),
-      nowMs,
-    );
+    const expected = estimateWork(this.forecasts, request);
+    const job = createActiveJob(request, rule, expected, nowMs);
     if (this.deadly.isDeadly(request.job)) {
       jobs.add(job, caller, answer);
       jobs.fail(job, nowMs, JobReason.TARGETS_CRASHED);
@@ -238,8 +234,8 @@
       return;
     }
     const {reason, retryAfterMs} = refusal;
-    const text = `Job refused: ${reason}.`;
-    jobs.logJob(job, FleetEvent.JOB_REFUSED, text, {retryAfterMs});
+    const fields = {retryAfterMs};
+    jobs.logJob(job, FleetEvent.JOB_REFUSED, `Job refused: ${reason}.`, fields);
     this.options.metrics.countRefusal(rule.name, reason);
     this.requests.finish(request.job, request.job, true);
     answer(refusal);
@@ -288,6 +284,7 @@
     // Earlier, most agents have not connected yet.
     const isSettled = nowMs - this.createdAtMs >= WARM_UP_MS;
     if (isSettled) fleet.checkSubset();
+    admission.recordKinds(nowMs);
     this.options.reportForecasts(this.forecasts.list());
     const fields = describeEntryStatus(fleet, jobs, admission, nowMs);
     this.options.log(FleetEvent.STATUS, 'Status of the entry.', fields);
--- a/test/decisions/admit_work_test.ts
+++ b/test/decisions/admit_work_test.ts
@@ -1,5 +1,8 @@
 import {expect} from 'chai';
-import {judgeAdmission} from '../../src/lib/decisions/admit_work.js';
+import {
+  CapacityFit,
+  judgeAdmission,
+} from '../../src/lib/decisions/admit_work.js';
 import type {AdmissionInput} from '../../src/lib/decisions/admit_work.js';
 import {JobReason} from '../../src/lib/core/work_job.js';
 
@@ -9,7 +12,7 @@
   cores: 800,
   freeCores: 700,
   slackMs: 110,
-  isPlaceable: true,
+  fit: CapacityFit.NOW,
   hasTargets: true,
 };
 
@@ -34,10 +37,22 @@
   });
 
   it('distinguishes a job that can never run from one that cannot run now', () => {
-    const large = judgeAdmission({...IDLE, isPlaceable: false});
+    const large = judgeAdmission({...IDLE, fit: CapacityFit.NEVER});
     expect(large.reason).to.equal(JobReason.TOO_LARGE);
     const withoutTargets = judgeAdmission({...IDLE, hasTargets: false});
     expect(withoutTargets.reason).to.equal(JobReason.NO_TARGET);
     expect(withoutTargets.retryAfterMs).to.be.above(0);
+    const shrunk = judgeAdmission({...IDLE, fit: CapacityFit.LATER});
+    expect(shrunk.reason).to.equal(JobReason.NO_TARGET);
+    expect(shrunk.retryAfterMs).to.be.above(0);
+  });
+
+  it('refuses no job for good while no target accepts work', () => {
+    const verdict = judgeAdmission({
+      ...IDLE,
+      fit: CapacityFit.NEVER,
+      hasTargets: false,
+    });
+    expect(verdict.reason).to.equal(JobReason.NO_TARGET);
   });
 });
--- a/test/work/capacity_change_test.ts
+++ b/test/work/capacity_change_test.ts
@@ -67,6 +67,25 @@
     expect(fixture.free).to.equal(1200);
   });
 
+  it('reports the largest capacity that the target has had', async () => {
+    fixture.sendHeartbeat({capacity: SMALL, sequence: 2});
+    await fixture.settle();
+    expect(fixture.capacity).to.equal(SMALL.cpuMilli);
+    expect(fixture.kinds).to.deep.equal([
+      {service: 'runner', labels: [], capacity: CAPACITY},
+    ]);
+  });
+
+  it('reports the kinds that its target has had in earlier lives', async () => {
+    const labels = ['b'];
+    fixture.sendHeartbeat({incarnation: 't1-life-2', startMs: 2, labels});
+    await fixture.settle();
+    expect(fixture.kinds).to.deep.equal([
+      {service: 'runner', labels: [], capacity: CAPACITY},
+      {service: 'runner', labels, capacity: CAPACITY},
+    ]);
+  });
+
   it('returns an order at once that is larger than what is left', async () => {
     fixture.sendOrder('a', ENTRY, 800);
     fixture.sendOrder('large', PEER, 1500);
--- a/test/work/runner_fixture.ts
+++ b/test/work/runner_fixture.ts
@@ -9,6 +9,7 @@
   RunEndReport,
   RunOrder,
   TargetCrash,
+  TargetKind,
 } from '../../src/lib/core/work_frames.js';
 import {NO_OP_FLEET_METRICS} from '../../src/lib/observe/fleet_metrics.js';
 import {
@@ -56,6 +57,8 @@
   /** Capacity of the target as last reported, in thousandths of a core. */
   capacity = 0;
   free = 0;
+  /** Kinds of target as last reported. */
+  kinds: readonly TargetKind[] = [];
   /** System clock less the monotonic clock. */
   systemOffsetMs = 5_000_000;
   /** What becomes of each call to the target. */
@@ -285,6 +288,7 @@
     if (frame.kind === AgentFrameKind.TARGET) {
       this.phases.push(frame.target.phase);
       this.capacity = frame.target.capacity.cpuMilli;
+      this.kinds = frame.target.kinds ?? [];
     }
     if (frame.kind === AgentFrameKind.REPORT) {
       this.free = frame.report.free.cpuMilli;
