Do not repeat the end of an earlier run of the same number

A job that was cancelled and comes again at the same entry begins with run 1. An end of the first run 1 whose acknowledgement was lost with its link stood in the next hello, beside the new run 1, and the entry took it for the new one's: the task was placed again (or counted as failed) while the new run went on until the stop of the unknown run.

--- a/src/lib/work/agent/work_runner.ts
+++ b/src/lib/work/agent/work_runner.ts
@@ -214,6 +214,8 @@
   private handleOrder(entry: KnownEntry, order: RunOrder, nowMs: number): void {
     if (order.sequence <= entry.lastOrderSequence) return;
     entry.lastOrderSequence = order.sequence;
+    // Repeated, the end of an earlier run of this number would end the new one.
+    this.entries.acknowledge(entry.incarnation, order.task, order.run);
     const cause = this.checkOrder(order, entry.incarnation, nowMs);
     if (cause === RunEndCause.NONE) {
       this.target.runs.addOrder(order, entry.incarnation, nowMs);
--- a/test/work/runner_fixture.ts
+++ b/test/work/runner_fixture.ts
@@ -49,6 +49,8 @@
   /** Crashes as reported in frames of their own and in the latest hello. */
   readonly crashes: TargetCrash[] = [];
   greeted: readonly TargetCrash[] = [];
+  /** Run ends in the latest hello. */
+  greetedEnds: readonly RunEndReport[] = [];
   /** Numbers of the hellos, in the order in which they were written. */
   readonly hellos: Array<number | undefined> = [];
   nowMs = 10_000;
@@ -283,6 +285,7 @@
     if (frame.kind === AgentFrameKind.CRASH) this.crashes.push(frame.crash);
     if (frame.kind === AgentFrameKind.HELLO) {
       this.greeted = frame.crashes ?? [];
+      this.greetedEnds = frame.ends;
       this.hellos.push(frame.number);
     }
     if (frame.kind === AgentFrameKind.TARGET) {
