Count the reports of crashes, and those that were known

`foxtailbay_crash_reports_total` by `use`: a crash that a report and a hello both tell of is counted once, which no line showed.

--- a/src/lib/observe/fleet_metrics.ts
+++ b/src/lib/observe/fleet_metrics.ts
@@ -15,6 +15,7 @@
   readonly countRefusal: (queue: string, reason: string) => void;
   readonly countRun: (end: string, tookMs: number) => void;
   readonly countRejectedHeartbeat: (reason: string) => void;
+  readonly countCrashReport: (use: string) => void;
 }
 
 /** Metrics that record nothing, for tests. */
@@ -23,6 +24,7 @@
   countRefusal: () => undefined,
   countRun: () => undefined,
   countRejectedHeartbeat: () => undefined,
+  countCrashReport: () => undefined,
 };
 
 /** Metrics that can be printed in the Prometheus text format. */
@@ -72,6 +74,12 @@
     labelNames: ['reason'],
     registers,
   });
+  const crashReports = new Counter({
+    name: 'foxtailbay_crash_reports_total',
+    help: 'Reports of crashed targets at an entry.',
+    labelNames: ['use'],
+    registers,
+  });
   return {
     countJob: ({queue, state, reason}, tookMs) => {
       jobs.inc({queue, state, reason});
@@ -80,6 +88,7 @@
     countRefusal: (queue, reason) => refusals.inc({queue, reason}),
     countRun: (end, tookMs) => runs.observe({end}, tookMs),
     countRejectedHeartbeat: reason => rejectedHeartbeats.inc({reason}),
+    countCrashReport: use => crashReports.inc({use}),
     print: () => registry.metrics(),
   };
 }
@@ -109,6 +118,7 @@
     countRun: (end, tookMs) => forward(ready => ready.countRun(end, tookMs)),
     countRejectedHeartbeat: reason =>
       forward(ready => ready.countRejectedHeartbeat(reason)),
+    countCrashReport: use => forward(ready => ready.countCrashReport(use)),
   };
 }
 
--- a/src/lib/work/entry/deadly_tasks.ts
+++ b/src/lib/work/entry/deadly_tasks.ts
@@ -8,6 +8,7 @@
 import type {FleetLog} from '../../observe/fleet_log.js';
 import type {QueueRule} from '../../core/fleet_configuration.js';
 import type {CrashSuspicion, TargetCrash} from '../../core/work_frames.js';
+import type {FleetMetrics} from '../../observe/fleet_metrics.js';
 import {JobReason} from '../../core/work_job.js';
 import type {LineFields} from '../../observe/request_log.js';
 import type {ActiveJob, ActiveTask} from './active_job.js';
@@ -18,10 +19,18 @@
 /** Maximum number of tasks whose evidence is logged with a crash. */
 const MAX_LOGGED_TASKS = 12;
 
+/** What became of the report of a crash, for the metrics. */
+enum CrashReportUse {
+  COUNTED = 'counted',
+  /** The crash had been reported before. */
+  KNOWN = 'known',
+}
+
 /** Dependencies of the record of deadly tasks. */
 export interface DeadlyTasksOptions {
   readonly jobs: JobRegistry;
   readonly log: FleetLog;
+  readonly metrics: FleetMetrics;
   readonly fleet: AgentFleet;
 }
 
@@ -41,8 +50,11 @@
 
   /** Records a crash, and gives up the jobs that it proves to be deadly. */
   handleCrash(crash: TargetCrash, agentLife: string, nowMs: number): void {
-    const {jobs, log} = this.options;
-    if (!this.blame.recordCrash(crash, nowMs - crash.ageMs)) return;
+    const {jobs, log, metrics} = this.options;
+    const isNew = this.blame.recordCrash(crash, nowMs - crash.ageMs);
+    const use = isNew ? CrashReportUse.COUNTED : CrashReportUse.KNOWN;
+    metrics.countCrashReport(use);
+    if (!isNew) return;
     const suspects = this.listTasks(crash, BlameVerdict.SUSPECT);
     const deadly = this.listTasks(crash, BlameVerdict.DEADLY);
     log(FleetEvent.TARGET_CRASHED, 'A target crashed under these tasks.', {
--- a/src/lib/work/entry/scheduler.ts
+++ b/src/lib/work/entry/scheduler.ts
@@ -104,7 +104,7 @@
       releaseTask: ({name, agent}) => fleet.find(agent)?.tasks.delete(name),
     });
     const {jobs} = this;
-    this.deadly = DeadlyTasks.create({jobs, fleet, log: options.log});
+    this.deadly = DeadlyTasks.create({...options, jobs, fleet});
     this.admission = AdmissionController.create({fleet, jobs});
     this.mover = TaskMover.create({
       fleet,
--- a/test/observe/fleet_metrics_test.ts
+++ b/test/observe/fleet_metrics_test.ts
@@ -13,6 +13,7 @@
     metrics.countRefusal('q', 'overloaded');
     metrics.countRun('done', 80);
     metrics.countRejectedHeartbeat('denied');
+    metrics.countCrashReport('known');
     const text = await metrics.print();
     expect(text).to.include(
       'foxtailbay_jobs_total{queue="q",state="completed",reason="none"} 1',
@@ -26,6 +27,7 @@
     expect(text).to.include(
       'foxtailbay_heartbeats_rejected_total{reason="denied"} 1',
     );
+    expect(text).to.include('foxtailbay_crash_reports_total{use="known"} 1');
     expect(text).to.include(
       'foxtailbay_run_duration_milliseconds_count{end="done"} 1',
     );
--- a/test/work/deadly_task_line_test.ts
+++ b/test/work/deadly_task_line_test.ts
@@ -46,11 +46,13 @@
 // Guards against a job shown as failed of which no log tells the crashes that counted.
 describe('The lines of an entry on crashed targets', () => {
   const lines: EntryLine[] = [];
+  const uses: string[] = [];
   let job: ActiveJob;
   let deadly: DeadlyTasks;
 
   beforeEach(() => {
     lines.splice(0);
+    uses.splice(0);
     const log = (event: FleetEvent, _message: string, fields = {}) =>
       void lines.push({event, fields});
     const jobs = JobRegistry.create({
@@ -66,7 +68,11 @@
       releaseTask: () => undefined,
     });
     const {fleet} = EntryFleetFixture.create();
-    deadly = DeadlyTasks.create({jobs, fleet, log});
+    const metrics = {
+      ...NO_OP_FLEET_METRICS,
+      countCrashReport: (use: string) => void uses.push(use),
+    };
+    deadly = DeadlyTasks.create({jobs, fleet, log, metrics});
     job = createJob();
     jobs.add(job, 1, () => undefined);
   });
@@ -133,9 +139,10 @@
     });
   });
 
-  it('are written once for a crash that is reported again', () => {
+  it('are written once for a crash that is reported again, which is counted', () => {
     recordCrash('t1');
     recordCrash('t1', {ageMs: 500});
     expect(listLines(FleetEvent.TARGET_CRASHED)).to.have.lengthOf(1);
+    expect(uses).to.deep.equal(['counted', 'known']);
   });
 });
