--- a/src/lib/work/entry/active_job.ts
+++ b/src/lib/work/entry/active_job.ts
@@ -135,12 +135,14 @@
 /** Maximum number of tasks that the log names as the cause of a failed job. */
 const MAX_NAMED_TASKS = 4;
 
+function countLosses({failures, crashedLives}: ActiveTask): number {
+  return failures + crashedLives.length;
+}
+
 function describeFailure({state, tasks, rule}: ActiveJob): LineFields {
   if (state !== JobState.FAILED) return {};
-  const causes = tasks.filter(
-    ({failures, crashedLives}) => failures > 0 || crashedLives.length > 0,
-  );
-  causes.sort((a, b) => b.failures - a.failures);
+  const causes = tasks.filter(task => countLosses(task) > 0);
+  causes.sort((a, b) => countLosses(b) - countLosses(a));
   return {
     attemptsAtMost: rule.attemptsAtMost,
     failedTasks: causes
--- a/test/work/deadly_task_line_test.ts
+++ b/test/work/deadly_task_line_test.ts
@@ -14,7 +14,7 @@
 
 function createJob(): ActiveJob {
   const step = {
-    count: 1,
+    count: 6,
     after: [],
     requiredLabel: '',
     preferredRack: '',
@@ -139,6 +139,18 @@
     });
   });
 
+  it('name the tasks with the most crashes, and four at most', () => {
+    const all = job.tasks.map(({name}) => ({task: name, job: 'job', ranMs: 5}));
+    recordCrash('t1', {runs: all});
+    recordCrash('t2', {runs: all.slice(-1)});
+    const [{failedTasks}] = listLines(FleetEvent.JOB_ENDED);
+    expect(failedTasks).to.have.lengthOf(4);
+    expect((failedTasks as object[])[0]).to.deep.include({
+      task: all.at(-1)?.task,
+      crashedLives: ['t1', 't2'],
+    });
+  });
+
   it('are written once for a crash that is reported again, which is counted', () => {
     recordCrash('t1');
     recordCrash('t1', {ageMs: 500});
