--- a/src/lib/work/entry/deadly_tasks.ts
+++ b/src/lib/work/entry/deadly_tasks.ts
@@ -9,6 +9,7 @@
 import type {QueueRule} from '../../core/fleet_configuration.js';
 import {RunEvidence} from '../../core/work_frames.js';
 import type {CrashSuspicion, TargetCrash} from '../../core/work_frames.js';
+import type {FleetMetrics} from '../../observe/fleet_metrics.js';
 import {JobEnd, JobReason} from '../../core/work_job.js';
 import type {LineFields} from '../../observe/request_log.js';
 import type {ActiveJob, ActiveTask} from './active_job.js';
@@ -19,10 +20,18 @@
 /** Maximum number of tasks whose evidence is logged with a crash. */
 const MAX_LOGGED_TASKS = 12;
 
+/** What became of the report of a crash, for the metrics. */
+enum CrashReportUse {
+  COUNTED = 'counted',
+  /** The crash had been reported before. */
+  KNOWN = 'known',
+}
+
 /** Dependencies of the record of deadly tasks. */
 export interface DeadlyTasksOptions {
   readonly jobs: JobRegistry;
   readonly log: FleetLog;
+  readonly metrics: FleetMetrics;
   readonly fleet: AgentFleet;
 }
 
@@ -42,8 +51,11 @@
 
   /** Records a crash, and ends the jobs of which a task gets no further run. */
   handleCrash(crash: TargetCrash, agentLife: string, nowMs: number): void {
-    const {jobs, log} = this.options;
-    if (!this.blame.recordCrash(crash, nowMs - crash.ageMs)) return;
+    const {jobs, log, metrics} = this.options;
+    const isNew = this.blame.recordCrash(crash, nowMs - crash.ageMs);
+    const use = isNew ? CrashReportUse.COUNTED : CrashReportUse.KNOWN;
+    metrics.countCrashReport(use);
+    if (!isNew) return;
     const suspects = this.listTasks(crash, BlameVerdict.SUSPECT);
     const held = this.listTasks(crash, BlameVerdict.HELD);
     const deadly = this.listTasks(crash, BlameVerdict.DEADLY);
--- a/test/work/deadly_task_line_test.ts
+++ b/test/work/deadly_task_line_test.ts
@@ -15,7 +15,7 @@
 
 function createJob(): ActiveJob {
   const step = {
-    count: 1,
+    count: 6,
     after: [],
     requiredLabel: '',
     preferredRack: '',
@@ -47,11 +47,13 @@
 // Guards against a job shown as failed of which no log tells the crashes that counted.
 describe('The lines of an entry on crashed targets', () => {
   const lines: EntryLine[] = [];
+  const uses: string[] = [];
   let job: ActiveJob;
   let deadly: DeadlyTasks;
 
   beforeEach(() => {
     lines.splice(0);
+    uses.splice(0);
     const log = (event: FleetEvent, _message: string, fields = {}) =>
       void lines.push({event, fields});
     const jobs = JobRegistry.create({
@@ -67,7 +69,11 @@
       releaseTask: () => undefined,
     });
     const {fleet} = EntryFleetFixture.create();
-    deadly = DeadlyTasks.create({jobs, fleet, log});
+    const metrics = {
+      ...NO_OP_FLEET_METRICS,
+      countCrashReport: (use: string) => void uses.push(use),
+    };
+    deadly = DeadlyTasks.create({jobs, fleet, log, metrics});
     job = createJob();
     jobs.add(job, 1, () => undefined);
   });
@@ -140,9 +146,22 @@
     });
   });
 
-  it('are written once for a crash that is reported again', () => {
+  it('name the tasks with the most crashes, and four at most', () => {
+    const all = job.tasks.map(({name}) => ({task: name, job: 'job', ranMs: 5}));
+    recordCrash('t1', {runs: all});
+    recordCrash('t2', {runs: all.slice(-1)});
+    const [{failedTasks}] = listLines(FleetEvent.JOB_ENDED);
+    expect(failedTasks).to.have.lengthOf(4);
+    expect((failedTasks as object[])[0]).to.deep.include({
+      task: all.at(-1)?.task,
+      crashedLives: ['t1', 't2'],
+    });
+  });
+
+  it('are written once for a crash that is reported again, which is counted', () => {
     recordCrash('t1');
     recordCrash('t1', {ageMs: 500});
     expect(listLines(FleetEvent.TARGET_CRASHED)).to.have.lengthOf(1);
+    expect(uses).to.deep.equal(['counted', 'known']);
   });
 });
