Play the crash of a rack with agents, entries and stand-ins of targets

The targets of a rack end at the same moment. An order that is on its way to one of them, or whose connection breaks, counts as a second crash under its task, and the job is shown as failed.

--- a/stand_ins/fleet_target.ts
+++ b/stand_ins/fleet_target.ts
@@ -94,11 +94,15 @@
     await listener?.close();
   }
 
-  /** Ends without notice, and starts again under the same id and address. */
-  async restart(): Promise<void> {
+  /**
+   * Ends without notice, and starts again under the same id and address.
+   *
+   * @param delayMs Time between the end and the new start.
+   */
+  async restart(delayMs = REBIRTH_DELAY_MS): Promise<void> {
     const port = this.listener?.port ?? 0;
     await this.close();
-    this.rebirth = setTimeout(() => void this.open(port), REBIRTH_DELAY_MS);
+    this.rebirth = setTimeout(() => void this.open(port), delayMs);
   }
 
   /** Begins an incarnation, which knows nothing of earlier ones. */
--- a/test/fleet/fleet_fixture.ts
+++ b/test/fleet/fleet_fixture.ts
@@ -21,6 +21,7 @@
 import type {AgentFrame, EntryFrame} from '../../src/lib/core/work_frames.js';
 import type {FleetEvent} from '../../src/lib/observe/fleet_log.js';
 import {NO_OP_FLEET_METRICS} from '../../src/lib/observe/fleet_metrics.js';
+import type {TargetConnection} from '../../src/lib/work/agent/target_api.js';
 import {WorkAgent} from '../../src/lib/work/agent/work_agent.js';
 import {WorkEntry} from '../../src/lib/work/entry/work_entry.js';
 import type {WorkEntryOptions} from '../../src/lib/work/entry/work_entry.js';
@@ -48,6 +49,12 @@
   readonly fields: Readonly<Record<string, unknown>>;
 }
 
+/** Changes what becomes of an agent's calls to its target. */
+export type WrapConnection = (
+  connection: TargetConnection,
+  target: FleetTarget,
+) => TargetConnection;
+
 /** A task's payload: `RUN_MS/CPU_MILLI`. */
 export function formatPayload(runMs: number, cpuMilli = 1000): string {
   return `${runMs}/${cpuMilli}`;
@@ -164,6 +171,7 @@
     changes: Partial<FleetTargetOptions> = {},
     dataCentre = 'zone-a',
     openStream: OpenFrameStream<AgentFrame, EntryFrame> = openLineStream,
+    wrapConnection: WrapConnection = connection => connection,
   ): Promise<{
     readonly target: FleetTarget;
     readonly server: RunningServer;
@@ -187,12 +195,13 @@
       address: this.store.address,
       startTimer,
     });
+    const connect = createTargetConnector(target.address, startDeferredTimer);
     const agent = WorkAgent.create({
       identity: createIdentity(`agent-${name}`, dataCentre),
       seeds: this.linkAddresses,
       findEntries: () => listRegisteredEntries(store),
       stopWithinMs: 6000,
-      connectTarget: createTargetConnector(target.address, startDeferredTimer),
+      connectTarget: heartbeat => wrapConnection(connect(heartbeat), target),
       openHeartbeatListener: handlers =>
         openHeartbeatListener({address: announceAddress, ...handlers}),
       openStream,
