Model crashes of targets: check LOST and BUDGET in random sequences

The virtual site crashes several targets at once, drains them, ends them after a notice, and runs tasks that crash their target once or always. A monitor knows at the targets under which tasks they have crashed. A job that is answered as failed must have a task under which two have crashed; a task under which three have crashed gets at most two more starts by processes in touch. Callers come again after an answer that asks for it.

--- a/test/interleavings/foreign_messages_test.ts
+++ b/test/interleavings/foreign_messages_test.ts
@@ -3,7 +3,7 @@
 import {expect} from 'chai';
 import {checkSequences, RULES} from './work_checks.js';
 import type {VirtualWorkFleet} from './virtual_work_fleet.js';
-import {createWorkSteps, FAULT_KINDS, WorkStepKind} from './work_trial.js';
+import {createWorkSteps, FAULT_KINDS, WorkStepKind} from './work_step.js';
 
 const SEED = Number(process.env.FOXTAILBAY_SEED ?? 20261205);
 /** Sequences per rule, so that CI takes under 20 s on a busy machine. */
--- a/test/interleavings/recorded_links.ts
+++ b/test/interleavings/recorded_links.ts
@@ -3,8 +3,8 @@
 import {DEFAULTS} from './recorded_sequences.js';
 import type {RecordedSequence} from './recorded_sequences.js';
 import type {TargetRules} from './virtual_work_fleet.js';
-import {WorkStepKind} from './work_trial.js';
-import type {WorkStep} from './work_trial.js';
+import {WorkStepKind} from './work_step.js';
+import type {WorkStep} from './work_step.js';
 
 const RULES: TargetRules = {
   grants: false,
--- a/test/interleavings/recorded_sequences.ts
+++ b/test/interleavings/recorded_sequences.ts
@@ -1,8 +1,8 @@
 /** Sequences that broke the rule TWICE when they were recorded, shortened as far as possible. */
 import {CutKind} from './link_faults.js';
 import type {TargetRules} from './virtual_work_fleet.js';
-import {WorkStepKind} from './work_trial.js';
-import type {WorkStep} from './work_trial.js';
+import {WorkStepKind} from './work_step.js';
+import type {WorkStep} from './work_step.js';
 
 /** A recorded sequence; what it meets depends on the seed as well. */
 export interface RecordedSequence {
--- a/test/interleavings/unproven_contact_test.ts
+++ b/test/interleavings/unproven_contact_test.ts
@@ -3,7 +3,8 @@
 import {ONE_WAY_CUT_KINDS} from './link_faults.js';
 import {RECORDED_LINKS} from './recorded_links.js';
 import {checkFleet, checkSequences, RULES} from './work_checks.js';
-import {createWorkSteps, runWorkTrial, WorkStepKind} from './work_trial.js';
+import {createWorkSteps, WorkStepKind} from './work_step.js';
+import {runWorkTrial} from './work_trial.js';
 
 const SEED = Number(process.env.FOXTAILBAY_SEED ?? 20261205);
 /** Sequences per case, so that CI takes a few seconds. */
--- a/test/interleavings/virtual_callers.ts
+++ b/test/interleavings/virtual_callers.ts
@@ -3,6 +3,8 @@
 import type {SchedulerMessage} from '../../src/lib/work/entry/scheduler_messages.js';
 import type {QueueRule} from '../../src/lib/core/fleet_configuration.js';
 import type {JobAnswer} from '../../src/lib/core/work_job.js';
+import {formatPayload} from './task_load.js';
+import type {CrashLoad} from './task_load.js';
 import type {VirtualProcess} from './virtual_process.js';
 import type {VirtualTime} from './virtual_time.js';
 
@@ -18,7 +20,17 @@
   readonly tasks: number;
   readonly runMs: number;
   readonly sentAtMs: number;
+  readonly crash: CrashLoad | undefined;
+  /** The latest answer. */
   answer: JobAnswer | undefined;
+  /** All answers; several if the caller came again. */
+  readonly answers: TimedAnswer[];
+}
+
+/** An answer and the time at which the caller read it. */
+export interface TimedAnswer {
+  readonly answer: JobAnswer;
+  readonly atMs: number;
 }
 
 interface Attempt {
@@ -54,21 +66,35 @@
   private constructor(
     private readonly time: VirtualTime,
     private readonly getEntry: (index: number) => CalledEntry,
+    private readonly isPersistent: boolean,
   ) {}
 
-  /** Creates callers that have submitted nothing. */
+  /**
+   * Creates callers that have submitted nothing.
+   *
+   * @param isPersistent Whether they come again after an answer that asks for it.
+   */
   static create(
     time: VirtualTime,
     getEntry: (index: number) => CalledEntry,
+    isPersistent: boolean,
   ): VirtualCallers {
-    return new VirtualCallers(time, getEntry);
+    return new VirtualCallers(time, getEntry, isPersistent);
   }
 
   /** Submits a new job to an entry. */
-  submit(index: number, tasks: number, runMs: number): void {
+  submit(index: number, tasks: number, runMs: number, crash?: CrashLoad): void {
     const id = (this.jobs.length + 1).toString(16).padStart(16, '0');
     const sentAtMs = this.time.nowMs;
-    const job = {id, tasks, runMs, sentAtMs, answer: undefined};
+    const job: VirtualJob = {
+      id,
+      tasks,
+      runMs,
+      sentAtMs,
+      crash,
+      answer: undefined,
+      answers: [],
+    };
     this.jobs.push(job);
     this.send(job, index);
   }
@@ -98,7 +124,7 @@
         job: job.id,
         request: `${job.id}/${caller}`,
         queue: RULE.name,
-        payload: String(job.runMs),
+        payload: formatPayload(job),
         steps: [createStep(job)],
         deadlineMs: leftMs,
       },
@@ -121,7 +147,12 @@
     if (!attempt.isOpen || !attempt.entry.process.isAlive) return;
     attempt.isOpen = false;
     this.attempts.delete(attempt);
-    attempt.job.answer = answer;
+    const {job, index} = attempt;
+    job.answer = answer;
+    job.answers.push({answer, atMs: this.time.nowMs});
+    const {retryAfterMs} = answer;
+    if (!this.isPersistent || retryAfterMs === 0) return;
+    this.time.schedule(retryAfterMs, () => this.send(job, 1 - index));
   }
 
   private break(attempt: Attempt): void {
--- a/test/interleavings/virtual_target.ts
+++ b/test/interleavings/virtual_target.ts
@@ -4,10 +4,12 @@
 import {OrderOutcome} from '../../src/lib/work/agent/target_api.js';
 import type {
   HoldAnswer,
-  OrderAnswer,
   TargetConnection,
   TargetHeartbeat,
 } from '../../src/lib/work/agent/target_api.js';
+import {CallFate, CallSpells} from './call_spells.js';
+import {createAnswer, extend} from './target_call.js';
+import type {TargetCall} from './target_call.js';
 import type {VirtualProcess} from './virtual_process.js';
 import {VirtualTargetLife} from './virtual_target_life.js';
 import type {VirtualRun} from './virtual_target_life.js';
@@ -20,17 +22,6 @@
   accelerators: 0,
 };
 
-/** What becomes of the calls of a spell. */
-export enum CallFate {
-  ANSWERED = 'answered',
-  /** No answer; carried out at once, 2 to 12 s later, or never. */
-  UNANSWERED = 'unanswered',
-  /** Status 503: nothing was done. */
-  REFUSED = 'refused',
-  /** A cut refuses the connection: nothing was done, and the target goes on. */
-  UNREACHABLE = 'unreachable',
-}
-
 /** Options of a target. */
 export interface VirtualTargetOptions {
   readonly time: VirtualTime;
@@ -41,49 +32,44 @@
   /** Whether the next life has the same id and so takes orders to an earlier one. */
   readonly isIdKept: boolean;
   readonly sendHeartbeat: (heartbeat: TargetHeartbeat) => void;
+  /** Called with the start of a life that ends as planned. */
+  readonly sendDeregistration?: (startMs: number) => void;
+  /** Called with a life that is about to crash. */
+  readonly reportCrash?: (life: VirtualTargetLife) => void;
+  /** Returns whether a task of which the payload says so crashes its target. */
+  readonly allowCrash?: (run: VirtualRun, crashesAtMost: number) => boolean;
   readonly reportStart: (run: VirtualRun) => void;
   readonly reportEnd: (run: VirtualRun, end: RunEnd) => void;
   /** Notes an event for the trace. */
   readonly record: (text: string) => void;
 }
 
-interface Spell {
-  readonly fate: CallFate;
-  readonly share: number;
-  readonly untilMs: number;
-}
-
-interface Call<Body> {
-  /** Id and incarnation to which the call is addressed. */
-  readonly addressee: Pick<TargetHeartbeat, 'id' | 'incarnation'>;
-  readonly name: string;
-  readonly body: Body;
-  readonly timeoutMs: number;
-  readonly execute: (
-    life: VirtualTargetLife,
-    body: Body,
-    answer: (answer: HoldAnswer) => void,
-  ) => void;
-}
-
 const HEARTBEAT_PERIOD_MS = 1500;
 const FIRST_HEARTBEAT_MS = 40;
 /** Time in milliseconds that the agent waits in addition to the requested wait. */
 const HOLD_TIMEOUT_MS = 100;
+/** Age in milliseconds from which an order is carried out late. */
+const LATE_MS = 1000;
 const START_EPOCH_MS = 1_780_000_000_000;
 
 /** A target that is born again under the same id after each crash. */
 export class VirtualTarget {
+  readonly id: string;
   life: VirtualTargetLife | undefined;
   /** The latest heartbeat that it has sent. */
   latestHeartbeat: TargetHeartbeat | undefined;
-  private spells: Spell[] = [];
+  readonly spells: CallSpells;
   private readonly lives = new Map<string, VirtualTargetLife>();
   private startedAtMs = 0;
+  private phase: TargetHeartbeat['phase'] = TargetPhase.READY;
+  private sequence = 0;
   /** Start of the life that wrote each answer. */
   private readonly startMsOf = new WeakMap<HoldAnswer, number>();
 
-  private constructor(private readonly options: VirtualTargetOptions) {}
+  private constructor(private readonly options: VirtualTargetOptions) {
+    this.id = options.id;
+    this.spells = CallSpells.create(options.time, options.drawRandom);
+  }
 
   /** Creates a target and begins its first life. */
   static create(options: VirtualTargetOptions): VirtualTarget {
@@ -92,19 +78,30 @@
     return target;
   }
 
-  /** Crashes and is born again after a time. */
-  restart(downMs: number): void {
+  /**
+   * Crashes and is born again after a time.
+   *
+   * @param noticeMs Time until the connections to the life break.
+   */
+  restart(downMs: number, noticeMs = 0): void {
     if (this.life === undefined) return;
     this.options.record(`${this.options.id} crashes for ${downMs} ms`);
-    this.life.kill();
-    this.life = undefined;
-    this.options.time.schedule(downMs, () => this.begin());
+    this.options.reportCrash?.(this.life);
+    this.end(downMs, noticeMs);
   }
 
-  /** Begins a spell in which a share of the calls goes wrong. */
-  addSpell(fate: CallFate, share: number, durationMs: number): void {
-    const untilMs = this.options.time.nowMs + durationMs;
-    this.spells.push({fate, share, untilMs});
+  /** Says that it drains, ends after a time and is born again. */
+  drain(drainMs: number, downMs: number, isDeregistered: boolean): void {
+    const {life, options} = this;
+    if (life === undefined || this.phase === TargetPhase.DRAINING) return;
+    this.phase = TargetPhase.DRAINING;
+    this.sendHeartbeat(life);
+    options.time.schedule(drainMs, () => {
+      if (this.life !== life) return;
+      options.record(`${options.id} leaves for ${downMs} ms`);
+      if (isDeregistered) options.sendDeregistration?.(this.startedAtMs);
+      this.end(downMs, 0);
+    });
   }
 
   /** Connects an agent to the life that sent a heartbeat. */
@@ -119,7 +116,8 @@
           name: `start ${body.task}#${body.run}`,
           body,
           timeoutMs: body.timeoutMs,
-          execute: (life, call, answer) => answer(extend(life.start(call))),
+          execute: (life, call, answer, isLate) =>
+            answer(extend(life.start(call, isLate))),
         }),
       stop: body =>
         this.send(process, {
@@ -149,50 +147,59 @@
     return {...answer, outcome, running: [], ended: []};
   }
 
+  private end(downMs: number, noticeMs: number): void {
+    this.life?.kill(noticeMs);
+    this.life = undefined;
+    this.options.time.schedule(downMs, () => this.begin());
+  }
+
   private begin(): void {
     const {time, id, record} = this.options;
-    const life = `${id}/${this.lives.size + 1}`;
-    record(`${life} is born`);
-    this.life = VirtualTargetLife.create({...this.options, target: id, life});
-    this.lives.set(life, this.life);
+    const incarnation = `${id}/${this.lives.size + 1}`;
+    record(`${incarnation} is born`);
+    const life = VirtualTargetLife.create({
+      ...this.options,
+      target: id,
+      life: incarnation,
+      crash: downMs => this.life === life && this.restart(downMs),
+    });
+    this.life = life;
+    this.lives.set(incarnation, life);
     this.startedAtMs = Math.floor(time.nowMs) + START_EPOCH_MS;
-    this.scheduleHeartbeat(this.life, life, 1, FIRST_HEARTBEAT_MS);
+    this.phase = TargetPhase.READY;
+    this.sequence = 0;
+    this.scheduleHeartbeat(life, FIRST_HEARTBEAT_MS);
   }
 
-  private scheduleHeartbeat(
-    life: VirtualTargetLife,
-    incarnation: string,
-    sequence: number,
-    delayMs: number,
-  ): void {
-    const {time, id, sendHeartbeat} = this.options;
-    time.schedule(delayMs, () => {
+  private scheduleHeartbeat(life: VirtualTargetLife, delayMs: number): void {
+    this.options.time.schedule(delayMs, () => {
       if (life.isOver) return;
-      this.latestHeartbeat = {
-        incarnation,
-        startMs: this.startedAtMs,
-        id,
-        service: 'runner',
-        dataCentre: 'zone-a',
-        phase: TargetPhase.READY,
-        capacity: TARGET_CAPACITY,
-        labels: [],
-        sequence,
-        clockMs: life.clockMs,
-      };
-      sendHeartbeat(this.latestHeartbeat);
-      this.scheduleHeartbeat(
-        life,
-        incarnation,
-        sequence + 1,
-        HEARTBEAT_PERIOD_MS,
-      );
+      this.sendHeartbeat(life);
+      this.scheduleHeartbeat(life, HEARTBEAT_PERIOD_MS);
     });
   }
 
+  private sendHeartbeat(life: VirtualTargetLife): void {
+    const {id, sendHeartbeat} = this.options;
+    this.sequence += 1;
+    this.latestHeartbeat = {
+      incarnation: life.name,
+      startMs: this.startedAtMs,
+      id,
+      service: 'runner',
+      dataCentre: 'zone-a',
+      phase: this.phase,
+      capacity: TARGET_CAPACITY,
+      labels: [],
+      sequence: this.sequence,
+      clockMs: life.clockMs,
+    };
+    sendHeartbeat(this.latestHeartbeat);
+  }
+
   private send<Body extends {readonly deadlineMs: number}>(
     process: VirtualProcess,
-    call: Call<Body>,
+    call: TargetCall<Body>,
   ): Promise<HoldAnswer> {
     if (!process.isAlive) return new Promise(() => undefined);
     const {time, drawRandom} = this.options;
@@ -207,10 +214,13 @@
         resolve(createAnswer(OrderOutcome.UNANSWERED)),
       );
       const sentMs = this.lives.get(call.addressee.incarnation)?.clockMs ?? 0;
+      const sentAtMs = time.nowMs;
       const execute = (answer?: (lists: HoldAnswer) => void) =>
-        this.execute(call, sentMs, answer);
+        this.execute(call, sentMs, sentAtMs, answer);
       const delayMs = 0.2 + drawRandom();
-      switch (this.life === undefined ? CallFate.ANSWERED : this.drawFate()) {
+      switch (
+        this.life === undefined ? CallFate.ANSWERED : this.spells.drawFate()
+      ) {
         case CallFate.ANSWERED:
           time.schedule(delayMs, () => execute(reply));
           break;
@@ -239,8 +249,9 @@
   }
 
   private execute<Body extends {readonly deadlineMs: number}>(
-    {addressee, name, body, execute}: Call<Body>,
+    {addressee, name, body, execute}: TargetCall<Body>,
     sentMs: number,
+    sentAtMs: number,
     answer?: (lists: HoldAnswer) => void,
   ): void {
     const {life} = this;
@@ -258,34 +269,19 @@
     const shiftMs = isShifted ? life.clockMs - sentMs : 0;
     const deadlineMs = body.deadlineMs + shiftMs;
     const startMs = this.startedAtMs;
-    execute(life, {...body, deadlineMs}, lists => {
+    const conclude = (lists: HoldAnswer) => {
       this.startMsOf.set(lists, startMs);
       const lost = answer === undefined ? ', its answer is lost' : '';
       const other = isOther ? ', sent to an earlier life' : '';
       this.recordCall(name, `${lists.outcome} ${lists.reason}${lost}${other}`);
       answer?.(lists);
-    });
+    };
+    const isLate = this.options.time.nowMs - sentAtMs >= LATE_MS;
+    execute(life, {...body, deadlineMs}, conclude, isLate);
   }
 
   private recordCall(name: string, text: string): void {
     if (name === 'hold') return;
     this.options.record(`${this.options.id}: ${name}: ${text}`);
   }
-
-  private drawFate(): CallFate {
-    const {time, drawRandom} = this.options;
-    this.spells = this.spells.filter(({untilMs}) => untilMs > time.nowMs);
-    for (const {fate, share} of this.spells) {
-      if (drawRandom() < share) return fate;
-    }
-    return CallFate.ANSWERED;
-  }
-}
-
-function extend(answer: OrderAnswer): HoldAnswer {
-  return {...answer, running: [], ended: []};
-}
-
-function createAnswer(outcome: OrderOutcome, reason = ''): HoldAnswer {
-  return {outcome, reason, clockMs: 0, running: [], ended: []};
 }
--- a/test/interleavings/virtual_target_life.ts
+++ b/test/interleavings/virtual_target_life.ts
@@ -9,6 +9,8 @@
   StartCall,
   StopCall,
 } from '../../src/lib/work/agent/target_api.js';
+import {parseLoad} from './task_load.js';
+import type {CrashLoad} from './task_load.js';
 import type {VirtualTime} from './virtual_time.js';
 
 /** A run in progress; it counts until its end is listed. */
@@ -19,6 +21,8 @@
   readonly run: number;
   readonly startedAtMs: number;
   readonly runMs: number;
+  /** Whether its order was carried out late. */
+  readonly isLate: boolean;
   isStopping: boolean;
 }
 
@@ -28,6 +32,10 @@
   readonly drawRandom: () => number;
   readonly target: string;
   readonly life: string;
+  /** Crashes the target for a time. */
+  readonly crash: (downMs: number) => void;
+  /** Returns whether a task of which the payload says so crashes its target. */
+  readonly allowCrash?: (run: VirtualRun, crashesAtMost: number) => boolean;
   /** Called before a run begins, which the target does not prevent. */
   readonly reportStart: (run: VirtualRun) => void;
   readonly reportEnd: (run: VirtualRun, end: RunEnd) => void;
@@ -36,6 +44,9 @@
 /** Most that a lease may lie ahead of the target's clock, in milliseconds. */
 const MAX_LEASE_MS = 1000;
 const MAX_STOP_MS = 50;
+/** Times in milliseconds after which a target is up that a task has crashed. */
+const MIN_DOWN_MS = 100;
+const MAX_ADDED_DOWN_MS = 1900;
 /** A target's clock may be slow by up to this share. */
 const MAX_DRIFT = 0.02;
 
@@ -62,6 +73,11 @@
     return new VirtualTargetLife(options);
   }
 
+  /** Name of the life. */
+  get name(): string {
+    return this.options.life;
+  }
+
   /** Time since the start by the target's own clock, in whole milliseconds. */
   get clockMs(): number {
     const elapsedMs = this.options.time.nowMs - this.bornAtMs;
@@ -69,7 +85,7 @@
   }
 
   /** Carries out a start. */
-  start(call: StartCall): OrderAnswer {
+  start(call: StartCall, isLate: boolean): OrderAnswer {
     const {task, run, deadlineMs} = call;
     if (!this.admitToken(call.fencingToken)) return this.refuse('fence');
     if (deadlineMs < this.clockMs) return this.refuse('late');
@@ -78,7 +94,7 @@
     if (this.runs.has(key)) return this.accept();
     if (run <= (this.closed.get(task) ?? 0)) return this.refuse('old');
     const {time, target, life, reportStart} = this.options;
-    const runMs = Number(call.payload);
+    const {runMs, crash} = parseLoad(call.payload, task);
     const started: VirtualRun = {
       target,
       life,
@@ -86,11 +102,13 @@
       run,
       startedAtMs: time.nowMs,
       runMs,
+      isLate,
       isStopping: false,
     };
     reportStart(started);
     this.runs.set(key, started);
     time.schedule(runMs, () => this.end(started, RunEnd.DONE));
+    if (crash !== undefined) this.scheduleCrash(started, crash);
     return this.accept();
   }
 
@@ -131,14 +149,32 @@
     this.options.time.schedule(call.waitMs, finish);
   }
 
-  /** Ends the life with all its runs; nothing lists their ends. */
-  kill(): void {
+  /**
+   * Ends the life with all its runs; nothing lists their ends.
+   *
+   * @param noticeMs Time until its connections break.
+   */
+  kill(noticeMs: number): void {
     this.isOver = true;
     for (const run of this.runs.values()) {
       this.options.reportEnd(run, RunEnd.LOST);
     }
     this.runs.clear();
-    this.notify();
+    if (noticeMs > 0) this.options.time.schedule(noticeMs, () => this.notify());
+    else this.notify();
+  }
+
+  private scheduleCrash(
+    run: VirtualRun,
+    {afterMs, crashesAtMost}: CrashLoad,
+  ): void {
+    const {time, drawRandom, allowCrash, crash} = this.options;
+    time.schedule(afterMs, () => {
+      const isRunning = this.runs.get(`${run.task}#${run.run}`) === run;
+      if (this.isOver || !isRunning) return;
+      if (allowCrash?.(run, crashesAtMost) !== true) return;
+      crash(MIN_DOWN_MS + drawRandom() * MAX_ADDED_DOWN_MS);
+    });
   }
 
   private list(): HoldAnswer {
--- a/test/interleavings/virtual_work_fleet.ts
+++ b/test/interleavings/virtual_work_fleet.ts
@@ -10,8 +10,11 @@
 import {createAgentAcceptor} from '../../src/lib/work/entry/accept_agents.js';
 import {Scheduler} from '../../src/lib/work/entry/scheduler.js';
 import {SchedulerMessageKind} from '../../src/lib/work/entry/scheduler_messages.js';
+import {CrashMonitor} from './crash_monitor.js';
+import {FleetDisturbances} from './fleet_disturbances.js';
 import {drawForeignMessage} from './foreign_messages.js';
 import {RunMonitor} from './run_monitor.js';
+import {AGENTS, ENTRIES, OTHER_ADDRESSES} from './site_names.js';
 import {RULE, VirtualCallers} from './virtual_callers.js';
 import type {CalledEntry} from './virtual_callers.js';
 import {VirtualLinks} from './virtual_links.js';
@@ -19,13 +22,6 @@
 import {VirtualTarget} from './virtual_target.js';
 import type {VirtualTime} from './virtual_time.js';
 
-/** Addresses of the entries. */
-export const ENTRIES = ['entry-0:1', 'entry-1:1'];
-/** Further addresses of the same entries, in the same order. */
-const OTHER_ADDRESSES = ['entry-0.alias:1', 'entry-1.alias:1'];
-/** Names of the agents. */
-export const AGENTS = ['agent-0', 'agent-1', 'agent-2', 'agent-3'];
-
 /** Tasks that fit on a target at a time. */
 const RUNS_PER_TARGET = 2;
 
@@ -38,7 +34,7 @@
   dataCentresOut: [],
 };
 
-/** How the targets treat late orders, what refuses calls, and how entries are known. */
+/** How targets treat late orders, what refuses calls, how entries are known, who comes again. */
 export interface TargetRules {
   /** Whether the lease time of a late order counts from its arrival. */
   readonly grants: boolean;
@@ -48,6 +44,8 @@
   readonly isCutRefused: boolean;
   /** Whether the agents know each entry under two addresses. */
   readonly isEntryKnownTwice?: boolean;
+  /** Whether callers come again after an answer that asks for it. */
+  readonly isCallerPersistent?: boolean;
 }
 
 /** Settings of a fleet. */
@@ -66,10 +64,13 @@
   /** What happened, with its time. */
   readonly trace: string[] = [];
   readonly monitor: RunMonitor;
+  readonly crashes: CrashMonitor;
   readonly callers: VirtualCallers;
+  readonly disturbances: FleetDisturbances;
   readonly links: VirtualLinks;
   readonly targets: VirtualTarget[] = [];
   readonly time: VirtualTime;
+  readonly drawRandom: () => number;
   /** Exceptions of the code under test. */
   readonly failures: unknown[] = [];
   private readonly entries: CalledEntry[] = [];
@@ -79,9 +80,16 @@
   private constructor(private readonly options: VirtualWorkFleetOptions) {
     const {time, drawRandom} = options;
     this.time = time;
+    this.drawRandom = drawRandom;
     this.links = VirtualLinks.create(time, drawRandom);
     this.monitor = RunMonitor.create(time, RUNS_PER_TARGET, this.record);
-    this.callers = VirtualCallers.create(time, index => this.entries[index]);
+    this.crashes = CrashMonitor.create(time);
+    this.disturbances = FleetDisturbances.create(time);
+    this.callers = VirtualCallers.create(
+      time,
+      index => this.entries[index],
+      options.isCallerPersistent ?? false,
+    );
     for (const index of ENTRIES.keys()) this.startEntry(index);
     for (const index of AGENTS.keys()) {
       this.targets.push(this.createTarget(index));
@@ -231,8 +239,23 @@
         const kind = RunnerMessageKind.HEARTBEAT;
         time.schedule(1, () => runner.post({kind, heartbeat}), process.host);
       },
-      reportStart: this.monitor.recordStart,
-      reportEnd: this.monitor.recordEnd,
+      sendDeregistration: startMs => {
+        const {process, runner} = this.agents[index];
+        const kind = RunnerMessageKind.TARGET_DEREGISTERED;
+        const id = `target-${index}`;
+        const send = () => runner.post({kind, id, startMs});
+        time.schedule(1, send, process.host);
+      },
+      reportCrash: life => this.crashes.recordCrash(life),
+      allowCrash: (run, atMost) => this.crashes.allowCrash(run, atMost),
+      reportStart: run => {
+        this.crashes.recordStart(run);
+        this.monitor.recordStart(run);
+      },
+      reportEnd: (run, end) => {
+        this.crashes.recordEnd(run, end);
+        this.monitor.recordEnd(run, end);
+      },
       record: this.record,
     });
   }
--- a/test/interleavings/work_checks.ts
+++ b/test/interleavings/work_checks.ts
@@ -4,7 +4,7 @@
 import {JobEnd} from '../../src/lib/core/work_job.js';
 import type {TargetRules, VirtualWorkFleet} from './virtual_work_fleet.js';
 import {runWorkTrial} from './work_trial.js';
-import type {WorkStep} from './work_trial.js';
+import type {WorkStep} from './work_step.js';
 
 /**
  * Rules of the random sequences. Without cuts that refuse connections: agent and
@@ -44,7 +44,7 @@
   readonly rules: TargetRules;
   readonly arbitrary: fc.Arbitrary<WorkStep[]>;
   /** Checks a site after each sequence, beside `checkFleet`. */
-  readonly check?: (fleet: VirtualWorkFleet) => Promise<void>;
+  readonly check?: (fleet: VirtualWorkFleet) => void | Promise<void>;
 }
 
 /** Plays random sequences, each of which must break no rule. */
@@ -53,7 +53,7 @@
   runs,
   rules,
   arbitrary,
-  check = () => Promise.resolve(),
+  check = () => undefined,
 }: SequenceOptions): Promise<void> {
   let completed = 0;
   await fc.assert(
--- a/test/interleavings/work_once_test.ts
+++ b/test/interleavings/work_once_test.ts
@@ -8,12 +8,8 @@
   countCompleted,
   RULES,
 } from './work_checks.js';
-import {
-  createWorkSteps,
-  FAULT_KINDS,
-  runWorkTrial,
-  WorkStepKind,
-} from './work_trial.js';
+import {createWorkSteps, FAULT_KINDS, WorkStepKind} from './work_step.js';
+import {runWorkTrial} from './work_trial.js';
 import {CutKind} from './link_faults.js';
 
 const SEED = Number(process.env.FOXTAILBAY_SEED ?? 20261205);
--- a/test/interleavings/work_trial.ts
+++ b/test/interleavings/work_trial.ts
@@ -1,88 +1,25 @@
 /** Plays a sequence of faults against a virtual site. */
-import fc from 'fast-check';
-import {CUT_KINDS} from './link_faults.js';
-import type {CutKind} from './link_faults.js';
-import {CallFate} from './virtual_target.js';
+import {CallFate} from './call_spells.js';
 import {VirtualTime} from './virtual_time.js';
-import {AGENTS, ENTRIES, VirtualWorkFleet} from './virtual_work_fleet.js';
+import {AGENTS, ENTRIES} from './site_names.js';
+import {VirtualWorkFleet} from './virtual_work_fleet.js';
 import type {TargetRules} from './virtual_work_fleet.js';
-
-/** What happens in a step. */
-export enum WorkStepKind {
-  SUBMIT = 'submit',
-  FREEZE_AGENT = 'freeze-agent',
-  SUSPEND_AGENT = 'suspend-agent',
-  RESTART_AGENT = 'restart-agent',
-  FREEZE_ENTRY = 'freeze-entry',
-  RESTART_ENTRY = 'restart-entry',
-  CUT_LINK = 'cut-link',
-  RESET_CALLERS = 'reset-callers',
-  LOSE_CALLS = 'lose-calls',
-  REFUSE_CALLS = 'refuse-calls',
-  CRASH_TARGET = 'crash-target',
-  /** Another writer sends a message to an agent. */
-  FOREIGN_MESSAGE = 'foreign-message',
-  /** The link of an agent to an entry is reset again and again. */
-  RESET_LINKS = 'reset-links',
-  /** Streams between an agent and an entry fall behind, each for itself. */
-  DELAY_STREAMS = 'delay-streams',
-}
-
-/** Kinds of steps that sequences of their own play. */
-const SPECIAL_KINDS: ReadonlySet<WorkStepKind> = new Set([
-  WorkStepKind.FOREIGN_MESSAGE,
-  WorkStepKind.RESET_LINKS,
-  WorkStepKind.DELAY_STREAMS,
-]);
-
-/** All kinds but the messages of other writers and the troubles of single streams. */
-export const FAULT_KINDS: readonly WorkStepKind[] = Object.values(
-  WorkStepKind,
-).filter(kind => !SPECIAL_KINDS.has(kind));
-
-/** One step of a sequence. */
-export interface WorkStep {
-  readonly kind: WorkStepKind;
-  readonly agent: number;
-  readonly entry: number;
-  /** Time from this step to the next one. */
-  readonly afterMs: number;
-  readonly durationMs: number;
-  readonly runMs: number;
-  readonly tasks: number;
-  readonly sharePercent: number;
-  readonly cut: CutKind;
-}
+import {WorkStepKind} from './work_step.js';
+import type {WorkStep} from './work_step.js';
 
 /** Time in which late orders arrive and all jobs end. */
 const QUIET_MS = 16_000;
 
-/** Creates sequences of steps of some kinds among submissions. */
-export function createWorkSteps(
-  kinds: readonly WorkStepKind[],
-  cuts: readonly CutKind[] = CUT_KINDS,
-): fc.Arbitrary<WorkStep[]> {
-  return fc.array(
-    fc.record({
-      kind: fc.oneof(
-        {weight: 5, arbitrary: fc.constant(WorkStepKind.SUBMIT)},
-        {weight: 6, arbitrary: fc.constantFrom(...kinds)},
-      ),
-      agent: fc.integer({min: 0, max: AGENTS.length - 1}),
-      entry: fc.integer({min: 0, max: ENTRIES.length - 1}),
-      afterMs: fc.integer({min: 0, max: 700}),
-      durationMs: fc.integer({min: 100, max: 3000}),
-      runMs: fc.oneof(
-        {weight: 2, arbitrary: fc.integer({min: 40, max: 800})},
-        {weight: 1, arbitrary: fc.integer({min: 800, max: 5000})},
-      ),
-      tasks: fc.integer({min: 1, max: 3}),
-      sharePercent: fc.integer({min: 5, max: 50}),
-      cut: fc.constantFrom(...cuts),
-    }),
-    {minLength: 8, maxLength: 30},
-  );
-}
+/** Times in milliseconds between the word of a target that it drains and its end. */
+const DRAIN_MS = 2500;
+const NOTICE_MS = 1000;
+
+/** Times in milliseconds after which the targets of a rack are back. */
+const MIN_DOWN_MS = 100;
+const MAX_ADDED_DOWN_MS = 3900;
+
+/** Longest time in milliseconds until the connections to a crashed target break. */
+const MAX_NOTICE_MS = 30;
 
 /** Plays a sequence; returns the site after it has come to rest. */
 export async function runWorkTrial(
@@ -111,10 +48,23 @@
   const share = sharePercent / 100;
   const refusal = rules.isCutRefused ? CallFate.UNREACHABLE : CallFate.REFUSED;
   fleet.record(`STEP ${JSON.stringify(step)}`);
+  fleet.disturbances.record(step);
   switch (kind) {
     case WorkStepKind.SUBMIT:
       fleet.callers.submit(entry, step.tasks, step.runMs);
       break;
+    case WorkStepKind.SUBMIT_CRASHING:
+      fleet.callers.submit(entry, step.tasks, step.runMs, step.crash);
+      break;
+    case WorkStepKind.CRASH_RACK:
+      killRack(fleet, step);
+      break;
+    case WorkStepKind.DRAIN_TARGET:
+      fleet.targets[agent].drain(DRAIN_MS, durationMs, true);
+      break;
+    case WorkStepKind.NOTICE_TARGET:
+      fleet.targets[agent].drain(NOTICE_MS, durationMs, false);
+      break;
     case WorkStepKind.FREEZE_AGENT:
       fleet.findAgent(agent).pause(durationMs);
       break;
@@ -137,10 +87,10 @@
       fleet.callers.reset(entry);
       break;
     case WorkStepKind.LOSE_CALLS:
-      fleet.targets[agent].addSpell(CallFate.UNANSWERED, share, durationMs);
+      fleet.targets[agent].spells.add(CallFate.UNANSWERED, share, durationMs);
       break;
     case WorkStepKind.REFUSE_CALLS:
-      fleet.targets[agent].addSpell(refusal, share, durationMs);
+      fleet.targets[agent].spells.add(refusal, share, durationMs);
       break;
     case WorkStepKind.CRASH_TARGET:
       fleet.targets[agent].restart(durationMs);
@@ -162,6 +112,18 @@
   }
 }
 
+/** Crashes targets at once; their agents see it one by one, and each is back by itself. */
+function killRack(
+  {targets, drawRandom}: VirtualWorkFleet,
+  {agent, tasks}: WorkStep,
+): void {
+  for (let offset = 0; offset <= tasks; offset += 1) {
+    const target = targets[(agent + offset) % targets.length];
+    const downMs = MIN_DOWN_MS + drawRandom() * MAX_ADDED_DOWN_MS;
+    target.restart(Math.round(downMs), drawRandom() * MAX_NOTICE_MS);
+  }
+}
+
 /** Mulberry32, which makes a run repeatable by its seed. */
 function createRandom(seed: number): () => number {
   let state = seed >>> 0;
