Fail no job by a number of attempts that the configuration does not give

maxAttempts that was missing or unreadable counted as 1, so the first failed run of a task ended its job as `failed` for good. PROTOCOL.md gives no default. Such a job is now given up with 504 after the first failed run: it gets no further run here, and its caller may come again.

--- a/src/lib/core/fleet_configuration.ts
+++ b/src/lib/core/fleet_configuration.ts
@@ -11,8 +11,11 @@
   readonly service: string;
   /** Priority of the jobs; 0 is the most urgent. */
   readonly priority: number;
-  /** Number of failed runs of one task after which its job fails. */
-  readonly attemptsAtMost: number;
+  /**
+   * Number of failed runs of one task after which its job fails; absent if the
+   * configuration has no valid one, so that failed runs prove nothing.
+   */
+  readonly attemptsAtMost?: number;
   /**
    * Factor of the latency objective of a job, which is `stretch` times its
    * critical path plus `allowanceMs`.
--- a/src/lib/work/entry/active_job.ts
+++ b/src/lib/work/entry/active_job.ts
@@ -5,6 +5,7 @@
 } from '../../decisions/job_timing.js';
 import type {JobTiming} from '../../decisions/job_timing.js';
 import type {ExpectedWork} from '../../decisions/work_forecast.js';
+import type {RunEndReport} from '../../core/work_frames.js';
 import type {QueueRule} from '../../core/fleet_configuration.js';
 import type {LineFields} from '../../observe/request_log.js';
 import {formatTaskName} from '../../core/work_job.js';
@@ -115,6 +116,27 @@
   return job;
 }
 
+/**
+ * Returns whether the queue allows another run of the task. Without a known number
+ * of attempts, it allows one.
+ *
+ * @param ahead Number of runs that are assumed to fail before.
+ */
+export function hasAttempts({failures, job}: ActiveTask, ahead = 0): boolean {
+  return failures + ahead < (job.rule.attemptsAtMost ?? 1);
+}
+
+/** Records the run completed last, with its duration scaled to a typical target. */
+export function recordLastRun(
+  job: ActiveJob,
+  {agent}: {readonly agent: string},
+  {task, durationMs}: RunEndReport,
+  scaledMs: number,
+): void {
+  job.longestRunMs = Math.max(job.longestRunMs, scaledMs);
+  job.lastRun = {task, agent, durationMs};
+}
+
 /** Lists the blocked tasks whose earlier steps are all done. */
 export function listUnblocked(job: ActiveJob): ActiveTask[] {
   const unfinishedSteps = new Set(
--- a/src/lib/work/entry/job_registry.ts
+++ b/src/lib/work/entry/job_registry.ts
@@ -9,7 +9,9 @@
   describeEnd,
   describeJob,
   describeReturn,
+  hasAttempts,
   listUnblocked,
+  recordLastRun,
 } from './active_job.js';
 import type {ActiveJob, ActiveTask, AnswerCaller} from './active_job.js';
 import type {AgentSession} from './agent_session.js';
@@ -160,18 +162,20 @@
     if (task === undefined || task.run !== report.run) return;
     this.options.releaseTask(task);
     switch (report.end) {
-      case RunEnd.DONE:
+      case RunEnd.DONE: {
         this.applyEvent(task, TaskEvent.DONE);
-        this.recordRun(task.job, session, report);
+        const scaledMs = this.options.scaleRun(session, report.durationMs);
+        recordLastRun(task.job, session.hello, report, scaledMs);
         task.job.remainingTasks -= 1;
         this.advance(task.job, nowMs);
         break;
+      }
       case RunEnd.FAILED:
         task.failures += 1;
         task.excluded.add(session.report.life);
         this.applyEvent(task, TaskEvent.FAILED);
         if (task.state !== TaskState.FAILED) break;
-        this.fail(task.job, nowMs, JobReason.ATTEMPTS_EXHAUSTED);
+        this.endByAttempts(task.job, nowMs);
         break;
       case RunEnd.STOPPED:
       case RunEnd.LOST:
@@ -218,16 +222,6 @@
     this.options.requests.add(job.request.job, event, message, line);
   }
 
-  private recordRun(
-    job: ActiveJob,
-    session: AgentSession,
-    {task, durationMs}: RunEndReport,
-  ): void {
-    const scaledMs = this.options.scaleRun(session, durationMs);
-    job.longestRunMs = Math.max(job.longestRunMs, scaledMs);
-    job.lastRun = {task, agent: session.hello.agent, durationMs};
-  }
-
   private advance(job: ActiveJob, nowMs: number): void {
     if (job.remainingTasks > 0) return this.unblock(job);
     const answer = createAnswer(JobEnd.COMPLETED, JobReason.NONE);
@@ -239,6 +233,13 @@
     this.end(job, JobEvent.FAIL, createAnswer(JobEnd.FAILED, reason), nowMs);
   }
 
+  /** Ends a job of which a task has no attempts left, as failed if their number is known. */
+  private endByAttempts(job: ActiveJob, nowMs: number): void {
+    const reason = JobReason.ATTEMPTS_EXHAUSTED;
+    if (job.rule.attemptsAtMost !== undefined) this.fail(job, nowMs, reason);
+    else this.endUnfinished(job, reason, nowMs);
+  }
+
   private unblock(job: ActiveJob): void {
     for (const task of listUnblocked(job)) {
       this.applyEvent(task, TaskEvent.UNBLOCK);
@@ -251,11 +252,10 @@
   }
 
   private applyEvent(task: ActiveTask, event: TaskEvent): void {
-    const hasAttempts = task.failures < task.job.rule.attemptsAtMost;
     const step = TASK_CHART.step(
       task.state,
       event,
-      guard => guard === HAS_ATTEMPTS && hasAttempts,
+      guard => guard === HAS_ATTEMPTS && hasAttempts(task),
     );
     task.state = step.state;
     if (step.actions.includes(TaskAction.SEND_STOP)) {
--- a/src/lib/work/entry/task_placer.ts
+++ b/src/lib/work/entry/task_placer.ts
@@ -12,6 +12,7 @@
 import type {Feasibility} from '../../decisions/rank_work.js';
 import {FleetEvent} from '../../observe/fleet_log.js';
 import {isWithinCapacity} from '../../core/work_job.js';
+import {hasAttempts} from './active_job.js';
 import type {ActiveJob, ActiveTask} from './active_job.js';
 import type {DeadlyTasks} from './deadly_tasks.js';
 import type {AgentFleet} from './agent_fleet.js';
@@ -142,7 +143,7 @@
     targets: readonly PlacementTarget[],
     nowMs: number,
   ): PlacementTarget | undefined {
-    const {timing, rule} = job;
+    const {timing} = job;
     const {farFactor, chooseTarget, deadly} = this.options;
     const need = {
       spec: task.spec,
@@ -160,7 +161,7 @@
         feasibility,
         usefulMs: timing.worthlessAtMs - nowMs,
         isJobStarted: job.state !== JobState.WAITING,
-        canProbe: task.failures + 1 < rule.attemptsAtMost,
+        canProbe: hasAttempts(task, 1),
       },
       targets,
       chooseTarget,
--- a/test/platform/codecs_test.ts
+++ b/test/platform/codecs_test.ts
@@ -56,6 +56,8 @@
   limits: {maxBodyBytes: 1000},
 };
 
+const ATTEMPTS_FIELD = 'queues[0].attemptsAtMost';
+
 /** Arbitrary field values, valid or not. */
 const ARBITRARY_VALUE = fc.oneof(
   fc.constant(null),
@@ -171,6 +173,16 @@
     });
   });
 
+  it('takes a number of attempts that it cannot read for no number', () => {
+    for (const maxAttempts of [undefined, 0, -1, 1.5, '3']) {
+      const routes = [{...CONFIGURATION.routes[0], maxAttempts}];
+      const values = {'op/config': JSON.stringify({...CONFIGURATION, routes})};
+      const decoded = decode(values);
+      expect(decoded).to.have.property('queues').of.length(1);
+      expect(decoded).to.have.nested.property(ATTEMPTS_FIELD, undefined);
+    }
+  });
+
   it('reports a problem instead of using a part of the configuration', () => {
     const routes = [...CONFIGURATION.routes, {name: 'r-2'}];
     const values = {'op/config': JSON.stringify({...CONFIGURATION, routes})};
