Advise a retry if only the targets in service are too few for a job

On the older path a job whose work exceeds what the targets in service can do before its deadline was refused without a time to retry, as one that can never be in time. That is a figure of the moment. Only a task that is too long by itself is refused without one.

The expectation of the test 'too much work' was the fault: it took the capacity of the moment for good. It now expects a retry, and failed before; 'a task too long' still expects none.

--- a/src/lib/decisions/admission.ts
+++ b/src/lib/decisions/admission.ts
@@ -57,8 +57,8 @@
 /** Share of the expected run time that is certain enough to base a refusal on. */
 const CERTAIN_SHARE = 0.5;
 
-/** Advised retry delay in milliseconds while there are no targets. */
-const NO_TARGETS_RETRY_MS = 2000;
+/** Advised retry delay in milliseconds while the targets in service do not suffice. */
+const MORE_TARGETS_RETRY_MS = 2000;
 
 /**
  * Factor on the waiting work that allows for tasks that run longer than
@@ -141,12 +141,15 @@
   }
   if (state.slots === 0) {
     const detail = 'No target in service can take tasks.';
-    return refuse(Problem.NO_TARGETS, detail, NO_TARGETS_RETRY_MS);
+    return refuse(Problem.NO_TARGETS, detail, MORE_TARGETS_RETRY_MS);
   }
   const leastMs = computeLeastMs(request, state);
   if (leastMs > request.deadlineMs) {
     const detail = `The job needs at least ${Math.ceil(leastMs)} ms of ${request.deadlineMs} ms, even on idle targets.`;
-    return refuse(Problem.DEADLINE_UNREACHABLE, detail);
+    // No number of targets makes one task shorter.
+    const isForGood = computeCertainMs(request) > request.deadlineMs;
+    const retryAfterMs = isForGood ? undefined : MORE_TARGETS_RETRY_MS;
+    return refuse(Problem.DEADLINE_UNREACHABLE, detail, retryAfterMs);
   }
   return undefined;
 }
@@ -185,10 +188,14 @@
   request: AdmissionRequest,
   state: AdmissionState,
 ): number {
-  const certainMs = request.longestMs * CERTAIN_SHARE;
+  const certainMs = computeCertainMs(request);
   return computeIdealMs(request.workMs, certainMs, state.workPerMs);
 }
 
+function computeCertainMs({longestMs}: AdmissionRequest): number {
+  return longestMs * CERTAIN_SHARE;
+}
+
 function refuse(
   problem: Problem,
   detail: string,
--- a/test/decisions/admission_test.ts
+++ b/test/decisions/admission_test.ts
@@ -62,7 +62,8 @@
       Problem.DEADLINE_UNREACHABLE,
       false,
     ],
-    ['too much work', {workMs: 1e6}, {}, Problem.DEADLINE_UNREACHABLE, false],
+    // More targets may be in service when its caller comes again.
+    ['too much work', {workMs: 1e6}, {}, Problem.DEADLINE_UNREACHABLE, true],
     ['backlog', {workAheadMs: 4e5}, {}, Problem.DEADLINE_UNREACHABLE, true],
     ['a full queue', {}, {waitingTasks: 995}, Problem.OVERLOADED, true],
     ['too many jobs', {}, {jobs: 100}, Problem.OVERLOADED, true],
