--- a/test/interleavings/crash_checks.ts
+++ b/test/interleavings/crash_checks.ts
@@ -55,7 +55,7 @@
     );
     return (
       crashes.length >= CRASHES_UNTIL_GIVEN_UP ||
-      failures.length >= RULE.attemptsAtMost
+      failures.length >= (RULE.attemptsAtMost ?? Infinity)
     );
   });
   if (isProven) return;
