--- a/test/work/scheduler_fixture.ts
+++ b/test/work/scheduler_fixture.ts
@@ -126,6 +126,12 @@
     }
   }
 
+  /** Tells the entry the addresses of all entries, of which agents link to a few. */
+  async announceEntries(addresses: readonly string[]): Promise<void> {
+    this.scheduler.post({kind: SchedulerMessageKind.ENTRIES, addresses});
+    await this.settle();
+  }
+
   /** Submits a job of one step; returns the answers that its caller has got. */
   async submit(
     changes: Partial<StepSpec> = {},
