--- a/src/lib/observe/fleet_metrics.ts
+++ b/src/lib/observe/fleet_metrics.ts
@@ -16,6 +16,7 @@
   readonly countRun: (end: string, tookMs: number) => void;
   readonly countRejectedHeartbeat: (reason: string) => void;
   readonly countCrashReport: (use: string) => void;
+  readonly countCrashVerdict: (verdict: string) => void;
 }
 
 /** Metrics that record nothing, for tests. */
@@ -25,6 +26,7 @@
   countRun: () => undefined,
   countRejectedHeartbeat: () => undefined,
   countCrashReport: () => undefined,
+  countCrashVerdict: () => undefined,
 };
 
 /** Metrics that can be printed in the Prometheus text format. */
@@ -80,6 +82,12 @@
     labelNames: ['use'],
     registers,
   });
+  const crashVerdicts = new Counter({
+    name: 'foxtailbay_crash_verdicts_total',
+    help: 'Tasks under which a target crashed, by what follows for them.',
+    labelNames: ['verdict'],
+    registers,
+  });
   return {
     countJob: ({queue, state, reason}, tookMs) => {
       jobs.inc({queue, state, reason});
@@ -89,6 +97,7 @@
     countRun: (end, tookMs) => runs.observe({end}, tookMs),
     countRejectedHeartbeat: reason => rejectedHeartbeats.inc({reason}),
     countCrashReport: use => crashReports.inc({use}),
+    countCrashVerdict: verdict => crashVerdicts.inc({verdict}),
     print: () => registry.metrics(),
   };
 }
@@ -119,6 +128,8 @@
     countRejectedHeartbeat: reason =>
       forward(ready => ready.countRejectedHeartbeat(reason)),
     countCrashReport: use => forward(ready => ready.countCrashReport(use)),
+    countCrashVerdict: verdict =>
+      forward(ready => ready.countCrashVerdict(verdict)),
   };
 }
 
--- a/src/lib/work/agent/target_log.ts
+++ b/src/lib/work/agent/target_log.ts
@@ -1,4 +1,6 @@
 /** Log lines about the incarnations of an agent's target. */
+import {judgeEvidence} from '../../decisions/crash_evidence.js';
+import type {ObservedCrash} from '../../decisions/crash_evidence.js';
 import {isOccupying} from '../../decisions/held_run.js';
 import type {HeldRun} from '../../decisions/held_run.js';
 import {FleetEvent} from '../../observe/fleet_log.js';
@@ -9,13 +11,8 @@
 /** Maximum number of runs in the line on a crash. */
 const MAX_LISTED_RUNS = 12;
 
-/** The crash of a target as its agent sees it. */
-export interface CrashEvidence {
-  readonly life: string;
-  readonly proof: string;
-  readonly runs: readonly HeldRun[];
-  readonly lease: LineFields;
-}
+/** Evidence of a run that the report of a crash leaves out. */
+const NOT_REPORTED = 'not-reported';
 
 /** Logs that a target has started. */
 export function logTargetFound(
@@ -54,32 +51,43 @@
 /** Logs what was held on a target that crashed; the newest orders first. */
 export function logCrash(
   log: FleetLog,
-  {life, proof, runs, lease}: CrashEvidence,
+  crash: ObservedCrash,
+  proof: string,
+  lease: LineFields,
   nowMs: number,
 ): void {
+  const {life, runs, signAtMs, leaseHeldUntilMs} = crash;
   const sent = runs.filter(isOccupying);
   const newest = [...sent].sort((a, b) => b.startSentAtMs - a.startSentAtMs);
   log(FleetEvent.CRASH_RECORDED, 'The target has crashed.', {
     targetLife: life,
     proof,
+    signAgoMs: Math.round(nowMs - signAtMs),
+    leaseHeldMs: Math.round(leaseHeldUntilMs - signAtMs),
     ...lease,
     queued: runs.length - sent.length,
     sent: sent.length,
-    runs: newest.slice(0, MAX_LISTED_RUNS).map(run => describeRun(run, nowMs)),
+    runs: newest
+      .slice(0, MAX_LISTED_RUNS)
+      .map(run => describeRun(run, crash, nowMs)),
   });
 }
 
 function describeRun(
-  {order, state, startSentAtMs, acceptedAtMs}: HeldRun,
+  run: HeldRun,
+  crash: ObservedCrash,
   nowMs: number,
 ): LineFields {
+  const {order, state, startSentAtMs, acceptedAtMs} = run;
   const isAccepted = acceptedAtMs > 0;
   return {
     task: order.task,
     run: order.run,
     state,
+    evidence: judgeEvidence(run, crash) ?? NOT_REPORTED,
     sentAgoMs: Math.round(nowMs - startSentAtMs),
     acceptedAgoMs: isAccepted ? Math.round(nowMs - acceptedAtMs) : -1,
+    estimateMs: Math.round(order.estimateMs),
     toldCrashes: order.suspicion?.crashes ?? 0,
   };
 }
--- a/src/lib/work/entry/active_job.ts
+++ b/src/lib/work/entry/active_job.ts
@@ -7,7 +7,8 @@
 import type {ExpectedWork} from '../../decisions/work_forecast.js';
 import type {QueueRule} from '../../core/fleet_configuration.js';
 import type {LineFields} from '../../observe/request_log.js';
-import {formatTaskName} from '../../core/work_job.js';
+import type {RunEndReport} from '../../core/work_frames.js';
+import {formatTaskName, JobEnd} from '../../core/work_job.js';
 import type {
   JobAnswer,
   JobReason,
@@ -39,7 +40,7 @@
   sequence: number;
   /** Incarnations of targets on which a run failed or from which it was recalled. */
   readonly excluded: Set<string>;
-  /** Incarnations of targets whose crashes were counted when its job was given up. */
+  /** Incarnations of targets whose crashes were counted at the latest of them. */
   crashedLives: readonly string[];
 }
 
@@ -140,7 +141,8 @@
 }
 
 function describeFailure({state, tasks, rule}: ActiveJob): LineFields {
-  if (state !== JobState.FAILED) return {};
+  const isCrashed = tasks.some(({crashedLives}) => crashedLives.length > 0);
+  if (state !== JobState.FAILED && !isCrashed) return {};
   const causes = tasks.filter(task => countLosses(task) > 0);
   causes.sort((a, b) => countLosses(b) - countLosses(a));
   return {
@@ -156,6 +158,28 @@
   };
 }
 
+/** Records the run of a task that is done; `scaledMs` is its time on a typical target. */
+export function recordRun(
+  job: ActiveJob,
+  agent: string,
+  {task, durationMs}: RunEndReport,
+  scaledMs: number,
+): void {
+  job.longestRunMs = Math.max(job.longestRunMs, scaledMs);
+  job.lastRun = {task, agent, durationMs};
+}
+
+/** Creates the answer to an unfinished job: refused only if no part of it can have run. */
+export function createUnfinishedAnswer(
+  {state, expected}: ActiveJob,
+  reason: JobReason,
+  retryAfterMs: number,
+): JobAnswer {
+  const isUnstarted = state === JobState.WAITING && expected.elapsedMs === 0;
+  const end = isUnstarted ? JobEnd.REFUSED : JobEnd.ABANDONED;
+  return {end, reason, retryAfterMs};
+}
+
 /** Builds the log fields for the end of a job. */
 export function describeEnd(
   job: ActiveJob,
--- a/test/observe/fleet_metrics_test.ts
+++ b/test/observe/fleet_metrics_test.ts
@@ -14,6 +14,7 @@
     metrics.countRun('done', 80);
     metrics.countRejectedHeartbeat('denied');
     metrics.countCrashReport('known');
+    metrics.countCrashVerdict('held');
     const text = await metrics.print();
     expect(text).to.include(
       'foxtailbay_jobs_total{queue="q",state="completed",reason="none"} 1',
@@ -28,6 +29,9 @@
       'foxtailbay_heartbeats_rejected_total{reason="denied"} 1',
     );
     expect(text).to.include('foxtailbay_crash_reports_total{use="known"} 1');
+    expect(text).to.include(
+      'foxtailbay_crash_verdicts_total{verdict="held"} 1',
+    );
     expect(text).to.include(
       'foxtailbay_run_duration_milliseconds_count{end="done"} 1',
     );
