--- a/src/lib/work/agent/crash_reporter.ts
+++ b/src/lib/work/agent/crash_reporter.ts
@@ -88,16 +88,12 @@
     const {publishCrash, log, lease} = this.options;
     this.watch('');
     if (life === '') return;
-    const fields = {signAgoMs: Math.round(nowMs - signAtMs)};
-    logCrash(
-      log,
-      {life, proof, runs, lease: {...lease.describe(nowMs), ...fields}},
-      nowMs,
-    );
     const leaseHeldUntilMs = Math.min(
       this.answeredAtMs + MIN_LEASE_MS,
       lease.expiresAtMs - EXPIRY_SLACK_MS,
     );
-    publishCrash({life, runs, signAtMs, leaseHeldUntilMs}, nowMs);
+    const crash = {life, runs, signAtMs, leaseHeldUntilMs};
+    logCrash(log, crash, proof, lease.describe(nowMs), nowMs);
+    publishCrash(crash, nowMs);
   }
 }
--- a/src/lib/work/entry/active_job.ts
+++ b/src/lib/work/entry/active_job.ts
@@ -40,7 +40,7 @@
   sequence: number;
   /** Incarnations of targets on which a run failed or from which it was recalled. */
   readonly excluded: Set<string>;
-  /** Incarnations of targets whose crashes were counted when its job was given up. */
+  /** Incarnations of targets whose crashes were counted at the latest of them. */
   crashedLives: readonly string[];
 }
 
@@ -162,7 +162,8 @@
 }
 
 function describeFailure({state, tasks, rule}: ActiveJob): LineFields {
-  if (state !== JobState.FAILED) return {};
+  const isCrashed = tasks.some(({crashedLives}) => crashedLives.length > 0);
+  if (state !== JobState.FAILED && !isCrashed) return {};
   const causes = tasks.filter(task => countLosses(task) > 0);
   causes.sort((a, b) => countLosses(b) - countLosses(a));
   return {
--- a/src/lib/work/entry/deadly_tasks.ts
+++ b/src/lib/work/entry/deadly_tasks.ts
@@ -69,6 +69,9 @@
       deadly,
       tasks: this.describeTasks(crash, [...deadly, ...held, ...suspects]),
     });
+    for (const {task} of crash.runs) {
+      metrics.countCrashVerdict(this.blame.judge(task));
+    }
     for (const {job, task, suspicion} of crash.runs) {
       if (suspicion?.queue !== undefined && deadly.includes(task)) {
         this.containment.recordDeadly(suspicion.queue, nowMs);
@@ -82,12 +85,12 @@
   endIfBarred(job: ActiveJob, nowMs: number): boolean {
     const {jobs} = this.options;
     const name = job.request.job;
+    for (const task of job.tasks) {
+      const {counted = []} = this.blame.findReport(task.name) ?? {};
+      task.crashedLives = counted.map(({life}) => life);
+    }
     switch (this.blame.judgeJob(name)) {
       case BlameVerdict.DEADLY:
-        for (const task of job.tasks) {
-          const {counted = []} = this.blame.findReport(task.name) ?? {};
-          task.crashedLives = counted.map(({life}) => life);
-        }
         jobs.fail(job, nowMs, JobReason.TARGETS_CRASHED);
         return true;
       case BlameVerdict.HELD: {
--- a/test/work/deadly_task_line_test.ts
+++ b/test/work/deadly_task_line_test.ts
@@ -48,12 +48,14 @@
 describe('The lines of an entry on crashed targets', () => {
   const lines: EntryLine[] = [];
   const uses: string[] = [];
+  const verdicts: string[] = [];
   let job: ActiveJob;
   let deadly: DeadlyTasks;
 
   beforeEach(() => {
     lines.splice(0);
     uses.splice(0);
+    verdicts.splice(0);
     const log = (event: FleetEvent, _message: string, fields = {}) =>
       void lines.push({event, fields});
     const jobs = JobRegistry.create({
@@ -72,6 +74,7 @@
     const metrics = {
       ...NO_OP_FLEET_METRICS,
       countCrashReport: (use: string) => void uses.push(use),
+      countCrashVerdict: (verdict: string) => void verdicts.push(verdict),
     };
     deadly = DeadlyTasks.create({jobs, fleet, log, metrics});
     job = createJob();
@@ -164,6 +167,21 @@
     });
   });
 
+  it('name the lives for which a job is held', () => {
+    const [{name, run}] = job.tasks;
+    const runs = [{task: name, job: 'job', ranMs: 5}];
+    for (const life of ['t1', 't2', 't3']) recordCrash(life, {runs});
+    expect(listLines(FleetEvent.JOB_ENDED)).to.have.lengthOf(1);
+    expect(listLines(FleetEvent.JOB_ENDED)[0]).to.deep.include({
+      state: 'abandoned',
+      reason: 'crashes-suspected',
+      failedTasks: [
+        {task: name, run, failures: 0, crashedLives: ['t1', 't2', 't3']},
+      ],
+    });
+    expect(verdicts).to.deep.equal(['suspect', 'suspect', 'held']);
+  });
+
   it('are written once for a crash that is reported again, which is counted', () => {
     recordCrash('t1');
     recordCrash('t1', {ageMs: 500});
