--- a/src/lib/work/entry/active_job.ts
+++ b/src/lib/work/entry/active_job.ts
@@ -7,7 +7,8 @@
 import type {ExpectedWork} from '../../decisions/work_forecast.js';
 import type {QueueRule} from '../../core/fleet_configuration.js';
 import type {LineFields} from '../../observe/request_log.js';
-import {formatTaskName} from '../../core/work_job.js';
+import type {RunEndReport} from '../../core/work_frames.js';
+import {formatTaskName, JobEnd} from '../../core/work_job.js';
 import type {
   JobAnswer,
   JobReason,
@@ -39,6 +40,8 @@
   sequence: number;
   /** Incarnations of targets on which a run failed or from which it was recalled. */
   readonly excluded: Set<string>;
+  /** Incarnations of targets whose crashes were counted when its job was given up. */
+  crashedLives: readonly string[];
 }
 
 /** A completed run. */
@@ -108,6 +111,7 @@
         placedAtMs: 0,
         sequence: 0,
         excluded: new Set(),
+        crashedLives: [],
       });
     }
   });
@@ -129,6 +133,50 @@
   );
 }
 
+/** Maximum number of tasks that the log names as the cause of a failed job. */
+const MAX_NAMED_TASKS = 4;
+
+function describeFailure({state, tasks, rule}: ActiveJob): LineFields {
+  if (state !== JobState.FAILED) return {};
+  const causes = tasks.filter(
+    ({failures, crashedLives}) => failures > 0 || crashedLives.length > 0,
+  );
+  causes.sort((a, b) => b.failures - a.failures);
+  return {
+    attemptsAtMost: rule.attemptsAtMost,
+    failedTasks: causes
+      .slice(0, MAX_NAMED_TASKS)
+      .map(({name, run, failures, crashedLives}) => ({
+        task: name,
+        run,
+        failures,
+        crashedLives,
+      })),
+  };
+}
+
+/** Records the run of a task that is done; `scaledMs` is its time on a typical target. */
+export function recordRun(
+  job: ActiveJob,
+  agent: string,
+  {task, durationMs}: RunEndReport,
+  scaledMs: number,
+): void {
+  job.longestRunMs = Math.max(job.longestRunMs, scaledMs);
+  job.lastRun = {task, agent, durationMs};
+}
+
+/** Creates the answer to an unfinished job: refused only if no part of it can have run. */
+export function createUnfinishedAnswer(
+  {state, expected}: ActiveJob,
+  reason: JobReason,
+  retryAfterMs: number,
+): JobAnswer {
+  const isUnstarted = state === JobState.WAITING && expected.elapsedMs === 0;
+  const end = isUnstarted ? JobEnd.REFUSED : JobEnd.ABANDONED;
+  return {end, reason, retryAfterMs};
+}
+
 /** Builds the log fields for the end of a job. */
 export function describeEnd(
   job: ActiveJob,
@@ -144,6 +192,7 @@
     lastTask: lastRun?.task,
     lastAgent: lastRun?.agent,
     lastRunMs: lastRun?.durationMs,
+    ...describeFailure(job),
   };
 }
 
