--- a/test/interleavings/crash_steps.ts
+++ b/test/interleavings/crash_steps.ts
@@ -42,6 +42,25 @@
   return fc.array(model.map(completeStep), LENGTHS);
 }
 
+/** Longest run time in milliseconds of the jobs beside the crash of one rack. */
+const MAX_SHORT_RUN_MS = 800;
+
+/** Creates sequences of submissions of short jobs with one crash of a rack among them. */
+export function createRackCrash(): fc.Arbitrary<WorkStep[]> {
+  const model = fc.record(createStepModel([WorkStepKind.SUBMIT]));
+  const rack = model.map(step => ({...step, kind: WorkStepKind.CRASH_RACK}));
+  const submissions = fc.array(
+    model.map(step => ({
+      ...step,
+      runMs: Math.min(step.runMs, MAX_SHORT_RUN_MS),
+    })),
+    {minLength: 2, maxLength: 6},
+  );
+  return fc
+    .tuple(submissions, rack, submissions)
+    .map(([before, crash, after]) => [...before, crash, ...after]);
+}
+
 function completeStep({crash, ...step}: Required<WorkStep>): WorkStep {
   if (step.kind !== WorkStepKind.SUBMIT_CRASHING) return step;
   const runMs = Math.max(step.runMs, crash.afterMs + MIN_REST_MS);
--- a/test/interleavings/recorded_crashes.ts
+++ b/test/interleavings/recorded_crashes.ts
@@ -30,3 +30,21 @@
     {...DEFAULTS, kind: WorkStepKind.CRASH_RACK, tasks: 2},
   ],
 };
+
+/** Six tasks of 3 s run on four targets that crash at once and are back in 4 s. */
+export const LONG_TASKS: RecordedSequence = {
+  name: 'long tasks',
+  seed: 1,
+  rules: {grants: false, isIdKept: false, isCutRefused: false},
+  steps: [
+    {...DEFAULTS, kind: WorkStepKind.SUBMIT, tasks: 3, runMs: 3000},
+    {
+      ...DEFAULTS,
+      kind: WorkStepKind.SUBMIT,
+      tasks: 3,
+      runMs: 3000,
+      afterMs: 300,
+    },
+    {...DEFAULTS, kind: WorkStepKind.CRASH_RACK, tasks: 3},
+  ],
+};
