--- a/test/interleavings/virtual_work_fleet.ts
+++ b/test/interleavings/virtual_work_fleet.ts
@@ -272,11 +272,24 @@
   private createLog(process: string): FleetLog {
     return (event, message, fields = {}) => {
       if (event === FleetEvent.STATUS) return;
-      const {agoMs, task, run, agent, agentLife, end, cause, proof, runs} =
-        fields;
+      const {
+        agoMs,
+        task,
+        run,
+        agent,
+        agentLife,
+        end,
+        cause,
+        proof,
+        runs,
+        tasks,
+      } = fields;
       const run1 = run === undefined ? '' : `#${String(run)}`;
-      const detail = [agentLife ?? agent, task, end, cause, proof, runs]
+      const detail = [agentLife ?? agent, task, end, cause, proof, runs, tasks]
         .filter(value => value !== undefined)
+        .map(value =>
+          typeof value === 'object' ? JSON.stringify(value) : value,
+        )
         .join(' ');
       const text = `${process} ${event}: ${message} ${detail}${run1}`;
       this.record(text, Number(agoMs ?? 0));
