--- a/src/lib/work/agent/lease_renewer.ts
+++ b/src/lib/work/agent/lease_renewer.ts
@@ -1,6 +1,7 @@
 /** Requests the target's run lists, which renews the lease of its runs. */
 import {isOutlivingOwner, RunState} from '../../decisions/held_run.js';
 import type {RunRegistry} from '../../decisions/run_registry.js';
+import type {LineFields} from '../../observe/request_log.js';
 import type {TargetClient} from './target_client.js';
 
 /** Time in milliseconds without a run list after which a long poll's counts as lost. */
@@ -36,6 +37,11 @@
     return this.listedAtMs;
   }
 
+  /** Time from which no run of the lease can exist. */
+  get expiresAtMs(): number {
+    return this.options.api.leaseExpiresAtMs;
+  }
+
   /** Records that a run list has arrived. */
   recordList(nowMs: number): void {
     this.listedAtMs = nowMs;
@@ -66,6 +72,14 @@
     api.list(runs.lastEndNumber, this.allowExtension(nowMs));
   }
 
+  /** Describes the lease for the log. */
+  describe(nowMs: number): LineFields {
+    return {
+      listedAgoMs: Math.round(nowMs - this.listedAtMs),
+      leaseLeftMs: Math.round(this.expiresAtMs - nowMs),
+    };
+  }
+
   /** Renews the lease when due; returns whether it has certainly ended instead. */
   advance(nowMs: number): boolean {
     const {api, runs, isControlled} = this.options;
--- a/src/lib/work/entry/active_job.ts
+++ b/src/lib/work/entry/active_job.ts
@@ -5,9 +5,10 @@
 } from '../../decisions/job_timing.js';
 import type {JobTiming} from '../../decisions/job_timing.js';
 import type {ExpectedWork} from '../../decisions/work_forecast.js';
+import type {RunEndReport} from '../../core/work_frames.js';
 import type {QueueRule} from '../../core/fleet_configuration.js';
 import type {LineFields} from '../../observe/request_log.js';
-import {formatTaskName} from '../../core/work_job.js';
+import {formatTaskName, JobEnd} from '../../core/work_job.js';
 import type {
   JobAnswer,
   JobReason,
@@ -39,6 +40,8 @@
   sequence: number;
   /** Incarnations of targets on which a run failed or from which it was recalled. */
   readonly excluded: Set<string>;
+  /** Incarnations of targets whose crashes were counted when its job was given up. */
+  crashedLives: readonly string[];
 }
 
 /** A completed run. */
@@ -108,6 +111,7 @@
         placedAtMs: 0,
         sequence: 0,
         excluded: new Set(),
+        crashedLives: [],
       });
     }
   });
@@ -115,6 +119,27 @@
   return job;
 }
 
+/**
+ * Returns whether the queue allows another run of the task. Without a known number
+ * of attempts, it allows one.
+ *
+ * @param ahead Number of runs that are assumed to fail before.
+ */
+export function hasAttempts({failures, job}: ActiveTask, ahead = 0): boolean {
+  return failures + ahead < (job.rule.attemptsAtMost ?? 1);
+}
+
+/** Records the run completed last, with its duration scaled to a typical target. */
+export function recordLastRun(
+  job: ActiveJob,
+  {agent}: {readonly agent: string},
+  {task, durationMs}: RunEndReport,
+  scaledMs: number,
+): void {
+  job.longestRunMs = Math.max(job.longestRunMs, scaledMs);
+  job.lastRun = {task, agent, durationMs};
+}
+
 /** Lists the blocked tasks whose earlier steps are all done. */
 export function listUnblocked(job: ActiveJob): ActiveTask[] {
   const unfinishedSteps = new Set(
@@ -129,6 +154,41 @@
   );
 }
 
+/** Maximum number of tasks that the log names as the cause of a failed job. */
+const MAX_NAMED_TASKS = 4;
+
+function countLosses({failures, crashedLives}: ActiveTask): number {
+  return failures + crashedLives.length;
+}
+
+function describeFailure({state, tasks, rule}: ActiveJob): LineFields {
+  if (state !== JobState.FAILED) return {};
+  const causes = tasks.filter(task => countLosses(task) > 0);
+  causes.sort((a, b) => countLosses(b) - countLosses(a));
+  return {
+    attemptsAtMost: rule.attemptsAtMost,
+    failedTasks: causes
+      .slice(0, MAX_NAMED_TASKS)
+      .map(({name, run, failures, crashedLives}) => ({
+        task: name,
+        run,
+        failures,
+        crashedLives,
+      })),
+  };
+}
+
+/** Creates the answer to an unfinished job: refused only if no part of it can have run. */
+export function createUnfinishedAnswer(
+  {state, expected}: ActiveJob,
+  reason: JobReason,
+  retryAfterMs: number,
+): JobAnswer {
+  const isUnstarted = state === JobState.WAITING && expected.elapsedMs === 0;
+  const end = isUnstarted ? JobEnd.REFUSED : JobEnd.ABANDONED;
+  return {end, reason, retryAfterMs};
+}
+
 /** Builds the log fields for the end of a job. */
 export function describeEnd(
   job: ActiveJob,
@@ -144,6 +204,7 @@
     lastTask: lastRun?.task,
     lastAgent: lastRun?.agent,
     lastRunMs: lastRun?.durationMs,
+    ...describeFailure(job),
   };
 }
 
--- a/src/lib/work/entry/job_registry.ts
+++ b/src/lib/work/entry/job_registry.ts
@@ -6,10 +6,13 @@
 import {createAnswer, JobEnd, JobReason} from '../../core/work_job.js';
 import type {JobAnswer} from '../../core/work_job.js';
 import {
+  createUnfinishedAnswer,
   describeEnd,
   describeJob,
   describeReturn,
+  hasAttempts,
   listUnblocked,
+  recordLastRun,
 } from './active_job.js';
 import type {ActiveJob, ActiveTask, AnswerCaller} from './active_job.js';
 import type {AgentSession} from './agent_session.js';
@@ -114,18 +117,16 @@
     }
   }
 
-  /** Answers that the job is refused only if no part of it can have run. */
   private endUnfinished(
     job: ActiveJob,
     reason: JobReason,
     nowMs: number,
     retryAfterMs = 0,
   ): void {
-    const isUnstarted =
-      job.state === JobState.WAITING && job.expected.elapsedMs === 0;
-    const event = isUnstarted ? JobEvent.REFUSE : JobEvent.ABANDON;
-    const end = isUnstarted ? JobEnd.REFUSED : JobEnd.ABANDONED;
-    this.end(job, event, {end, reason, retryAfterMs}, nowMs);
+    const answer = createUnfinishedAnswer(job, reason, retryAfterMs);
+    const isRefused = answer.end === JobEnd.REFUSED;
+    const event = isRefused ? JobEvent.REFUSE : JobEvent.ABANDON;
+    this.end(job, event, answer, nowMs);
   }
 
   /** Ends unplaced jobs that can no longer be answered in time to be of use. */
@@ -160,18 +161,20 @@
     if (task === undefined || task.run !== report.run) return;
     this.options.releaseTask(task);
     switch (report.end) {
-      case RunEnd.DONE:
+      case RunEnd.DONE: {
         this.applyEvent(task, TaskEvent.DONE);
-        this.recordRun(task.job, session, report);
+        const scaledMs = this.options.scaleRun(session, report.durationMs);
+        recordLastRun(task.job, session.hello, report, scaledMs);
         task.job.remainingTasks -= 1;
         this.advance(task.job, nowMs);
         break;
+      }
       case RunEnd.FAILED:
         task.failures += 1;
         task.excluded.add(session.report.life);
         this.applyEvent(task, TaskEvent.FAILED);
         if (task.state !== TaskState.FAILED) break;
-        this.fail(task.job, nowMs, JobReason.ATTEMPTS_EXHAUSTED);
+        this.endByAttempts(task.job, nowMs);
         break;
       case RunEnd.STOPPED:
       case RunEnd.LOST:
@@ -195,7 +198,12 @@
       case RunStatusChange.EXPIRED:
       case RunStatusChange.NOT_LISTED:
       case RunStatusChange.REPLACED:
-        this.logReturn(task, describeReturn(task, change));
+        this.logJob(
+          task.job,
+          FleetEvent.TASK_RETURNED,
+          'A run is over.',
+          describeReturn(task, change),
+        );
         this.options.releaseTask(task);
         this.applyEvent(task, TaskEvent.REQUEUE);
         this.enqueueIfWaiting(task);
@@ -203,10 +211,6 @@
     }
   }
 
-  private logReturn({job}: ActiveTask, fields: LineFields): void {
-    this.logJob(job, FleetEvent.TASK_RETURNED, 'A run is over.', fields);
-  }
-
   /** Adds a line to the log of a job. */
   logJob(
     job: ActiveJob,
@@ -218,16 +222,6 @@
     this.options.requests.add(job.request.job, event, message, line);
   }
 
-  private recordRun(
-    job: ActiveJob,
-    session: AgentSession,
-    {task, durationMs}: RunEndReport,
-  ): void {
-    const scaledMs = this.options.scaleRun(session, durationMs);
-    job.longestRunMs = Math.max(job.longestRunMs, scaledMs);
-    job.lastRun = {task, agent: session.hello.agent, durationMs};
-  }
-
   private advance(job: ActiveJob, nowMs: number): void {
     if (job.remainingTasks > 0) return this.unblock(job);
     const answer = createAnswer(JobEnd.COMPLETED, JobReason.NONE);
@@ -239,6 +233,13 @@
     this.end(job, JobEvent.FAIL, createAnswer(JobEnd.FAILED, reason), nowMs);
   }
 
+  /** Ends a job of which a task has no attempts left, as failed if their number is known. */
+  private endByAttempts(job: ActiveJob, nowMs: number): void {
+    const reason = JobReason.ATTEMPTS_EXHAUSTED;
+    if (job.rule.attemptsAtMost !== undefined) this.fail(job, nowMs, reason);
+    else this.endUnfinished(job, reason, nowMs);
+  }
+
   private unblock(job: ActiveJob): void {
     for (const task of listUnblocked(job)) {
       this.applyEvent(task, TaskEvent.UNBLOCK);
@@ -251,11 +252,10 @@
   }
 
   private applyEvent(task: ActiveTask, event: TaskEvent): void {
-    const hasAttempts = task.failures < task.job.rule.attemptsAtMost;
     const step = TASK_CHART.step(
       task.state,
       event,
-      guard => guard === HAS_ATTEMPTS && hasAttempts,
+      guard => guard === HAS_ATTEMPTS && hasAttempts(task),
     );
     task.state = step.state;
     if (step.actions.includes(TaskAction.SEND_STOP)) {
@@ -263,7 +263,8 @@
     }
   }
 
-  private end(
+  /** Ends a job with an event, and answers its callers unless they have gone. */
+  end(
     job: ActiveJob,
     event: JobEvent,
     answer: JobAnswer | undefined,
