--- a/src/lib/core/work_frames.ts
+++ b/src/lib/core/work_frames.ts
@@ -57,7 +57,7 @@
 
 /** What is known of a run on a target that has crashed. */
 export enum RunEvidence {
-  /** The target had accepted or listed it, and it cannot have ended before. */
+  /** The target had accepted or listed it, and it had not ended by the first sign of the crash. */
   RAN = 'ran',
   /** Its order may not have arrived, or the run may have been over. */
   UNKNOWN = 'unknown',
--- a/src/lib/decisions/crash_blame.ts
+++ b/src/lib/decisions/crash_blame.ts
@@ -25,7 +25,7 @@
 /** Assumed probability that a task of which nothing is known is deadly. */
 const PRIOR_BLAME = 0.01;
 
-/** Weight of the explanation that a target crashed by itself, as that of a run. */
+/** Weight of the explanation that a target crashed by itself, beside those of its runs. */
 const OTHER_CAUSE_WEIGHT = 0.002;
 
 /** Age in milliseconds of a run at which it is half as suspicious as a new one. */
@@ -138,9 +138,10 @@
     const verdicts = [...this.tasks.values()]
       .filter(known => known.job === job)
       .map(judgeBlame);
-    const byRank = Object.values(BlameVerdict).reverse();
+    // The enum lists the verdicts by rising gravity.
+    const byGravity = Object.values(BlameVerdict).reverse();
     return (
-      byRank.find(verdict => verdicts.includes(verdict)) ?? BlameVerdict.NONE
+      byGravity.find(verdict => verdicts.includes(verdict)) ?? BlameVerdict.NONE
     );
   }
 
--- a/src/lib/decisions/crash_evidence.ts
+++ b/src/lib/decisions/crash_evidence.ts
@@ -30,10 +30,10 @@
   }: Pick<ObservedCrash, 'signAtMs' | 'leaseHeldUntilMs'>,
 ): RunEvidence | undefined {
   switch (state) {
+    // The order of an uncertain run was sent to an earlier incarnation.
+    case RunState.UNCERTAIN:
     case RunState.QUEUED:
     case RunState.ENDED:
-    // The order was sent to an earlier incarnation.
-    case RunState.UNCERTAIN:
       return undefined;
     case RunState.RUNNING: {
       const mayHaveEnded =
--- a/test/decisions/crash_blame_test.ts
+++ b/test/decisions/crash_blame_test.ts
@@ -186,6 +186,14 @@
     expect(blame.judge('a')).to.equal(BlameVerdict.NONE);
   });
 
+  it('forgets a crash in time that was reported after later ones', () => {
+    recordCrash([createRun('b', 5)], 28_000);
+    recordCrash([createRun('a', 5)], 0);
+    blame.expire(RETENTION_MS);
+    expect(blame.judge('a')).to.equal(BlameVerdict.NONE);
+    expect(blame.judge('b')).to.equal(BlameVerdict.SUSPECT);
+  });
+
   it('keeps a bounded number of tasks, the latest ones', () => {
     for (let count = 0; count < 200; count += 1) {
       const runs = Array.from({length: 20}, (_, index) =>
--- a/test/fleet/deadly_task_test.ts
+++ b/test/fleet/deadly_task_test.ts
@@ -70,6 +70,22 @@
     expect(listCrashes()).to.have.lengthOf(2);
   });
 
+  it('gets no run after three crashes, however short its runs are', async () => {
+    const [entry] = await startFleet(['entry-1']);
+    const body = {...createJobBody(1, 40), spec: '40/1000/deadly'};
+    const path = createJobPath();
+    const reply = await submit(entry, path, body);
+    // A crash that is noticed late may come after the end of so short a run.
+    expect(reply.body.reason).to.be.oneOf([
+      'targets-crashed',
+      'crashes-suspected',
+    ]);
+    const crashes = listCrashes().length;
+    expect(crashes).to.be.within(2, 3);
+    await submit(entry, path, body);
+    expect(listCrashes()).to.have.lengthOf(crashes);
+  });
+
   it('does not let the jobs beside it fail', async () => {
     const [entry] = await startFleet(['entry-1']);
     const neighbours = Array.from({length: 6}, () =>
--- a/test/work/crash_evidence_test.ts
+++ b/test/work/crash_evidence_test.ts
@@ -1,6 +1,6 @@
 import {expect} from 'chai';
 import {BlameVerdict, CrashBlame} from '../../src/lib/decisions/crash_blame.js';
-import {RunEnd} from '../../src/lib/core/work_frames.js';
+import {RunEnd, RunEvidence} from '../../src/lib/core/work_frames.js';
 import type {TargetCrash} from '../../src/lib/core/work_frames.js';
 import {OrderOutcome} from '../../src/lib/work/agent/target_api.js';
 import {CallKind, RunnerFixture} from './runner_fixture.js';
@@ -47,6 +47,25 @@
     return blame.judge('task');
   }
 
+  // Guards against a run that counts as there (LOST) though it may have ended between a
+  // call that broke for another cause and the crash.
+  it('is not dated from an earlier call whose connection broke', async () => {
+    const fixture = await RunnerFixture.create();
+    fixtures.push(fixture);
+    fixture.nowMs += RENEW_PERIOD_MS;
+    fixture.sendOrder('task');
+    await fixture.settle();
+    fixture.outcomes[CallKind.HOLD] = OrderOutcome.BROKEN;
+    fixture.nowMs += CRASH_AFTER_MS;
+    await fixture.runTimers();
+    fixture.outcomes[CallKind.HOLD] = OrderOutcome.NOT_LISTENING;
+    fixture.nowMs += RENEW_PERIOD_MS;
+    await fixture.runTimers();
+    const [crash] = fixture.crashes;
+    expect(crash.runs).to.have.lengthOf(1);
+    expect(crash.runs[0].evidence).to.equal(RunEvidence.UNKNOWN);
+  });
+
   it('does not prove that the task crashes targets', async () => {
     const first = await loseTarget('t1', true);
     const second = await loseTarget('t2', false);
