--- a/test/work/scheduler_fixture.ts
+++ b/test/work/scheduler_fixture.ts
@@ -132,12 +132,17 @@
     await this.settle();
   }
 
-  /** Submits a job of one step; returns the answers that its caller has got. */
+  /**
+   * Submits a job of one step, a new one unless its name is given; returns the
+   * answers that its caller has got.
+   */
   async submit(
     changes: Partial<StepSpec> = {},
     rule: QueueRule = RULE,
+    name?: string,
   ): Promise<readonly JobAnswer[]> {
     this.submitted += 1;
+    const job = name ?? String(this.submitted).padStart(16, '0');
     const step: StepSpec = {
       count: 2,
       need: NEED,
@@ -152,7 +157,7 @@
     this.scheduler.post({
       kind: SchedulerMessageKind.SUBMIT,
       request: {
-        job: String(this.submitted).padStart(16, '0'),
+        job,
         request: 'request',
         queue: rule.name,
         payload: '',
@@ -167,6 +172,13 @@
     return answers;
   }
 
+  /** Disconnects the caller that came last. */
+  async disconnectCaller(job: string): Promise<void> {
+    const kind = SchedulerMessageKind.CALLER_DISCONNECTED;
+    this.scheduler.post({kind, job, caller: this.submitted});
+    await this.settle();
+  }
+
   /** Lists the runs ordered from the agent, `TASK#RUN`. */
   listOrders(): string[] {
     return this.sent.flatMap(frame =>
@@ -176,7 +188,12 @@
 
   /** Reports the end of the latest run that was ordered. */
   async endLatestRun(end: RunEnd): Promise<void> {
-    const [task, run] = (this.listOrders().at(-1) ?? '').split('#');
+    await this.endRun(this.listOrders().at(-1) ?? '', end);
+  }
+
+  /** Reports the end of a run, `TASK#RUN`. */
+  async endRun(name: string, end: RunEnd): Promise<void> {
+    const [task, run] = name.split('#');
     const job = task.split('.')[0];
     const cause = RunEndCause.NONE;
     const report = {task, run: Number(run), job, end, cause, durationMs: 10};
