--- a/test/fleet/late_calls.ts
+++ b/test/fleet/late_calls.ts
@@ -78,13 +78,13 @@
  * the target ends.
  */
 export function createLostAnswers(
-  isLost: (call: StartCall) => boolean,
+  isLost: (answer: OrderAnswer) => boolean,
 ): WrapConnection {
   return (connection, target) => ({
     ...connection,
     start: async call => {
       const answer = await connection.start(call);
-      if (!isLost(call)) return answer;
+      if (!isLost(answer)) return answer;
       await waitUntil('the target ends', () => !target.isOpen);
       return BROKEN;
     },
