--- a/src/lib/work/entry/deadly_tasks.ts
+++ b/src/lib/work/entry/deadly_tasks.ts
@@ -85,10 +85,7 @@
   endIfBarred(job: ActiveJob, nowMs: number): boolean {
     const {jobs} = this.options;
     const name = job.request.job;
-    for (const task of job.tasks) {
-      const {counted = []} = this.blame.findReport(task.name) ?? {};
-      task.crashedLives = counted.map(({life}) => life);
-    }
+    this.recordCrashedLives(job);
     switch (this.blame.judgeJob(name)) {
       case BlameVerdict.DEADLY:
         jobs.fail(job, nowMs, JobReason.TARGETS_CRASHED);
@@ -153,6 +150,14 @@
     this.trial = {task, run: task.run};
   }
 
+  /** Records the crashes under each task of a job, for the log. */
+  private recordCrashedLives({tasks}: ActiveJob): void {
+    for (const task of tasks) {
+      const {counted = []} = this.blame.findReport(task.name) ?? {};
+      task.crashedLives = counted.map(({life}) => life);
+    }
+  }
+
   private describeTasks(
     {runs}: TargetCrash,
     tasks: readonly string[],
--- a/src/lib/work/entry/scheduler.ts
+++ b/src/lib/work/entry/scheduler.ts
@@ -84,7 +84,8 @@
         if (report.end === RunEnd.DONE) this.deadly.recordSuccess(report.task);
         this.jobs.endRun(session, report, this.nowMs);
       },
-      handleCrash: (...crash) => this.deadly.handleCrash(...crash, this.nowMs),
+      handleCrash: (crash, agentLife) =>
+        this.deadly.handleCrash(crash, agentLife, this.nowMs),
       handleRunStatus: (task, change) =>
         this.jobs.handleRunStatus(task, change),
       handleConfiguration: configuration =>
