Drop a result that nobody reads, and build a test's order in one place

endIfBarred told whether it had ended the job, and both callers ignored it. crash_evidence_test wrote out the order that test/work/run_order.ts builds. No change of behaviour, no assertion touched.

--- a/src/lib/work/entry/deadly_tasks.ts
+++ b/src/lib/work/entry/deadly_tasks.ts
@@ -81,15 +81,15 @@
     }
   }
 
-  /** Ends a job of which a task gets no further run; returns whether it did. */
-  endIfBarred(job: ActiveJob, nowMs: number): boolean {
+  /** Ends a job of which a task gets no further run. */
+  endIfBarred(job: ActiveJob, nowMs: number): void {
     const {jobs} = this.options;
     const name = job.request.job;
     this.recordCrashedLives(job);
     switch (this.blame.judgeJob(name)) {
       case BlameVerdict.DEADLY:
         jobs.fail(job, nowMs, JobReason.TARGETS_CRASHED);
-        return true;
+        break;
       case BlameVerdict.HELD: {
         // A task of it was ordered, here or at another entry, so it may have run.
         const end = JobEnd.ABANDONED;
@@ -97,11 +97,11 @@
         const retryAfterMs = this.blame.computeRetention(name, nowMs);
         const answer = {end, reason, retryAfterMs};
         jobs.end(job, JobEvent.ABANDON, answer, nowMs);
-        return true;
+        break;
       }
       case BlameVerdict.SUSPECT:
       case BlameVerdict.NONE:
-        return false;
+        break;
     }
   }
 
--- a/test/decisions/crash_evidence_test.ts
+++ b/test/decisions/crash_evidence_test.ts
@@ -1,25 +1,17 @@
 import {expect} from 'chai';
 import {RunEvidence} from '../../src/lib/core/work_frames.js';
-import type {RunOrder} from '../../src/lib/core/work_frames.js';
 import {judgeEvidence} from '../../src/lib/decisions/crash_evidence.js';
 import {createHeldRun, RunState} from '../../src/lib/decisions/held_run.js';
 import type {HeldRun} from '../../src/lib/decisions/held_run.js';
+import {createOrder} from '../work/run_order.js';
 
 const START_MS = 1000;
 const ESTIMATE_MS = 100;
-const ORDER: RunOrder = {
-  task: 'a',
-  run: 1,
-  job: 'a',
-  request: 'a',
-  service: 'runner',
-  payload: '',
-  need: {cpuMilli: 1000, memoryMb: 1, accelerators: 0},
-  estimateMs: ESTIMATE_MS,
-  slackMs: 0,
-  patienceMs: 0,
-  sequence: 1,
-};
+const ORDER = createOrder(
+  'a',
+  {cpuMilli: 1000, patienceMs: 0, sequence: 1},
+  {estimateMs: ESTIMATE_MS},
+);
 
 function judge(
   changes: Partial<HeldRun>,
