--- a/review/stand_ins_3/fleet.mjs
+++ b/review/stand_ins_3/fleet.mjs
@@ -94,8 +94,8 @@
   /**
    * Starts the store, `entries` entries and `agents` agents, each with a runner.
    *
-   * @param options `entries`, `agents`, `capacity`, `readRunMs`, `record`, and
-   *     `queue` with further fields of the queue.
+   * @param options `entries`, `agents`, `capacity`, `readRunMs`, `record`, and, where
+   *     they differ, `queue` with fields of the queue and `listLabels` of a runner.
    */
   static async start(options) {
     const fleet = new Fleet();
@@ -208,7 +208,7 @@
       port: ports.app,
       agent: control,
       capacity: options.capacity,
-      labels: ['a', `r1-${number}`],
+      labels: options.listLabels?.(number) ?? ['a', `r1-${number}`],
       heartbeatMs: 1500,
       readRunMs: options.readRunMs,
       record: options.recordRun ?? options.record,
