--- a/review/stand_ins_3/fleet.mjs
+++ b/review/stand_ins_3/fleet.mjs
@@ -27,7 +27,7 @@
 
 /** Host name and prefix of the one queue. */
 export const QUEUE_HOST = 'jobs.example';
-export const PREFIX = '/work/';
+export const PREFIX = '/desk/';
 
 /** Waits. */
 export const sleep = ms => new Promise(resolve => setTimeout(resolve, ms));
